Reload the configuration on SIGHUP: discovery moves, the program stays

Checked: EDGE_DISCOVERY went before the file, so a reload read plainly would have kept the old address; versions of another discovery need not be those of the old one, so the whole list is asked for there. Now: Reload reads and checks the file on a thread of its own and changes on the loop what can change live; Watch.move ends the old watch, asks the new address at once and keeps the list till it answers.

--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -83,7 +83,7 @@
                 file.has("opensearch") || members != null ? SEARCH_BUFFER_MOST : BUFFER_MOST);
         Store store = new Store(members, loop);
         if (file.has("settings")) {
-            serve(Config.read(known(file, store), env), loop, store);
+            serve(known(file, store), env, loop, store);
             loop.execute(() -> {
                 if (store.leads() && !file.json("settings").equals(store.get("settings"))) {
                     store.put("settings", file.json("settings"), held -> { });
@@ -106,7 +106,7 @@
     private static void serveStored(Keys file, Map<String, String> env, Loop loop, Store store) {
         try {
             Keys whole = file.with("settings", Config.parse(store.get("settings"), "settings"));
-            serve(Config.read(known(whole, store), env), loop, store);
+            serve(known(whole, store), env, loop, store);
         } catch (ConfigException e) {
             stop("configuration: " + e.getMessage(), 2);
         } catch (IOException e) {
@@ -120,7 +120,8 @@
                 : file.with("known", Config.parse(store.get("nodes"), "known"));
     }
 
-    private static void serve(Config config, Loop loop, Store store) throws IOException {
+    private static void serve(Keys file, Map<String, String> env, Loop loop, Store store) throws IOException {
+        Config config = Config.read(file, env);
         Warmup.run(config.site());
         boolean searches = config.openSearch() != null && config.openSearch().backend();
         WorkerPool pool = searches ? null : new WorkerPool(loop, config.site());
@@ -156,6 +157,8 @@
             ready[0] = true;
             servers.forEach(s -> LOG.log(System.Logger.Level.INFO, "{0} serves on {1}", config.name(), s.address()));
         });
+        new Reload(env, file, loop::execute, new Reload.Live(watch == null ? null : watch::move,
+                fixed == null ? null : fixed::replace, n -> loop.capSockets(n - OTHER_DESCRIPTORS))).onSignal();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(loop, servers, core), "drain"));
     }
 
--- a/src/main/java/pepperdock/config/Keys.java
+++ b/src/main/java/pepperdock/config/Keys.java
@@ -5,6 +5,9 @@
 import com.google.gson.JsonObject;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
 
 /** A JSON object and where it stands, so that every complaint names the whole key. */
 public final class Keys {
@@ -32,6 +35,11 @@
         return object.has(name) && !object.get(name).isJsonNull();
     }
 
+    /** The same object with one key put in that another object has. */
+    public Keys with(String name, Keys other) {
+        return with(name, other.need(name));
+    }
+
     /** The same object with one key put in. */
     public Keys with(String name, JsonElement value) {
         JsonObject copy = object.deepCopy();
@@ -39,6 +47,14 @@
         return new Keys(path, copy);
     }
 
+    /** The names whose values differ between two objects, those that only one of them has included. */
+    public List<String> differing(Keys other) {
+        Set<String> names = new TreeSet<>(object.keySet());
+        names.addAll(other.object.keySet());
+        names.removeIf(n -> Objects.equals(object.get(n), other.object.get(n)));
+        return List.copyOf(names);
+    }
+
     /** A value as JSON text. */
     public String json(String name) {
         return need(name).toString();
--- a/src/main/java/pepperdock/net/Loop.java
+++ b/src/main/java/pepperdock/net/Loop.java
@@ -30,7 +30,7 @@
     private final XnioWorker worker;
     private final XnioIoThread thread;
     private final int bufferCap;
-    private final int socketCap;
+    private int socketCap;
     private final Set<Connection> open = new HashSet<>();
     private final double startedAt = System.currentTimeMillis() / 1e3;
     private final long startedNanos = System.nanoTime();
@@ -81,6 +81,11 @@
         }
     }
 
+    /** Sets the cap anew; what stands open beyond it is left to end by itself. */
+    public void capSockets(int most) {
+        socketCap = most;
+    }
+
     /** Sockets still free under the cap. */
     public int spare() {
         return socketCap - open.size() - dialling;
--- a/src/main/java/pepperdock/platform/Watch.java
+++ b/src/main/java/pepperdock/platform/Watch.java
@@ -25,21 +25,38 @@
     private static final double GRACE_S = 1.9;
     private static final double DIAL_S = 1;
     private static final int LIST_MOST = 1 << 20;
+    private static final String WHOLE = "/api/targets";
 
+    private final Loop loop;
     private final Site site;
-    private final HttpClient http;
-    private final String authority;
+    private HttpClient http;
+    private String authority;
     private Gatherer core;
     private long seq;
     private boolean first = true;
 
     public Watch(Loop loop, InetSocketAddress at, Site site, long knownSeq) {
+        this.loop = loop;
         this.site = site;
         seq = knownSeq;
+        dialAt(at);
+    }
+
+    private void dialAt(InetSocketAddress at) {
         authority = at.getHostString() + ':' + at.getPort();
         http = new HttpClient(loop, at, DIAL_S, LIST_MOST);
     }
 
+    /**
+     * The list is told elsewhere from now on: the old watch ends and the new address is asked at once. It is asked for
+     * the whole list, as its versions need not be those of the old one; until it answers the list in hand stands.
+     */
+    public void move(InetSocketAddress at) {
+        http.close();
+        dialAt(at);
+        call(WHOLE, FIRST_WAIT_MS);
+    }
+
     public void start(Gatherer core) {
         this.core = core;
     }
@@ -47,13 +64,16 @@
     @Override
     public void subscribe() {
         if (!http.busy()) {
-            call(first ? FIRST_WAIT_MS : WAIT_MS);
+            call(changes(first ? FIRST_WAIT_MS : WAIT_MS), first ? FIRST_WAIT_MS : WAIT_MS);
         }
     }
 
-    private void call(int waitMs) {
-        byte[] request = HttpWriter.request("GET", "/api/targets?since=" + seq + "&timeout_ms=" + waitMs, authority, "",
-                new byte[0]);
+    private String changes(int waitMs) {
+        return WHOLE + "?since=" + seq + "&timeout_ms=" + waitMs;
+    }
+
+    private void call(String target, int waitMs) {
+        byte[] request = HttpWriter.request("GET", target, authority, "", new byte[0]);
         http.ask(request, waitMs / 1e3 + GRACE_S, new HttpClient.Then() {
             @Override
             public void response(HttpMessage m) {
@@ -76,7 +96,7 @@
             HostList list = HostList.parse(new String(m.body(), StandardCharsets.UTF_8), site);
             seq = list.seq();
             first = false;
-            call(WAIT_MS);
+            call(changes(WAIT_MS), WAIT_MS);
             core.listed(list.whole() ? ListKind.COMPLETE : ListKind.CHANGES, list.hosts());
         } catch (ConfigException e) {
             failed(e.getMessage());
--- a/src/test/java/pepperdock/platform/WatchTest.java
+++ b/src/test/java/pepperdock/platform/WatchTest.java
@@ -90,4 +90,23 @@
             assertEquals("/api/targets?since=43", asked(in));
         }
     }
+
+    /** The old watch must end: what it still told would go over the new list. */
+    @Test
+    void aMoveAsksTheNewAddressForTheWholeListAndEndsTheOldWatch() throws Exception {
+        try (ServerSocket other = new ServerSocket(0, 50, InetAddress.getLoopbackAddress()); Socket old = server.accept()) {
+            BufferedReader in = new BufferedReader(new InputStreamReader(old.getInputStream(), StandardCharsets.US_ASCII));
+            assertEquals("/api/targets?since=41", asked(in));
+            loop.execute(() -> watch.move((InetSocketAddress) other.getLocalSocketAddress()));
+            assertEquals(-1, in.read());
+            try (Socket s = other.accept()) {
+                in = new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
+                assertEquals("/api/targets", asked(in));
+                assertTrue(lists.isEmpty());
+                answer(s, 200, "{\"seq\":7,\"whole\":true,\"hosts\":[" + HOST.formatted("c") + "]}");
+                assertEquals("c", list().iterator().next().id());
+                assertEquals("/api/targets?since=7", asked(in));
+            }
+        }
+    }
 }
