Hold clients to time limits and strict reading; end spoilt answers at their first bytes

Workers' unknown letters and ids were passed over and waited for in silence. Main ends when the start throws: found when the warm-up met the stricter parser and left a program that served nobody.

--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.IntSupplier;
 import pepperdock.aggregator.Aggregator.ListKind;
 import pepperdock.config.Config;
 import pepperdock.config.ConfigException;
@@ -31,10 +32,10 @@
 public final class Main {
 
     private static final System.Logger LOG = System.getLogger("pepperdock");
-    /** Descriptors that are not ours to use: the jar, the selectors, standard streams, and some to spare. */
-    private static final int OTHER_DESCRIPTORS = 64;
-    /** Sockets that clients may not take: connections to workers and discovery come first. */
-    private static final int FOR_WORKERS = 64;
+    /** Descriptors that are not ours to use: the jar, the selectors, standard streams (18 seen), and some to spare. */
+    private static final int OTHER_DESCRIPTORS = 40;
+    /** Of all descriptors, clients may hold one in so many: connections to workers and discovery need theirs. */
+    private static final int CLIENTS_SHARE = 3;
     private static final int BODY_MOST = 64 << 10;
     private static final int SEARCH_BODY_MOST = 1 << 20;
     private static final int BUFFER_MOST = 256 << 10;
@@ -53,6 +54,10 @@
                     stop("configuration: " + e.getMessage(), 2);
                 } catch (IOException e) {
                     stop("can't start: " + e.getMessage(), 1);
+                } catch (RuntimeException e) {
+                    // The loop's thread would otherwise keep a program going that serves nobody.
+                    LOG.log(System.Logger.Level.ERROR, "can't start", e);
+                    System.exit(1);
                 }
             }
             default -> stop("usage: pepperdock serve | drill", 2);
@@ -136,12 +141,14 @@
         keepNodes(core, config, store);
         boolean[] ready = {false};
         List<HttpServer> servers = new ArrayList<>();
+        IntSupplier clients = () -> (loop.sockets() + OTHER_DESCRIPTORS) / CLIENTS_SHARE
+                / (config.listen() != null && config.openSearch() != null ? 2 : 1);
         if (config.listen() != null) {
-            servers.add(new HttpServer(loop, config.listen(), BODY_MOST, FOR_WORKERS,
+            servers.add(new HttpServer(loop, config.listen(), BODY_MOST, clients,
                     new Front(config.site(), core, () -> ready[0])));
         }
         if (config.openSearch() != null) {
-            servers.add(new HttpServer(loop, config.openSearch().listen(), SEARCH_BODY_MOST, FOR_WORKERS,
+            servers.add(new HttpServer(loop, config.openSearch().listen(), SEARCH_BODY_MOST, clients,
                     new SearchFront(config.site(), config.openSearch(), core, loop, search)));
         }
         loop.execute(() -> {
--- a/src/main/java/pepperdock/core/Gatherer.java
+++ b/src/main/java/pepperdock/core/Gatherer.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import pepperdock.aggregator.Aggregator;
 import pepperdock.aggregator.Aggregator.ListKind;
@@ -30,6 +32,7 @@
     private final Aggregator.Events module;
     private final Map<Long, Query> queries = new LinkedHashMap<>();
     private final Map<Long, Part> parts = new HashMap<>();
+    private final Set<String> openIds = new HashSet<>();
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     private final Map<String, List<Attempt>> sends = new LinkedHashMap<>();
     private List<Runnable> inbox = new ArrayList<>();
@@ -51,6 +54,11 @@
 
     // ---- From the front ------------------------------------------------------------
 
+    /** Whether a query of that id is in hand; another must not be taken, as both would bear one id at the workers. */
+    public boolean holds(String id) {
+        return openIds.contains(id);
+    }
+
     /** Takes a query; {@code client} gets its one final answer, at the earliest after this returns. */
     public Query take(Ask ask, Client client) {
         double now = clock.now();
@@ -67,6 +75,7 @@
         }
         held += size;
         queries.put(q.id, q);
+        openIds.add(ask.id());
         for (Ask.Piece piece : ask.pieces()) {
             Part p = new Part(nextId++, q, piece.shard(), piece.weight());
             q.parts.add(p);
@@ -313,6 +322,7 @@
         q.ended = true;
         q.guard.cancel();
         queries.remove(q.id);
+        openIds.remove(q.ask().id());
         held -= 1 + q.parts.size();
         tell(() -> q.parts.forEach(p -> parts.remove(p.id)));
         for (Part p : q.parts) {
--- a/src/main/java/pepperdock/frame/FrameParser.java
+++ b/src/main/java/pepperdock/frame/FrameParser.java
@@ -6,10 +6,13 @@
 public final class FrameParser {
 
     private final int most;
+    private final String letters;
     private Frame frame;
 
-    public FrameParser(int most) {
+    /** Takes frames of these letters, up to {@code most} bytes; any other is known for one by its first five bytes. */
+    public FrameParser(int most, String letters) {
         this.most = most;
+        this.letters = letters;
     }
 
     /** Returns how many bytes were used: those of one whole frame, which {@link #take} then gives, or none. */
@@ -22,6 +25,9 @@
         if (length < 1 || length > most) {
             throw new FrameException("frame of length " + length);
         }
+        if (to - from > 4 && letters.indexOf(bytes[from + 4] & 0xff) < 0) {
+            throw new FrameException("frame of letter " + (bytes[from + 4] & 0xff));
+        }
         if (to - from - 4 < length) {
             return 0;
         }
--- a/src/main/java/pepperdock/http/HttpParser.java
+++ b/src/main/java/pepperdock/http/HttpParser.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * Reads HTTP/1.1 messages, one after another, from bytes that come in any cuts. Feed it what has come; it says how much
@@ -14,6 +15,12 @@
 
     private static final int LINE_MOST = 8192;
     private static final int HEAD_MOST = 16384;
+    /** Empty lines that may stand before a message; more are no client's habit but a head that never begins. */
+    private static final int EMPTY_MOST = 4;
+    private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
+    private static final Pattern METHOD = Pattern.compile("[A-Za-z]+");
+    private static final Pattern NAME = Pattern.compile("[!#$%&'*+.^_`|~0-9a-z-]+");
+    private static final Pattern DIGITS = Pattern.compile("[0-9A-Fa-f]{1,16}");
 
     private enum At { START, HEADERS, BODY, TO_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, DONE }
 
@@ -28,6 +35,7 @@
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private int left;
     private int head;
+    private int empty;
 
     private HttpParser(boolean responses, int bodyMost) {
         this.responses = responses;
@@ -67,8 +75,11 @@
                 if (end == to) {
                     return pos - from;
                 }
-                int last = end > pos && bytes[end - 1] == '\r' ? end - 1 : end;
-                String text = new String(bytes, pos, last - pos, StandardCharsets.ISO_8859_1);
+                int last = end - 1;
+                if (last < pos || bytes[last] != '\r') {
+                    throw new HttpException(400, "line end without CR");
+                }
+                String text = text(bytes, pos, last);
                 pos = end + 1;
                 line(text);
             }
@@ -104,6 +115,16 @@
         return m;
     }
 
+    /** Control characters, a bare CR among them, end a line for one reader and not for the next: none is let in. */
+    private static String text(byte[] bytes, int from, int to) throws HttpException {
+        for (int i = from; i < to; i++) {
+            if (bytes[i] >= 0 && bytes[i] < ' ' && bytes[i] != '\t' || bytes[i] == 0x7f) {
+                throw new HttpException(400, "control character");
+            }
+        }
+        return new String(bytes, from, to - from, StandardCharsets.ISO_8859_1);
+    }
+
     private void line(String text) throws HttpException {
         head += text.length() + 2;
         if (head > HEAD_MOST && (at == At.HEADERS || at == At.TRAILERS)) {
@@ -139,11 +160,14 @@
     private void start(String text) throws HttpException {
         if (text.isEmpty()) {
             head = 0;
+            if (++empty > EMPTY_MOST) {
+                throw new HttpException(400, "no request line");
+            }
             return;
         }
         String[] words = text.split(" ", 3);
         String version = words.length < 2 ? "" : responses ? words[0] : words[words.length - 1];
-        if (!version.matches("HTTP/1\\.[01]") || !responses && words.length != 3) {
+        if (!VERSION.matcher(version).matches() || !responses && words.length != 3) {
             throw new HttpException(400, "not HTTP/1.1");
         }
         old = version.endsWith("0");
@@ -152,22 +176,24 @@
         } else {
             method = words[0];
             target = words[1];
-            if (!method.matches("[A-Za-z]+") || !target.startsWith("/")) {
+            if (!METHOD.matcher(method).matches() || !target.startsWith("/")) {
                 throw new HttpException(400, "bad request line");
             }
         }
         at = At.HEADERS;
+        empty = 0;
     }
 
     private void header(String text) throws HttpException {
         int colon = text.indexOf(':');
         String name = colon < 0 ? "" : text.substring(0, colon).toLowerCase(Locale.ROOT);
-        if (!name.matches("[!#$%&'*+.^_`|~0-9a-z-]+")) {
+        if (!NAME.matcher(name).matches()) {
             throw new HttpException(400, "bad header");
         }
         String value = text.substring(colon + 1).strip();
-        String before = headers.putIfAbsent(name, value);
-        if (before != null && name.equals("content-length") && !before.equals(value)) {
+        // Joined as the standard has it: a second coding, length or id then fits nothing, instead of being passed over.
+        if (headers.merge(name, value, (first, second) -> first + ", " + second).length() > value.length()
+                && name.equals("content-length")) {
             throw new HttpException(400, "two lengths");
         }
     }
@@ -176,7 +202,8 @@
         String coding = headers.get("transfer-encoding");
         String length = headers.get("content-length");
         if (coding != null) {
-            if (!coding.equalsIgnoreCase("chunked") || length != null) {
+            // Both a length and a coding, or a coding of an old version: another request may hide in the body.
+            if (!coding.equalsIgnoreCase("chunked") || length != null || old) {
                 throw new HttpException(400, "bad framing");
             }
             at = At.CHUNK_SIZE;
@@ -195,7 +222,7 @@
 
     private int chunkSize(String text) throws HttpException {
         int semicolon = text.indexOf(';');
-        return number((semicolon < 0 ? text : text.substring(0, semicolon)).strip(), 16, Integer.MAX_VALUE);
+        return number(semicolon < 0 ? text : text.substring(0, semicolon), 16, Integer.MAX_VALUE);
     }
 
     private void grow(int count) throws HttpException {
@@ -206,7 +233,7 @@
 
     private static int number(String text, int radix, int most) throws HttpException {
         try {
-            if (!text.matches("[0-9A-Fa-f]+")) {
+            if (!DIGITS.matcher(text).matches()) {
                 throw new NumberFormatException(text);
             }
             long value = Long.parseLong(text, radix);
--- a/src/main/java/pepperdock/http/HttpWriter.java
+++ b/src/main/java/pepperdock/http/HttpWriter.java
@@ -7,7 +7,8 @@
 public final class HttpWriter {
 
     private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(200, "OK"), Map.entry(400, "Bad Request"),
-            Map.entry(404, "Not Found"), Map.entry(405, "Method Not Allowed"), Map.entry(409, "Conflict"),
+            Map.entry(404, "Not Found"), Map.entry(405, "Method Not Allowed"), Map.entry(408, "Request Timeout"),
+            Map.entry(409, "Conflict"),
             Map.entry(413, "Content Too Large"), Map.entry(414, "URI Too Long"), Map.entry(429, "Too Many Requests"),
             Map.entry(431, "Request Header Fields Too Large"), Map.entry(500, "Internal Server Error"),
             Map.entry(503, "Service Unavailable"), Map.entry(504, "Gateway Timeout"));
--- a/src/main/java/pepperdock/net/Connection.java
+++ b/src/main/java/pepperdock/net/Connection.java
@@ -22,6 +22,11 @@
         void ended(Connection c);
     }
 
+    /** Reads at one turn of the loop: a peer that sends at full speed must leave the others theirs. */
+    private static final int READS = 16;
+    /** What is read and thrown away after the last write: enough for what was under way, not for all a peer may send. */
+    private static final int LINGER_MOST = 1 << 20;
+
     private final Loop loop;
     private final StreamConnection channel;
     private final ConduitStreamSourceChannel source;
@@ -29,7 +34,8 @@
     private final Buffer buffer;
     private Handler handler;
     private boolean closed;
-    private boolean closeWhenFlushed;
+    private boolean lingers;
+    private int thrownAway;
     private long queued;
     private long written;
 
@@ -78,6 +84,11 @@
         return written;
     }
 
+    /** Whether something given to {@link #write} has not been taken by the kernel yet. */
+    public boolean unwritten() {
+        return !closed && !buffer.nothingOut();
+    }
+
     public boolean closed() {
         return closed;
     }
@@ -113,10 +124,24 @@
         }
     }
 
-    /** Closes once all that was written is flushed. */
-    public void closeAfterWrites() {
-        closeWhenFlushed = true;
+    /**
+     * Closes our side once all is flushed, and the rest when the peer closes too, or has sent too much. Guards against the
+     * reset that a close with unread input sends: it overtakes an answer that the peer has not read yet. The owner bounds
+     * the time, by {@link #close}; its handler is told of nothing more.
+     */
+    public void lingerAfterWrites() {
+        lingers = true;
         if (buffer.nothingOut()) {
+            halfClose();
+        }
+        source.resumeReads();
+    }
+
+    private void halfClose() {
+        try {
+            sink.shutdownWrites();
+            sink.flush();
+        } catch (IOException e) {
             close();
         }
     }
@@ -130,7 +155,11 @@
     }
 
     private void read() throws IOException {
-        while (!closed) {
+        for (int i = 0; i < READS && !closed; i++) {
+            if (lingers) {
+                throwAway();
+                return;
+            }
             ByteBuffer room = buffer.forRead();
             if (room == null) {
                 // Full of what the handler won't take yet: reading goes on when it consumes.
@@ -150,6 +179,15 @@
         }
     }
 
+    private void throwAway() throws IOException {
+        ByteBuffer room = loop.scratch();
+        int count = source.read(room);
+        thrownAway += Math.max(0, count);
+        if (count < 0 || thrownAway > LINGER_MOST) {
+            close();
+        }
+    }
+
     private void flush() throws IOException {
         while (!closed && !buffer.nothingOut()) {
             int count = sink.write(buffer.forWrite());
@@ -161,8 +199,8 @@
         }
         if (!closed) {
             sink.suspendWrites();
-            if (closeWhenFlushed) {
-                close();
+            if (lingers) {
+                halfClose();
             }
         }
     }
@@ -171,7 +209,9 @@
         if (!closed) {
             LOG.log(System.Logger.Level.DEBUG, () -> "connection with " + peer() + " ended: " + why);
             close();
-            handler.ended(this);
+            if (!lingers) {
+                handler.ended(this);
+            }
         }
     }
 
--- a/src/main/java/pepperdock/net/HttpServer.java
+++ b/src/main/java/pepperdock/net/HttpServer.java
@@ -3,18 +3,33 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import pepperdock.http.HttpException;
 import pepperdock.http.HttpMessage;
 import pepperdock.http.HttpParser;
 import pepperdock.http.HttpWriter;
 
-/** Serves HTTP/1.1 on one address: one request at a time on a connection, whatever the front behind it. */
+/**
+ * Serves HTTP/1.1 on one address: one request at a time on a connection, whatever the front behind it. Each state of a
+ * connection has its time limit: guards against clients that connect and say nothing, never finish, or do not read.
+ */
 public final class HttpServer {
 
     private static final System.Logger LOG = System.getLogger("pepperdock.net");
+    /** From connecting, or from the first byte of a later request, to its last byte. */
+    private static final double REQUEST_S = 2.5;
+    /** For a client to read what it was sent, and to close after an error. */
+    private static final double FLUSH_S = 2.5;
+    private static final double LINGER_S = 1;
+    /** A connection kept between requests may be closed after 2 s, and is when others need its room; else after this. */
+    private static final double IDLE_S = 60;
+    private static final double EVICT_S = 2;
+    private static final double SWEEP_S = 0.1;
 
     /** A front. */
     public interface Service {
@@ -32,23 +47,28 @@
         void send(int status, String type, String extra, byte[] body);
     }
 
+    private final Loop loop;
     private final Service service;
     private final int bodyMost;
+    private final IntSupplier most;
     private final Loop.Listening listening;
-    private final Set<Serving> idle = new LinkedHashSet<>();
+    /** In the order in which they came to the state they are in, so that the longest waiting is found first. */
     private final Set<Serving> all = new LinkedHashSet<>();
     private boolean draining;
 
-    public HttpServer(Loop loop, InetSocketAddress at, int bodyMost, int keepFree, Service service)
+    /** {@code most} is how many connections clients may hold here, {@code bodyMost} what a request may bring. */
+    public HttpServer(Loop loop, InetSocketAddress at, int bodyMost, IntSupplier most, Service service)
             throws IOException {
+        this.loop = loop;
         this.service = service;
         this.bodyMost = bodyMost;
-        listening = loop.listen(at, keepFree, this::closeLongestIdle, c -> {
+        this.most = most;
+        listening = loop.listen(at, this::room, c -> {
             Serving s = new Serving(c);
             all.add(s);
-            idle.add(s);
             c.start(s);
         });
+        loop.after(SWEEP_S, this::sweep);
     }
 
     public InetSocketAddress address() {
@@ -63,9 +83,7 @@
     /** Stops listening and closes what stands idle. */
     public void stopListening() {
         listening.close();
-        List.copyOf(idle).forEach(s -> s.connection.close());
-        idle.clear();
-        all.removeIf(s -> s.connection.closed());
+        List.copyOf(all).stream().filter(s -> s.at == At.IDLE || s.at == At.FRESH).forEach(s -> s.connection.close());
     }
 
     /** Connections that stand, idle ones included. */
@@ -76,36 +94,108 @@
 
     /** Connections with a request in hand, or with a reply not wholly written. */
     public int busy() {
-        all.removeIf(s -> s.connection.closed());
-        return all.size() - idle.size();
+        return (int) all.stream().filter(s -> !s.connection.closed())
+                .filter(s -> s.at == At.SERVING || s.at == At.READING || s.connection.unwritten()).count();
+    }
+
+    /**
+     * Guards against running out of descriptors. Whoever asked once and only keeps its connection gives way first, then
+     * whoever never asked, the longest waiting first; those with a request in hand stay.
+     */
+    private boolean room() {
+        if (connections() < most.getAsInt() && loop.spare() > 0) {
+            return true;
+        }
+        double now = loop.now();
+        return evict(s -> s.at == At.LEAVING) || evict(s -> s.at == At.IDLE && now - s.since > EVICT_S)
+                || evict(s -> s.at == At.FRESH) || evict(s -> s.at == At.READING && s.asked == 0)
+                || evict(s -> s.at == At.IDLE);
+    }
+
+    private boolean evict(Predicate<Serving> which) {
+        for (Iterator<Serving> it = all.iterator(); it.hasNext();) {
+            Serving s = it.next();
+            if (which.test(s)) {
+                it.remove();
+                s.connection.close();
+                return true;
+            }
+        }
+        return false;
     }
 
-    /** Guards against running out of descriptors by connections that clients merely keep. */
-    private void closeLongestIdle() {
-        if (!idle.isEmpty()) {
-            Serving s = idle.iterator().next();
-            idle.remove(s);
-            all.remove(s);
-            s.connection.close();
+    private void sweep() {
+        double now = loop.now();
+        for (Serving s : List.copyOf(all)) {
+            s.limit(now);
         }
+        all.removeIf(s -> s.connection.closed());
+        loop.after(SWEEP_S, this::sweep);
     }
 
+    /** Nothing came yet; a part of a request did; it is being served; kept between requests; closing after an error. */
+    private enum At { FRESH, READING, SERVING, IDLE, LEAVING }
+
     /** One client connection. */
     private final class Serving implements Connection.Handler {
         private final Connection connection;
         private final HttpParser parser = HttpParser.ofRequests(bodyMost);
         private Runnable inHand;
         private boolean head;
-        private long request;
+        private boolean feeding;
+        private long asked;
+        private At at = At.FRESH;
+        private double since = loop.now();
+        private long written;
+        private double writtenAt;
 
         Serving(Connection connection) {
             this.connection = connection;
         }
 
+        private void now(At next) {
+            at = next;
+            since = loop.now();
+            if (all.remove(this)) {
+                all.add(this);
+            }
+        }
+
+        /** Ends what has stood in its state for too long; called now and then. */
+        void limit(double now) {
+            if (connection.closed()) {
+                return;
+            }
+            if (connection.written() > written || !connection.unwritten()) {
+                written = connection.written();
+                writtenAt = now;
+            }
+            double stood = now - since;
+            boolean unread = connection.unwritten() && now - writtenAt > FLUSH_S;
+            if (unread || at == At.LEAVING && !connection.unwritten() && stood > LINGER_S
+                    || at == At.FRESH && stood > REQUEST_S || at == At.IDLE && stood > IDLE_S) {
+                connection.close();
+                ended(connection);
+            } else if (at == At.READING && stood > REQUEST_S) {
+                malformed(new HttpException(408, "request not finished in time"));
+            }
+        }
+
+        /** Not called anew from within: hundreds of requests sent at once would otherwise pile up on the stack. */
         @Override
         public void received(Connection c) {
+            if (feeding) {
+                return;
+            }
+            feeding = true;
             try {
-                while (inHand == null && c.to() > c.from() && !c.closed()) {
+                while (inHand == null && c.to() > c.from() && !c.closed() && at != At.LEAVING) {
+                    if (at == At.IDLE) {
+                        now(At.READING);
+                    } else if (at == At.FRESH) {
+                        // The limit counts from connecting: a client that sends byte by byte gains nothing by it.
+                        at = At.READING;
+                    }
                     c.consume(parser.feed(c.bytes(), c.from(), c.to()));
                     if (!parser.done()) {
                         return;
@@ -113,24 +203,30 @@
                     serve(parser.take());
                 }
             } catch (HttpException e) {
-                long no = ++request;
-                inHand = () -> { };
-                idle.remove(this);
-                LOG.log(System.Logger.Level.INFO, "malformed request: {0}", e.getMessage());
-                service.malformed(e.status(), e.getMessage(), (status, type, extra, body) ->
-                        reply(no, false, status, type, extra, body));
+                malformed(e);
+            } finally {
+                feeding = false;
             }
         }
 
+        /** What follows something malformed can't be told from it: answered, and not read on. */
+        private void malformed(HttpException e) {
+            long no = ++asked;
+            inHand = () -> { };
+            LOG.log(System.Logger.Level.INFO, "malformed request: {0}", e.getMessage());
+            service.malformed(e.status(), e.getMessage(), (status, type, extra, body) ->
+                    reply(no, false, status, type, extra, body));
+        }
+
         private void serve(HttpMessage m) {
-            long no = ++request;
+            long no = ++asked;
             inHand = () -> { };
-            idle.remove(this);
+            now(At.SERVING);
             head = m.method().equals("HEAD");
             Reply reply = (status, type, extra, body) -> reply(no, m.keepAlive(), status, type, extra, body);
             try {
                 Runnable gone = service.serve(m, reply);
-                if (no == request && inHand != null) {
+                if (no == asked && inHand != null) {
                     inHand = gone;
                 }
             } catch (HttpException e) {
@@ -144,7 +240,7 @@
         }
 
         private void reply(long no, boolean keepAlive, int status, String type, String extra, byte[] body) {
-            if (no != request || inHand == null || connection.closed()) {
+            if (no != asked || inHand == null || connection.closed()) {
                 return;
             }
             inHand = null;
@@ -153,13 +249,11 @@
             // A HEAD is answered without the body: its bytes would be taken for the next response.
             connection.write(head ? Arrays.copyOf(whole, whole.length - body.length) : whole);
             if (!keep) {
-                connection.closeAfterWrites();
-                if (connection.closed()) {
-                    all.remove(this);
-                }
+                now(At.LEAVING);
+                connection.lingerAfterWrites();
                 return;
             }
-            idle.add(this);
+            now(At.IDLE);
             if (connection.to() > connection.from()) {
                 received(connection);
             }
@@ -167,7 +261,6 @@
 
         @Override
         public void ended(Connection c) {
-            idle.remove(this);
             all.remove(this);
             if (inHand != null) {
                 Runnable gone = inHand;
@@ -176,5 +269,4 @@
             }
         }
     }
-
 }
--- a/src/main/java/pepperdock/net/Loop.java
+++ b/src/main/java/pepperdock/net/Loop.java
@@ -2,10 +2,12 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
@@ -34,6 +36,7 @@
     private final Set<Connection> open = new HashSet<>();
     private final double startedAt = System.currentTimeMillis() / 1e3;
     private final long startedNanos = System.nanoTime();
+    private final ByteBuffer scratch = ByteBuffer.allocateDirect(1 << 16);
     private int dialling;
 
     /** {@code socketCap} bounds connections of all kinds together; {@code bufferCap} the buffer of each. */
@@ -81,11 +84,21 @@
         }
     }
 
+    /** The cap on connections of all kinds. */
+    public int sockets() {
+        return socketCap;
+    }
+
     /** Sets the cap anew; what stands open beyond it is left to end by itself. */
     public void capSockets(int most) {
         socketCap = most;
     }
 
+    /** Room for bytes that nobody wants, one for all connections. */
+    ByteBuffer scratch() {
+        return scratch.clear();
+    }
+
     /** Sockets still free under the cap. */
     public int spare() {
         return socketCap - open.size() - dialling;
@@ -100,26 +113,20 @@
     }
 
     /**
-     * Accepts connections. Short of sockets, {@code makeRoom} may close some that stand idle; where that does not help,
-     * the new one is closed unserved, which leaves {@code keepFree} for connections to workers.
+     * Accepts connections. {@code room} says whether there is room for one more, after closing others where that helps;
+     * else, or where the cap leaves no socket, the new one is closed unserved. Decided for each one as it is accepted:
+     * hundreds that come at once must not all be held before the first is looked at.
      */
-    public Listening listen(InetSocketAddress at, int keepFree, Runnable makeRoom, Consumer<Connection> opened)
-            throws IOException {
+    public Listening listen(InetSocketAddress at, BooleanSupplier room, Consumer<Connection> opened) throws IOException {
         ChannelListener<AcceptingChannel<StreamConnection>> accept = server -> {
             try {
                 for (StreamConnection c = server.accept(); c != null; c = server.accept()) {
                     StreamConnection taken = c;
-                    execute(() -> {
-                        if (spare() <= keepFree) {
-                            makeRoom.run();
-                        }
-                        if (spare() <= keepFree) {
-                            LOG.log(System.Logger.Level.WARNING, "client turned away: no socket to spare");
-                            IoUtils.safeClose(taken);
-                        } else {
-                            opened.accept(adopt(taken));
-                        }
-                    });
+                    if (Thread.currentThread() == thread) {
+                        guarded(() -> accepted(taken, room, opened));
+                    } else {
+                        execute(() -> accepted(taken, room, opened));
+                    }
                 }
             } catch (IOException e) {
                 LOG.log(System.Logger.Level.WARNING, "accept failed: {0}", e.getMessage());
@@ -142,6 +149,15 @@
         };
     }
 
+    private void accepted(StreamConnection taken, BooleanSupplier room, Consumer<Connection> opened) {
+        if (!room.getAsBoolean() || spare() <= 0) {
+            LOG.log(System.Logger.Level.WARNING, "client turned away: no socket to spare");
+            IoUtils.safeClose(taken);
+        } else {
+            opened.accept(adopt(taken));
+        }
+    }
+
     /** What comes of {@link #dial}: one of the two, once. */
     public interface Dialled {
         void up(Connection c);
--- a/src/main/java/pepperdock/platform/Front.java
+++ b/src/main/java/pepperdock/platform/Front.java
@@ -1,15 +1,11 @@
 package pepperdock.platform;
 
 import com.google.gson.JsonArray;
-import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-import com.google.gson.JsonPrimitive;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Locale;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
 import pepperdock.aggregator.Aggregator.Effect;
 import pepperdock.config.Site;
 import pepperdock.core.Ask;
@@ -25,6 +21,10 @@
 public final class Front implements HttpServer.Service {
 
     private static final String JSON = "application/json";
+    /** Up to an hour. */
+    private static final Pattern WAIT = Pattern.compile("0*[1-9][0-9]{0,5}|0*[12][0-9]{6}|0*3[0-5][0-9]{5}|0*3600000");
+    private static final Pattern ID = Pattern.compile("[!-~]{1,128}");
+    private static final Pattern KEY = Pattern.compile("[!-+\\--~]{0,256}");
 
     private final Site site;
     private final Gatherer core;
@@ -77,45 +77,22 @@
         if (queryClass < 0) {
             throw new HttpException(400, "Request-Class: unknown");
         }
-        long timeoutMs;
-        try {
-            timeoutMs = Long.parseLong(need(m, "Request-Timeout-Ms"));
-        } catch (NumberFormatException e) {
-            throw new HttpException(400, "Request-Timeout-Ms: not a whole number");
-        }
-        if (timeoutMs <= 0 || timeoutMs > 3_600_000) {
-            throw new HttpException(400, "Request-Timeout-Ms: out of range");
+        String wait = need(m, "Request-Timeout-Ms");
+        if (!WAIT.matcher(wait).matches()) {
+            throw new HttpException(400, "Request-Timeout-Ms: not a whole number in range");
         }
+        long timeoutMs = Long.parseLong(wait);
         boolean keyed = site.module().classes().get(queryClass).effect() == Effect.KEYED;
         String key = keyed ? need(m, "Idempotency-Key") : "";
-        if (!id.matches("[!-~]{1,128}") || !key.matches("[!-+\\--~]{0,256}")) {
+        if (!ID.matcher(id).matches() || !KEY.matcher(key).matches()) {
             throw new HttpException(400, "Request-Id or Idempotency-Key: not a plain word");
         }
-        try {
-            JsonObject body = JsonParser.parseString(new String(m.body(), StandardCharsets.UTF_8)).getAsJsonObject();
-            List<Ask.Piece> pieces = new ArrayList<>();
-            for (JsonElement e : body.getAsJsonArray("ranges")) {
-                pieces.add(piece(e.getAsJsonObject()));
-            }
-            if (pieces.isEmpty() || pieces.stream().map(Ask.Piece::shard).distinct().count() < pieces.size()) {
-                throw new HttpException(400, "ranges: empty, or one given twice");
-            }
-            JsonPrimitive text = body.getAsJsonPrimitive("predicate");
-            return new Ask(id, queryClass, key, timeoutMs / 1e3, pieces,
-                    text.getAsString().getBytes(StandardCharsets.UTF_8), null);
-        } catch (RuntimeException e) {
-            throw new HttpException(400, "body: not a query: " + e);
-        }
-    }
-
-    private Ask.Piece piece(JsonObject o) throws HttpException {
-        double shard = o.get("range").getAsDouble();
-        double weight = o.get("portion").getAsDouble();
-        if (shard != Math.rint(shard) || shard < 0 || shard >= site.module().layout().shards()
-                || !(weight >= 0 && weight <= 1)) {
-            throw new HttpException(400, "ranges: out of range");
+        if (core.holds(id)) {
+            // On a worker's connection the two would bear one id, and one's answers would be taken for the other's.
+            throw new HttpException(409, "Request-Id: of a request that is still open");
         }
-        return new Ask.Piece((int) shard, weight);
+        QueryBody body = QueryBody.read(m.body(), site.module().layout().shards());
+        return new Ask(id, queryClass, key, timeoutMs / 1e3, body.pieces(), body.text(), null);
     }
 
     private static String need(HttpMessage m, String name) throws HttpException {
--- a/src/main/java/pepperdock/platform/Reports.java
+++ b/src/main/java/pepperdock/platform/Reports.java
@@ -22,6 +22,9 @@
             if (at >= 0) {
                 try {
                     row[at] = Double.parseDouble(pair.substring(is + 1));
+                    if (!(row[at] >= 0 && row[at] < Double.POSITIVE_INFINITY)) {
+                        return null;
+                    }
                     found++;
                 } catch (NumberFormatException e) {
                     return null;
--- a/src/main/java/pepperdock/platform/Warmup.java
+++ b/src/main/java/pepperdock/platform/Warmup.java
@@ -79,9 +79,10 @@
         public void send(String worker, List<Attempt> call) {
             List<Frames.PartCall> parts = call.stream().map(a -> new Frames.PartCall(WorkerConnection.wireId(a),
                     a.part().shard(), 100, "", a.part().query().ask().text())).toList();
-            byte[] frame = Frames.call(parts);
-            FrameParser parser = new FrameParser(1 << 16);
+            int length = Frames.call(parts).length;
+            FrameParser parser = new FrameParser(1 << 16, Frames.FROM_WORKERS);
             clock.after(0.1, () -> {
+                byte[] frame = Frames.frame(Frames.RESULT, ("w." + length + " good 1 -\nvalue").getBytes(StandardCharsets.UTF_8));
                 try {
                     parser.feed(frame, 0, frame.length);
                     Frames.result(parser.take().rest());
--- a/src/main/java/pepperdock/platform/WorkerConnection.java
+++ b/src/main/java/pepperdock/platform/WorkerConnection.java
@@ -1,10 +1,16 @@
 package pepperdock.platform;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import pepperdock.aggregator.Aggregator.Outcome;
 import pepperdock.core.Attempt;
 import pepperdock.core.Clock;
@@ -18,7 +24,10 @@
 final class WorkerConnection implements Connection.Handler {
 
     private static final System.Logger LOG = System.getLogger("pepperdock.platform");
-    private static final int FRAME_MOST = 1 << 17;
+    /** A value is at most what an answer may hold, 64 KiB; its line comes before it. */
+    private static final int FRAME_MOST = (1 << 16) + 2048;
+    /** Ids remembered after their attempt has ended: their answers may come late, or twice, and are not noise. */
+    private static final int PAST_MOST = 512;
     /** Closed after this share of the worker's idle limit, so that no call crosses the worker's own closing. */
     private static final double IDLE_SHARE = 0.8;
     private static final double PROBE_S = 0.25;
@@ -31,9 +40,19 @@
 
     private final Worker worker;
     private final Connection connection;
-    private final FrameParser parser = new FrameParser(FRAME_MOST);
+    private final FrameParser parser = new FrameParser(FRAME_MOST, Frames.FROM_WORKERS);
     private final Map<String, Out> out = new HashMap<>();
+    private final Set<String> past = Collections.newSetFromMap(new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > PAST_MOST;
+        }
+    });
     private final ArrayDeque<Probe> probes = new ArrayDeque<>();
+    private int lateProbes;
+    private Clock.Timer unfinished;
     private double usedAt;
 
     WorkerConnection(Worker worker, Connection connection) {
@@ -72,6 +91,7 @@
         Out o = out.get(id);
         if (o != null && o.attempt() == a) {
             out.remove(id);
+            past.add(id);
             used();
             connection.write(Frames.giveUp(id));
             closeIfUnwanted();
@@ -83,6 +103,7 @@
         probes.addLast(new Probe(now, worker.loop.after(PROBE_S, () -> {
             if (!probes.isEmpty()) {
                 probes.removeFirst();
+                lateProbes++;
                 worker.core.probed(worker.id, Outcome.TIMEOUT, PROBE_S, null);
             }
         })));
@@ -132,18 +153,55 @@
             while (!c.closed()) {
                 int used = parser.feed(c.bytes(), c.from(), c.to());
                 if (used == 0) {
+                    begun(c);
                     return;
                 }
+                if (unfinished != null) {
+                    unfinished.cancel();
+                    unfinished = null;
+                }
                 c.consume(used);
                 used();
                 frame(parser.take());
             }
         } catch (FrameException e) {
-            LOG.log(System.Logger.Level.WARNING, "bad frame from worker {0}: {1}", worker.id, e.getMessage());
-            abandon();
+            spoilt(e.getMessage());
         }
     }
 
+    /**
+     * Looks at a frame of which only the beginning is there. Guards against waiting, for as long as its attempt may take,
+     * for an answer that can't be read anyway, or never ends: a sound one comes at once and whole.
+     */
+    private void begun(Connection c) throws FrameException {
+        int there = c.to() - c.from();
+        if (there > 5 && c.bytes()[c.from() + 4] == Frames.RESULT) {
+            Frames.Result line = Frames.resultLine(c.bytes(), c.from() + 5, c.to());
+            if (line != null) {
+                known(line.id());
+            }
+        }
+        if (there > 0 && unfinished == null) {
+            unfinished = worker.loop.after(worker.site.dialS(), () -> {
+                if (!c.closed()) {
+                    spoilt("frame not finished");
+                }
+            });
+        }
+    }
+
+    private void known(String id) throws FrameException {
+        if (!out.containsKey(id) && !past.contains(id)) {
+            throw new FrameException("unknown id");
+        }
+    }
+
+    /** Nothing on it can be told from noise any more; what is out may have run. */
+    private void spoilt(String why) {
+        LOG.log(System.Logger.Level.WARNING, "bad frame from worker {0}: {1}", worker.id, why);
+        abandon();
+    }
+
     private void frame(Frame f) throws FrameException {
         switch (f.letter()) {
             case Frames.RESULT -> result(Frames.result(f.rest()));
@@ -151,14 +209,19 @@
                 Probe p = probes.pollFirst();
                 if (p != null) {
                     p.limit().cancel();
-                    boolean good = new String(f.rest(), java.nio.charset.StandardCharsets.UTF_8).equals("good");
+                    boolean good = new String(f.rest(), StandardCharsets.UTF_8).equals("good");
                     worker.core.probed(worker.id, good ? Outcome.OK : Outcome.ERROR,
                             worker.loop.now() - p.sentAt(), null);
+                } else if (--lateProbes < 0) {
+                    throw new FrameException("answer to no probe");
                 }
             }
-            case Frames.UNUSABLE -> LOG.log(System.Logger.Level.WARNING, "worker {0} could not use a frame: {1}",
-                    worker.id, new String(f.rest(), java.nio.charset.StandardCharsets.UTF_8));
-            default -> { }
+            case Frames.UNUSABLE -> {
+                LOG.log(System.Logger.Level.WARNING, "worker {0} could not use a frame: {1}", worker.id,
+                        new String(f.rest(), StandardCharsets.UTF_8));
+                abandon();
+            }
+            default -> throw new FrameException("letter " + f.letter());
         }
     }
 
@@ -169,18 +232,36 @@
             case "later" -> Outcome.FULL;
             default -> throw new FrameException("unknown end " + r.end());
         };
+        known(r.id());
+        if (outcome == Outcome.OK && !text(r.value())) {
+            throw new FrameException("value that is no text");
+        }
         Out o = out.remove(r.id());
         if (o != null) {
+            past.add(r.id());
             double[] report = Reports.row(r.report(), worker.site.module().reportNames());
             worker.core.ended(o.attempt(), outcome, report, r.value());
             closeIfUnwanted();
         }
     }
 
+    /** Whether a value can stand in an answer unchanged. */
+    private static boolean text(byte[] value) {
+        try {
+            StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(value));
+            return true;
+        } catch (CharacterCodingException e) {
+            return false;
+        }
+    }
+
     /** A break: what had not been written whole never ran, the rest may have. */
     @Override
     public void ended(Connection c) {
         worker.remove(this);
+        if (unfinished != null) {
+            unfinished.cancel();
+        }
         List<Out> broken = List.copyOf(out.values());
         out.clear();
         probes.forEach(p -> {
--- a/src/main/java/pepperdock/store/Store.java
+++ b/src/main/java/pepperdock/store/Store.java
@@ -32,6 +32,7 @@
     private static final char SNAPSHOT = 's';
     private static final char ENTRIES = 'e';
     private static final char HELD = 'a';
+    private static final String LETTERS = "" + HELLO + SNAPSHOT + ENTRIES + HELD;
 
     private record Pending(long seq, Consumer<Boolean> then) { }
 
@@ -53,7 +54,7 @@
         replica = new Replica(config == null ? null : config.folder(), config == null ? 1000 : config.snapshotEvery(),
                 leads);
         boolean serves = config != null && leads && config.members().size() > 1;
-        listening = !serves ? null : loop.listen(config.members().get(config.self()), 0, () -> { },
+        listening = !serves ? null : loop.listen(config.members().get(config.self()), () -> true,
                 c -> c.start(new Follower()));
         if (!leads) {
             loop.execute(this::dial);
@@ -146,7 +147,7 @@
 
     /** A connection between members; whatever is malformed ends that connection only. */
     private abstract class Peer implements Connection.Handler {
-        private final FrameParser parser = new FrameParser(FRAME_MOST);
+        private final FrameParser parser = new FrameParser(FRAME_MOST, LETTERS);
 
         abstract void frame(Connection c, Frame f) throws IOException;
 
--- a/src/test/java/pepperdock/SignalsIT.java
+++ b/src/test/java/pepperdock/SignalsIT.java
@@ -14,10 +14,12 @@
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import pepperdock.config.Sites;
 
 /** The built jar and the signals themselves: without a handler the JVM ends at SIGHUP, with status 129. */
+@Timeout(120)
 class SignalsIT {
 
     private static final String FILE = """
--- a/src/test/java/pepperdock/frame/FrameParserTest.java
+++ b/src/test/java/pepperdock/frame/FrameParserTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
@@ -9,11 +10,12 @@
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
 
 class FrameParserTest {
 
     private static List<Frame> parse(byte[] bytes, long seed) throws Exception {
-        FrameParser parser = new FrameParser(1000);
+        FrameParser parser = new FrameParser(1000, "oq");
         return RandomCuts.feed(bytes, seed, (b, from, to, into) -> {
             int used = parser.feed(b, from, to);
             Frame f = parser.take();
@@ -44,6 +46,15 @@
         assertEquals('o', frames.get(5).letter());
     }
 
+    /** A huge length or another letter must not be waited for: it may never end. */
+    @Test
+    void whatIsNoFrameIsKnownByItsFirstBytes() {
+        for (byte[] begun : List.of(new byte[] {0, 0, 0, 0}, new byte[] {-1, -1, -1, -4}, new byte[] {0, 0, 4, 0},
+                new byte[] {0, 0, 0, 9, 'z'})) {
+            assertThrows(FrameException.class, () -> new FrameParser(1000, "oq").feed(begun, 0, begun.length));
+        }
+    }
+
     @Property(seed = "32", tries = 300)
     void garbageEndsInFramesOrAFrameException(@ForAll long seed) {
         try {
--- a/src/test/java/pepperdock/http/HttpParserTest.java
+++ b/src/test/java/pepperdock/http/HttpParserTest.java
@@ -62,7 +62,14 @@
         "'POST / HTTP/1.1~Content-Length: 101~~', 413", "'POST / HTTP/1.1~Content-Length: -1~~', 400",
         "'POST / HTTP/1.1~Content-Length: 1~Content-Length: 2~~', 400",
         "'POST / HTTP/1.1~Transfer-Encoding: chunked~~65~', 413",
-        "'POST / HTTP/1.1~Transfer-Encoding: chunked~Content-Length: 1~~', 400"})
+        "'POST / HTTP/1.1~Transfer-Encoding: chunked~Content-Length: 1~~', 400",
+        "'POST / HTTP/1.1~Content-Length: 1~Content-Length: 1~~', 400",
+        "'POST / HTTP/1.1~Transfer-Encoding: chunked~Transfer-Encoding: identity~~', 400",
+        "'POST / HTTP/1.1~Transfer-Encoding: xchunked~~', 400", "'POST / HTTP/1.0~Transfer-Encoding: chunked~~', 400",
+        "'POST / HTTP/1.1~Transfer-Encoding : chunked~~', 400", "'POST / HTTP/1.1~Transfer-Encoding: \u000bchunked~~', 400",
+        "'POST / HTTP/1.1~Transfer-Encoding: chunked~~0x1~', 400", "'POST / HTTP/1.1~Transfer-Encoding: chunked~~-1~', 400",
+        "'POST / HTTP/1.1~Transfer-Encoding: chunked~~1 ~', 400", "'POST / HTTP/1.1~Transfer-Encoding: chunked~~1~ab~', 400",
+        "'GET / HTTP/1.1~A: b\rContent-Length: 5~~', 400", "'GET / HTTP/1.1\n\n', 400", "'~~~~~~', 400"})
     void whatIsMalformedHasTheStatusThatFits(String text, int status) {
         byte[] bytes = text.replace("~", "\r\n").getBytes(StandardCharsets.US_ASCII);
         HttpException e = assertThrows(HttpException.class, () -> HttpParser.ofRequests(100).feed(bytes, 0, bytes.length));
--- a/src/test/java/pepperdock/opensearch/Stack.java
+++ b/src/test/java/pepperdock/opensearch/Stack.java
@@ -71,7 +71,7 @@
         searches.start(core);
         list.start(core);
         searchFront = new SearchFront(site, config, core, loop, searches);
-        server = new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1 << 20, 10,
+        server = new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1 << 20, () -> 50,
                 search ? searchFront : new Front(site, core, () -> true));
         CountDownLatch listed = new CountDownLatch(1);
         loop.execute(() -> {
--- a/src/test/java/pepperdock/platform/WorkerPoolTest.java
+++ b/src/test/java/pepperdock/platform/WorkerPoolTest.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import pepperdock.aggregator.Aggregator.ListKind;
 import pepperdock.aggregator.Aggregator.Outcome;
 import pepperdock.aggregator.Aggregator.Readiness;
@@ -126,6 +128,48 @@
         }
     }
 
+    private static byte[] result(String rest) {
+        return pepperdock.frame.Frames.frame('q', rest.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1));
+    }
+
+    /** The worker's side of one query: takes its call, says this, and keeps the connection open. */
+    private String endingAfter(byte[] said) throws Exception {
+        ask(2);
+        try (Socket s = server.accept()) {
+            byte[] head = s.getInputStream().readNBytes(4);
+            s.getInputStream().readNBytes(head[3]);
+            s.getOutputStream().write(said);
+            return ending();
+        }
+    }
+
+    /** The connection stays open in each case: waiting for it to end, or for the rest, would take the query's whole time. */
+    @ParameterizedTest
+    @ValueSource(strings = {"?q.0 good 1 -~v", "qq.0 fine 1 -~v", "qq.9 good 1 -~v", "qno line", "rcan't read it", "oq.0 good"})
+    void aSpoiltAnswerIsAnAttemptThatMayHaveRun(String said) throws Exception {
+        byte[] bytes = said.replace("~", "\n").getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+        assertEquals("failed " + Outcome.RESET, endingAfter(pepperdock.frame.Frames.frame((char) bytes[0],
+                java.util.Arrays.copyOfRange(bytes, 1, bytes.length))));
+    }
+
+    @Test
+    void aSpoiltAnswerIsKnownBeforeItEnds() throws Exception {
+        byte[] unknown = result("q.9 good 1 -\n" + "x".repeat(5000));
+        assertEquals("failed " + Outcome.RESET, endingAfter(java.util.Arrays.copyOf(unknown, 30)));
+        byte[] endless = result("x".repeat(5000));
+        assertEquals("failed " + Outcome.RESET, endingAfter(java.util.Arrays.copyOf(endless, 3000)));
+        assertEquals("failed " + Outcome.RESET, endingAfter(result("q.0 good 1 -\n\u00ff\u00fe")));
+    }
+
+    @Test
+    void aGoodAnswerStaysGoodWhateverFollowsItAndWhateverItsReport() throws Exception {
+        byte[] good = result("q.0 good 1 not a=report,qps=NaN\nv");
+        byte[] twice = java.util.Arrays.copyOf(good, good.length * 2);
+        System.arraycopy(good, 0, twice, good.length, good.length);
+        assertEquals("answered " + Outcome.OK, endingAfter(twice));
+        assertEquals("answered " + Outcome.OK, endingAfter(java.util.Arrays.copyOf(good, good.length + 50)));
+    }
+
     /** Parts behind a connect that is still coming up: told that the worker drains, they end without having run. */
     @Test
     void partsQueuedBehindAConnectEndWhenTheWorkerDrains() throws Exception {
