Give silent connections no new calls; give up by half time what reached nobody

Mended: Worker leaves a connection that has owed an answer for longer than a connect may take, and opens a new one, three at most; a suspect whose parts out are all overdue may be tried; the limit for an unfinished frame counts from its last byte and is four connects long. Also: a query that reached nobody by half its time is refused then (the all-refused-connects case of docs/remaining.md, and whatever waits in line so long); searchers that are gone are forgotten (the map grew with each release); no timer holds on to a closed worker connection; lines about malformed requests are at most 20 a second. Tests: WorkerPoolTest.aConnectionThatOwes..., DecideTest (two); each seen to fail without its change.

--- a/src/main/java/pepperdock/aggregator/Decide.java
+++ b/src/main/java/pepperdock/aggregator/Decide.java
@@ -184,6 +184,7 @@
         Query q = new Query(id, queryNo, queryClass, tenant);
         q.endAt = now + remainingS;
         q.aimAt = now + Math.min(c.aimS(), remainingS);
+        q.halfAt = now + remainingS / 2;
         // A try clearly shorter than usual is thought cut by the deadline: its client has waited the rest.
         double usual = usualTry[queryClass] == 0 ? remainingS : usualTry[queryClass];
         usualTry[queryClass] = usual + PACE_GAIN * (remainingS - usual);
@@ -323,7 +324,7 @@
     /** Lets head queries leave while the ceiling has room; each one's count is worked out as it leaves. */
     private void admit() {
         for (Query q : waiting) {
-            if (!q.ended && now + pace + deviation > q.aimAt - margin()) {
+            if (!q.ended && (now + pace + deviation > q.aimAt - margin() || unreached(q))) {
                 end(q, false);
             }
         }
@@ -643,7 +644,7 @@
 
     private boolean trialDue(Searcher s) {
         double due = way(s).bad > WORSE ? Math.max(s.trialAt, way(s).trialAt) : s.trialAt;
-        return s.out() == 0 && now >= due && (trials >= 1 || now >= anyTrialAt);
+        return s.open.stream().allMatch(a -> a.overdue) && now >= due && (trials >= 1 || now >= anyTrialAt);
     }
 
     private boolean copies(Part p) {
@@ -896,11 +897,17 @@
                 && (p.out > 0 || p.attempts.size() < settings.limits().maxAttempts()));
         if (enough && (now >= Math.min(q.aimAt, q.endAt) - margin() - secondStep || !pending)) {
             answer(q, false);
-        } else if (now >= worthUntil(q) || reachable(q) < floor - EPS) {
+        } else if (now >= worthUntil(q) || reachable(q) < floor - EPS || unreached(q)) {
             end(q, enough);
         }
     }
 
+    /** Half its time is gone and nobody was reached: refused while its client can still turn elsewhere. */
+    private boolean unreached(Query q) {
+        return now >= q.halfAt - margin() && q.parts.stream().flatMap(p -> p.attempts.stream())
+                .allMatch(a -> a.outcome == Outcome.CONNECT_FAILED || a.outcome == Outcome.MOOT);
+    }
+
     private void answer(Query q, boolean whole) {
         actions.answer(q.id, whole);
         if (q.step == 1 && kind(q).secondStep() > 0) {
@@ -969,17 +976,23 @@
             }
         }
         if (kind != ListKind.CHANGES) {
-            searchers.values().forEach(s -> s.usable = false);
+            searchers.values().forEach(s -> {
+                s.usable = false;
+                s.listed = false;
+            });
         }
         for (Listed e : entries) {
             Searcher s = searchers.computeIfAbsent(e.searcher(), Searcher::new);
             s.usable = e.readiness() == Readiness.HEALTHY;
+            s.listed = e.readiness() != Readiness.REMOVED;
             s.zone = e.zone();
             s.cell = Math.floorMod(e.cell(), settings.layout().cells());
             if (e.bootAt() > 0 && e.bootAt() > s.coldSince) {
                 s.coldSince = e.bootAt();
             }
         }
+        // Whoever is gone has a new id when it is back: kept, they would fill a long day's memory.
+        searchers.values().removeIf(s -> !s.listed && s.open.isEmpty());
         cells.forEach(List::clear);
         for (Searcher s : searchers.values()) {
             if (s.usable) {
@@ -988,6 +1001,11 @@
         }
     }
 
+    /** How many searchers it keeps a record of: those listed, and those gone with parts still out. */
+    int searchersKnown() {
+        return searchers.size();
+    }
+
     private void follow() {
         if (!subscribed && !asked && now >= askAt) {
             asked = true;
--- a/src/main/java/pepperdock/aggregator/State.java
+++ b/src/main/java/pepperdock/aggregator/State.java
@@ -16,6 +16,7 @@
         final int queryClass;
         final int tenant;
         double aimAt;
+        double halfAt;
         double freshUntil;
         double endAt;
         int step = 1;
@@ -94,6 +95,7 @@
         int zone;
         int cell;
         boolean usable;
+        boolean listed;
         double coldSince = Double.NEGATIVE_INFINITY;
         double coldKnown;
         double coldTurn = Double.NaN;
--- a/src/main/java/pepperdock/net/HttpServer.java
+++ b/src/main/java/pepperdock/net/HttpServer.java
@@ -30,6 +30,8 @@
     private static final double IDLE_S = 60;
     private static final double EVICT_S = 2;
     private static final double SWEEP_S = 0.1;
+    /** Lines a second about what clients send; the rest are counted. */
+    private static final int NOTES_MOST = 20;
 
     /** A front. */
     public interface Service {
@@ -55,6 +57,8 @@
     /** In the order in which they came to the state they are in, so that the longest waiting is found first. */
     private final Set<Serving> all = new LinkedHashSet<>();
     private boolean draining;
+    private int noted;
+    private double notedSince;
 
     /** {@code most} is how many connections clients may hold here, {@code bodyMost} what a request may bring. */
     public HttpServer(Loop loop, InetSocketAddress at, int bodyMost, IntSupplier most, Service service)
@@ -130,9 +134,23 @@
             s.limit(now);
         }
         all.removeIf(s -> s.connection.closed());
+        if (now - notedSince > 1) {
+            if (noted > NOTES_MOST) {
+                LOG.log(System.Logger.Level.INFO, "and {0} more malformed or not taken", noted - NOTES_MOST);
+            }
+            notedSince = now;
+            noted = 0;
+        }
         loop.after(SWEEP_S, this::sweep);
     }
 
+    /** A client that asks the same again at full speed must not fill the log, nor cost us its writing. */
+    private void note(String text, Object... about) {
+        if (++noted <= NOTES_MOST) {
+            LOG.log(System.Logger.Level.INFO, text, about);
+        }
+    }
+
     /** Nothing came yet; a part of a request did; it is being served; kept between requests; closing after an error. */
     private enum At { FRESH, READING, SERVING, IDLE, LEAVING }
 
@@ -213,7 +231,7 @@
         private void malformed(HttpException e) {
             long no = ++asked;
             inHand = () -> { };
-            LOG.log(System.Logger.Level.INFO, "malformed request: {0}", e.getMessage());
+            note("malformed request: {0}", e.getMessage());
             service.malformed(e.status(), e.getMessage(), (status, type, extra, body) ->
                     reply(no, false, status, type, extra, body));
         }
@@ -230,8 +248,7 @@
                     inHand = gone;
                 }
             } catch (HttpException e) {
-                LOG.log(System.Logger.Level.INFO, "request for {0} not taken: {1} {2}", m.path(), e.status(),
-                        e.getMessage());
+                note("request for {0} not taken: {1} {2}", m.path(), e.status(), e.getMessage());
                 service.malformed(e.status(), e.getMessage(), reply);
             } catch (RuntimeException e) {
                 LOG.log(System.Logger.Level.ERROR, "request failed", e);
--- a/src/main/java/pepperdock/platform/Worker.java
+++ b/src/main/java/pepperdock/platform/Worker.java
@@ -15,6 +15,9 @@
 /** One worker: its connections, and the calls that wait for one to come up. */
 final class Worker implements PooledBackend.Remote {
 
+    /** A silent connection is left for a new one only while there are fewer: the worker itself may stand still. */
+    private static final int CONNECTIONS_MOST = 3;
+
     final String id;
     final Loop loop;
     final Site site;
@@ -78,12 +81,20 @@
             call.forEach(a -> core.ended(a, Outcome.MOOT, null, null));
             return;
         }
+        WorkerConnection last = null;
         for (WorkerConnection c : connections) {
             if (c.out() + call.size() <= site.multiplex()) {
-                c.send(call);
-                return;
+                if (!c.silent()) {
+                    c.send(call);
+                    return;
+                }
+                last = c;
             }
         }
+        if (last != null && connections.size() >= CONNECTIONS_MOST) {
+            last.send(call);
+            return;
+        }
         queued.add(List.copyOf(call));
         connect();
     }
--- a/src/main/java/pepperdock/platform/WorkerConnection.java
+++ b/src/main/java/pepperdock/platform/WorkerConnection.java
@@ -31,6 +31,8 @@
     /** Closed after this share of the worker's idle limit, so that no call crosses the worker's own closing. */
     private static final double IDLE_SHARE = 0.8;
     private static final double PROBE_S = 0.25;
+    /** A frame that is begun goes on within so many times the time a connection may take to come up. */
+    private static final int UNFINISHED_DIALS = 4;
 
     /** An attempt that is out, and where its frame ends in what was written to the connection. */
     private record Out(Attempt attempt, long frameEnd) { }
@@ -53,14 +55,25 @@
     private final ArrayDeque<Probe> probes = new ArrayDeque<>();
     private int lateProbes;
     private Clock.Timer unfinished;
+    private Clock.Timer idle;
     private double usedAt;
+    /** Since when something is out and nothing has come. */
+    private double awaitedSince;
 
     WorkerConnection(Worker worker, Connection connection) {
         this.worker = worker;
         this.connection = connection;
         used();
-        connection.start(this);
         watchIdle(worker.site.idleS() * IDLE_SHARE);
+        connection.start(this);
+    }
+
+    /**
+     * Whether it has long been owed an answer. Guards against a way that has gone silent under an open connection: new
+     * calls go on a new one, which either answers or shows at once that the worker can't be reached.
+     */
+    boolean silent() {
+        return !out.isEmpty() && worker.loop.now() - awaitedSince > worker.site.dialS();
     }
 
     int out() {
@@ -74,6 +87,9 @@
             parts.add(new Frames.PartCall(wireId(a), a.part().shard(), wait, a.part().query().ask().key(),
                     a.part().query().ask().text()));
         }
+        if (out.isEmpty()) {
+            awaitedSince = worker.loop.now();
+        }
         byte[] frame = Frames.call(parts);
         long end = connection.queued() + frame.length;
         call.forEach(a -> out.put(wireId(a), new Out(a, end)));
@@ -114,7 +130,7 @@
     void closeIfIdle() {
         if (out.isEmpty() && probes.isEmpty()) {
             connection.close();
-            worker.remove(this);
+            release();
         }
     }
 
@@ -135,20 +151,30 @@
     }
 
     private void watchIdle(double after) {
-        worker.loop.after(after, () -> {
+        idle = worker.loop.after(after, () -> {
+            double limit = worker.site.idleS() * IDLE_SHARE;
+            double left = usedAt + limit - worker.loop.now();
+            if (left <= 0) {
+                closeIfIdle();
+            }
             if (!connection.closed()) {
-                double limit = worker.site.idleS() * IDLE_SHARE;
-                double left = usedAt + limit - worker.loop.now();
-                if (left <= 0) {
-                    closeIfIdle();
-                }
                 watchIdle(left > 0 ? left : limit);
             }
         });
     }
 
+    /** No timer may hold on to a closed connection: where workers close after each answer, hundreds would be kept so. */
+    private void release() {
+        worker.remove(this);
+        idle.cancel();
+        if (unfinished != null) {
+            unfinished.cancel();
+        }
+    }
+
     @Override
     public void received(Connection c) {
+        awaitedSince = worker.loop.now();
         try {
             while (!c.closed()) {
                 int used = parser.feed(c.bytes(), c.from(), c.to());
@@ -181,8 +207,12 @@
                 known(line.id());
             }
         }
-        if (there > 0 && unfinished == null) {
-            unfinished = worker.loop.after(worker.site.dialS(), () -> {
+        if (unfinished != null) {
+            unfinished.cancel();
+            unfinished = null;
+        }
+        if (there > 0) {
+            unfinished = worker.loop.after(UNFINISHED_DIALS * worker.site.dialS(), () -> {
                 if (!c.closed()) {
                     spoilt("frame not finished");
                 }
@@ -258,10 +288,7 @@
     /** A break: what had not been written whole never ran, the rest may have. */
     @Override
     public void ended(Connection c) {
-        worker.remove(this);
-        if (unfinished != null) {
-            unfinished.cancel();
-        }
+        release();
         List<Out> broken = List.copyOf(out.values());
         out.clear();
         probes.forEach(p -> {
--- a/src/test/java/pepperdock/aggregator/DecideTest.java
+++ b/src/test/java/pepperdock/aggregator/DecideTest.java
@@ -544,6 +544,44 @@
         assertTrue(counts.values().stream().allMatch(n -> n == 2), counts.toString());
     }
 
+    /** Refused near its deadline with nothing ever sent, it would cost its client the whole wait. */
+    @Test
+    void aQueryThatReachesNobodyIsRefusedByHalfItsTime() {
+        Scene scene = new Scene();
+        scene.lateWorth = 0.3;
+        scene.start("a", "b");
+        scene.query(1, 6, Scene.equal(2));
+        scene.module.endBatch();
+        for (int done = 0; scene.now < 102.99; scene.sweep(scene.now + 0.1)) {
+            for (; done < scene.did.sends.size(); done++) {
+                Recorder.Sent sent = scene.did.sends.get(done);
+                long before = scene.did.sends.subList(0, done).stream().filter(s -> s.part() == sent.part()).count();
+                scene.end(sent.part(), (int) before, Outcome.CONNECT_FAILED, 0.01);
+            }
+        }
+        assertEquals(List.of("refuse 1"), scene.did.endings(1));
+    }
+
+    /** A day of releases lists hundreds of searchers that never come back; each must be let go. */
+    @Test
+    void aSearcherThatIsGoneIsForgottenOnceItsPartsAreOver() {
+        Scene scene = new Scene().start("a0");
+        for (int i = 1; i <= 50; i++) {
+            scene.at(scene.now + 0.1);
+            scene.change(Scene.listed("a" + (i - 1), Readiness.REMOVED, 0), Scene.listed("a" + i, Readiness.HEALTHY, 0));
+            scene.query(i, 6, 1.0);
+            scene.module.endBatch();
+        }
+        assertEquals(50, ((Decide) scene.module).searchersKnown());
+        scene.at(scene.now + 0.1);
+        for (int i = 1; i <= 50; i++) {
+            scene.end(i * 100L, 0, Outcome.OK, 0.1);
+        }
+        scene.change();
+        scene.module.endBatch();
+        assertEquals(1, ((Decide) scene.module).searchersKnown());
+    }
+
     @Test
     void aPartTurnedAwayIsNotHammeredAtASuspect() {
         Scene scene = new Scene().start("a");
--- a/src/test/java/pepperdock/platform/WorkerPoolTest.java
+++ b/src/test/java/pepperdock/platform/WorkerPoolTest.java
@@ -170,6 +170,42 @@
         assertEquals("answered " + Outcome.OK, endingAfter(java.util.Arrays.copyOf(good, good.length + 50)));
     }
 
+    private static final Client NOBODY = new Client() {
+        @Override
+        public void answered(Query q, boolean whole) { }
+
+        @Override
+        public void refused(Query q, double pauseS) { }
+
+        @Override
+        public void failed(Query q, boolean overdue) { }
+    };
+
+    /** Found on a recorded day: calls went on into a connection that had gone silent, until all in it had timed out. */
+    @Test
+    void aConnectionThatOwesAnAnswerGetsNoNewCalls() throws Exception {
+        Site quick = Sites.with(Sites.SETTINGS.replace("\"DialTimeoutS\":0.25", "\"DialTimeoutS\":0.1"));
+        server.setSoTimeout(30_000);
+        try (Loop own = new Loop(100, 1 << 16)) {
+            WorkerPool workers = new WorkerPool(own, quick);
+            Gatherer gatherer = new Gatherer(quick.module(), 3, own, workers, () -> { });
+            workers.start(gatherer);
+            own.execute(() -> gatherer.listed(ListKind.COMPLETE, List.of(host(Readiness.HEALTHY))));
+            java.util.function.Consumer<String> take = id -> own.execute(() -> gatherer.take(new Ask(id, 2, "k", 30,
+                    List.of(new Ask.Piece(0, 1)), new byte[] {'t'}, null), NOBODY));
+            take.accept("first");
+            try (Socket silent = server.accept()) {
+                silent.getInputStream().readNBytes(5);
+                Thread.sleep(200);
+                take.accept("second");
+                try (Socket next = server.accept()) {
+                    byte[] frame = next.getInputStream().readNBytes(15);
+                    assertEquals("msecond.0 0", new String(frame, 4, 11, java.nio.charset.StandardCharsets.US_ASCII));
+                }
+            }
+        }
+    }
+
     /** Parts behind a connect that is still coming up: told that the worker drains, they end without having run. */
     @Test
     void partsQueuedBehindAConnectEndWhenTheWorkerDrains() throws Exception {
