--- a/src/main/java/pepperdock/net/Connection.java
+++ b/src/main/java/pepperdock/net/Connection.java
@@ -36,6 +36,7 @@
     private boolean closed;
     private boolean lingers;
     private int thrownAway;
+    private int unreadMost = Integer.MAX_VALUE;
     private long queued;
     private long written;
 
@@ -55,6 +56,14 @@
         source.resumeReads();
     }
 
+    /**
+     * Reads no further while about so many bytes stand here that the handler has not used. Guards against clients that send
+     * on and on behind a request in hand: what is held for all of them together must fit the smallest memory given.
+     */
+    public void limitUnread(int most) {
+        unreadMost = most;
+    }
+
     public byte[] bytes() {
         return buffer.bytes();
     }
@@ -160,7 +169,7 @@
                 throwAway();
                 return;
             }
-            ByteBuffer room = buffer.forRead();
+            ByteBuffer room = buffer.inTo() - buffer.inFrom() < unreadMost ? buffer.forRead() : null;
             if (room == null) {
                 // Full of what the handler won't take yet: reading goes on when it consumes.
                 source.suspendReads();
--- a/src/main/java/pepperdock/net/HttpServer.java
+++ b/src/main/java/pepperdock/net/HttpServer.java
@@ -30,6 +30,8 @@
     private static final double IDLE_S = 60;
     private static final double EVICT_S = 2;
     private static final double SWEEP_S = 0.1;
+    /** More than the longest line that the parser takes; bodies it takes as they come. */
+    private static final int UNREAD_MOST = 16 << 10;
     /** Lines a second about what clients send; the rest are counted. */
     private static final int NOTES_MOST = 20;
 
@@ -70,6 +72,7 @@
         listening = loop.listen(at, this::room, c -> {
             Serving s = new Serving(c);
             all.add(s);
+            c.limitUnread(UNREAD_MOST);
             c.start(s);
         });
         loop.after(SWEEP_S, this::sweep);
