Hold the OpenSearch-style front to the same reading: strict JSON, portions add up

Reread beside the platform's front: the second front took lenient JSON and portions that do not add up to 1, from which the core reckons floors and wholeness. Ask.addUp is now the one check of both; bodies are read strictly.

--- a/src/main/java/pepperdock/opensearch/RequestReader.java
+++ b/src/main/java/pepperdock/opensearch/RequestReader.java
@@ -1,10 +1,17 @@
 package pepperdock.opensearch;
 
+import com.google.gson.Gson;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
+import com.google.gson.Strictness;
+import com.google.gson.TypeAdapter;
+import com.google.gson.stream.JsonReader;
+import com.google.gson.stream.JsonToken;
+import java.io.IOException;
+import java.io.StringReader;
 import java.net.URLDecoder;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,6 +29,7 @@
 /** Reads searches and updates into what the core is asked. */
 final class RequestReader {
 
+    private static final TypeAdapter<JsonElement> ANY = new Gson().getAdapter(JsonElement.class);
     private static final Pattern TIME = Pattern.compile("([0-9]{1,9})(ms|s|m|h)");
     private static final Pattern UPDATE = Pattern.compile("/([^/]+)/_update/([^/]+)");
     private static final int WINDOW_MOST = 10_000;
@@ -160,12 +168,25 @@
     private static JsonObject body(HttpMessage m) throws ApiException {
         try {
             return m.body().length == 0 ? new JsonObject()
-                    : JsonParser.parseString(new String(m.body(), StandardCharsets.UTF_8)).getAsJsonObject();
-        } catch (RuntimeException e) {
+                    : strict(m.body());
+        } catch (IOException | RuntimeException e) {
             throw new ApiException(400, "parsing_exception", "the body is not a JSON object");
         }
     }
 
+    /** What is repaired on the way in would be searched for as though its client had asked for it. */
+    private static JsonObject strict(byte[] body) throws IOException {
+        try (JsonReader in = new JsonReader(new StringReader(
+                StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body)).toString()))) {
+            in.setStrictness(Strictness.STRICT);
+            JsonObject read = ANY.read(in).getAsJsonObject();
+            if (in.peek() != JsonToken.END_DOCUMENT) {
+                throw new IOException("more than one object");
+            }
+            return read;
+        }
+    }
+
     private static int whole(HttpMessage m, JsonObject body, String name, int otherwise) throws ApiException {
         String text = m.parameter(name) != null ? m.parameter(name)
                 : body.has(name) ? body.get(name).getAsString() : Integer.toString(otherwise);
@@ -204,6 +225,9 @@
         if (pieces.isEmpty() || pieces.stream().map(Ask.Piece::shard).distinct().count() < pieces.size()) {
             throw ApiException.illegal("no shards, or one given twice");
         }
+        if (!Ask.addUp(pieces)) {
+            throw ApiException.illegal("[portion]s do not add up to 1");
+        }
         return pieces;
     }
 
--- a/src/main/java/pepperdock/platform/QueryBody.java
+++ b/src/main/java/pepperdock/platform/QueryBody.java
@@ -21,9 +21,6 @@
  */
 record QueryBody(List<Ask.Piece> pieces, byte[] text) {
 
-    /** How far the portions may be from 1 together: they are rounded, each by itself. */
-    private static final double ROUNDING = 0.01;
-
     static QueryBody read(byte[] body, int shards) throws HttpException {
         try (JsonReader in = new JsonReader(new StringReader(StandardCharsets.UTF_8.newDecoder()
                 .decode(ByteBuffer.wrap(body)).toString()))) {
@@ -63,18 +60,16 @@
     private static List<Ask.Piece> pieces(JsonReader in, int shards) throws IOException, HttpException {
         List<Ask.Piece> pieces = new ArrayList<>();
         Set<Integer> given = new HashSet<>();
-        double sum = 0;
         in.beginArray();
         while (in.hasNext()) {
             Ask.Piece piece = piece(in);
             check(piece.shard() >= 0 && piece.shard() < shards, "ranges: no such range");
             check(given.add(piece.shard()), "ranges: one given twice");
             check(piece.weight() >= 0 && piece.weight() <= 1, "ranges: portion out of range");
-            sum += piece.weight();
             pieces.add(piece);
         }
         in.endArray();
-        check(pieces.isEmpty() || Math.abs(sum - 1) <= ROUNDING, "ranges: portions do not add up to 1");
+        check(pieces.isEmpty() || Ask.addUp(pieces), "ranges: portions do not add up to 1");
         return pieces;
     }
 
--- a/src/test/java/pepperdock/opensearch/SearchFrontTest.java
+++ b/src/test/java/pepperdock/opensearch/SearchFrontTest.java
@@ -160,6 +160,8 @@
         "POST|/history/_search|{\"size\":-1}|400|illegal_argument_exception",
         "POST|/history/_search|{\"size\":10001}|400|illegal_argument_exception",
         "POST|/history/_search|[1]|400|parsing_exception",
+        "POST|/history/_search|{size:1}|400|parsing_exception", "POST|/history/_search|{}{}|400|parsing_exception",
+        "POST|/history/_search|{\"ext\":{\"pepperdock\":{\"ranges\":[{\"range\":1,\"portion\":0.4}]}}}|400|illegal_argument_exception",
         "POST|/history/_search|{\"ext\":7}|400|parsing_exception",
         "POST|/history/_search|{\"aggs\":{}}|400|illegal_argument_exception",
         "POST|/history/_search?timeout=soon|{}|400|illegal_argument_exception",
