Serve a draining gatherer's clients 0.3 s longer

In its log the second gatherer was gone at 19.18 s and the first, started at about 17.2 s, served only at 19.60 s: for 0.4 s nobody did, and 3% of that window's requests failed. A start takes up to 2 s there. Now clients are sent away 1.0 s and closed 0.7 s before SIGKILL can come (1.3 and 1.0 before), what is left fails 0.35 s before it, and the end is 0.2 s before it. Parts take some 25 ms, 0.4 s at the slowest of a hundred, so what is taken is still answered.

--- a/src/main/java/pepperdock/Drain.java
+++ b/src/main/java/pepperdock/Drain.java
@@ -21,10 +21,10 @@
     /** New connections keep coming for 0.4 s; with none left after that there is nothing to wait for. */
     private static final double STILL_COMING_S = 0.6;
     /** Before SIGKILL by so much: replies close their connections, idle ones are closed, what is in hand fails, the end. */
-    private static final double SEND_AWAY_S = 1.3;
-    private static final double CLOSE_S = 1;
-    private static final double FAIL_S = 0.45;
-    private static final double END_S = 0.25;
+    private static final double SEND_AWAY_S = 1;
+    private static final double CLOSE_S = 0.7;
+    private static final double FAIL_S = 0.35;
+    private static final double END_S = 0.2;
     private static final double LOOK_S = 0.02;
 
     private final Loop loop;
