--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The whole of it needs a JDK 17, Maven and make.
 MVN = mvn -B
 
-.PHONY: build test lint run clean
+.PHONY: build test lint run bench-start clean
 
 build:
 	$(MVN) -q -Dmaven.test.skip=true package
@@ -18,5 +18,11 @@
 run: build
 	EDGE_CONFIG="$(EDGE_CONFIG)" java -jar target/pepperdock.jar serve
 
+# Processor time, wall time and memory of ten starts, with the class archive and without, in turn (docs/starting.md).
+# A further command to measure beside them: make bench-start OTHER='java -jar earlier.jar serve'
+PLAIN = java -Xms24m -Xmx56m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -jar target/pepperdock.jar serve
+bench-start: build
+	java tools/StartBench.java 10 'sh deploy/start serve' '$(PLAIN)' $(if $(OTHER),'$(OTHER)')
+
 clean:
 	$(MVN) -q clean
--- a/src/main/java/pepperdock/Drain.java
+++ b/src/main/java/pepperdock/Drain.java
@@ -20,9 +20,14 @@
     private static final double SPARE_S = 0.7;
     /** New connections keep coming for 0.4 s; with none left after that there is nothing to wait for. */
     private static final double STILL_COMING_S = 0.6;
-    /** Before SIGKILL by so much: replies close their connections, idle ones are closed, what is in hand fails, the end. */
-    private static final double SEND_AWAY_S = 1;
-    private static final double CLOSE_S = 0.7;
+    /**
+     * Before SIGKILL by so much: replies close their connections, idle ones are closed, what is in hand fails, the end.
+     * The first two as late as answers allow, most of which take under 0.1 s: found on a day of restarts, where the
+     * successor of another gatherer was ready 0.1 to 0.3 s after the last connections here had been closed. The other two
+     * stay: what is unanswered at SIGKILL is lost, and half a core needs its time to write.
+     */
+    private static final double SEND_AWAY_S = 0.65;
+    private static final double CLOSE_S = 0.45;
     private static final double FAIL_S = 0.35;
     private static final double END_S = 0.2;
     private static final double LOOK_S = 0.02;
--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -31,6 +31,11 @@
 /** The command line, and the wiring: {@code serve} is one gatherer, {@code drill} the simulator's wire. */
 public final class Main {
 
+    static {
+        LogLine.install();
+    }
+
+    /** After the log is set up: the first logger asked for decides how the JDK reads its set-up. */
     private static final System.Logger LOG = System.getLogger("pepperdock");
     /** Descriptors that are not ours to use: the jar, the selectors, standard streams (18 seen), and some to spare. */
     private static final int OTHER_DESCRIPTORS = 40;
@@ -40,10 +45,10 @@
     private static final int SEARCH_BODY_MOST = 1 << 20;
     private static final int BUFFER_MOST = 256 << 10;
     private static final int SEARCH_BUFFER_MOST = 16 << 20;
+
     private Main() { }
 
     public static void main(String[] args) {
-        System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
         String what = args.length == 1 ? args[0] : "";
         switch (what) {
             case "drill" -> System.exit(new WireHost(System.in, System.out, System.err).run());
@@ -60,6 +65,15 @@
                     System.exit(1);
                 }
             }
+            case "rehearse" -> {
+                try {
+                    Rehearsal.run();
+                } catch (IOException | RuntimeException e) {
+                    // Without the archive of this run the program starts more slowly, and that is all.
+                    stop("rehearsal: " + e, 1);
+                }
+                System.exit(0);
+            }
             default -> stop("usage: pepperdock serve | drill", 2);
         }
     }
@@ -117,9 +131,11 @@
                 : file.with("known", Config.parse(store.get("nodes"), "known"));
     }
 
-    private static void serve(Keys file, Map<String, String> env, Loop loop, Store store) throws IOException {
+    /** Returns the servers that listen; they say that they are ready a moment later, on the loop. */
+    static List<HttpServer> serve(Keys file, Map<String, String> env, Loop loop, Store store) throws IOException {
         Config config = Config.read(file, env);
-        Warmup.run(config.site());
+        Warmup warmup = new Warmup(config.site());
+        warmup.play(Warmup.BEFORE);
         boolean searches = config.openSearch() != null && config.openSearch().backend();
         WorkerPool pool = searches ? null : new WorkerPool(loop, config.site());
         SearchBackend search = searches ? new SearchBackend(loop, config.site(), config.openSearch()) : null;
@@ -155,10 +171,12 @@
             core.listed(ListKind.HELD, config.known().hosts());
             ready[0] = true;
             servers.forEach(s -> LOG.log(System.Logger.Level.INFO, "{0} serves on {1}", config.name(), s.address()));
+            warmup.spread(loop, () -> core.inHand() == 0);
         });
         new Reload(env, file, loop::execute, new Reload.Live(watch == null ? null : watch::move,
                 fixed == null ? null : fixed::replace, n -> loop.capSockets(n - OTHER_DESCRIPTORS))).onSignal();
         new Drain(loop, servers, core, config.site()).onSignal();
+        return servers;
     }
 
     /** The leader keeps the last node list in the store: what a gatherer that starts anew knows before it has asked. */
--- a/src/main/java/pepperdock/net/Loop.java
+++ b/src/main/java/pepperdock/net/Loop.java
@@ -43,6 +43,7 @@
     public Loop(int socketCap, int bufferCap) throws IOException {
         this.socketCap = socketCap;
         this.bufferCap = bufferCap;
+        NoManagement.install();
         worker = Xnio.getInstance("nio", Loop.class.getClassLoader()).createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "loop").set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
--- a/src/main/java/pepperdock/platform/Warmup.java
+++ b/src/main/java/pepperdock/platform/Warmup.java
@@ -4,12 +4,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import pepperdock.aggregator.Aggregator.ListKind;
 import pepperdock.aggregator.Aggregator.Outcome;
 import pepperdock.aggregator.Aggregator.Readiness;
 import pepperdock.config.Site;
 import pepperdock.core.Attempt;
 import pepperdock.core.Backend;
+import pepperdock.core.Clock;
 import pepperdock.core.Gatherer;
 import pepperdock.core.Host;
 import pepperdock.core.ManualClock;
@@ -21,20 +23,33 @@
 import pepperdock.net.HttpServer;
 
 /**
- * Plays queries through front, core, module and frames on a clock of its own before the program says that it is ready:
- * the first clients otherwise wait for class loading and interpreted code. What it learns is thrown away with it.
+ * Plays queries through front, core, module and frames on a clock of its own, so that a client does not wait for classes to
+ * be initialised and for code that is still interpreted. What it learns is thrown away with it. A few before the program
+ * says that it is ready; {@link #spread the rest} beside the first clients, as a start on part of a core must be short.
  */
 public final class Warmup {
 
+    /**
+     * Before ready. Measured on half a core with a crowd waiting: after one, the first second's queries all ran out of time;
+     * 150 delay the start by a second.
+     */
+    public static final int BEFORE = 24;
+    /** In all: with these, the code on a query's path has been compiled. */
     private static final int QUERIES = 150;
+    /** One of the rest so often; at half a core it takes a few per cent of the time between. */
+    private static final double PAUSE_S = 0.02;
     private static final int PARTS_MOST = 40;
 
-    private Warmup() { }
+    private final Site site;
+    private final ManualClock clock = new ManualClock(1000);
+    private final Gatherer[] core = new Gatherer[1];
+    private final Front front;
+    private final HttpParser parser = HttpParser.ofRequests(1 << 16);
+    private int played;
+    private int answered;
 
-    /** Returns how many of its queries were answered. */
-    public static int run(Site site) {
-        ManualClock clock = new ManualClock(1000);
-        Gatherer[] core = new Gatherer[1];
+    public Warmup(Site site) {
+        this.site = site;
         core[0] = new Gatherer(site.module(), 1, clock, new Echo(clock, core), () -> { });
         List<Host> hosts = new ArrayList<>();
         for (int cell = 0; cell < site.module().layout().cells(); cell++) {
@@ -42,12 +57,14 @@
         }
         core[0].listed(ListKind.HELD, hosts);
         core[0].listed(ListKind.CHANGES, hosts);
-        Front front = new Front(site, core[0], () -> true);
-        int[] answered = {0};
-        HttpServer.Reply reply = (status, type, extra, body) -> answered[0] += status == 200 ? 1 : 0;
-        HttpParser parser = HttpParser.ofRequests(1 << 16);
-        for (int i = 0; i < QUERIES; i++) {
-            byte[] request = request(site, i);
+        front = new Front(site, core[0], () -> true);
+    }
+
+    /** Plays so many queries now; returns how many of all played so far were answered. */
+    public int play(int queries) {
+        HttpServer.Reply reply = (status, type, extra, body) -> answered += status == 200 ? 1 : 0;
+        for (int end = played + queries; played < end; played++) {
+            byte[] request = request(site, played);
             try {
                 parser.feed(request, 0, request.length);
                 front.serve(parser.take(), reply);
@@ -56,7 +73,21 @@
             }
             clock.advance(0.3);
         }
-        return answered[0];
+        return answered;
+    }
+
+    /** Plays the rest one by one on the loop, each only while {@code idle}: real queries warm the same code. */
+    public void spread(Clock loop, BooleanSupplier idle) {
+        loop.after(PAUSE_S, () -> {
+            if (idle.getAsBoolean()) {
+                play(1);
+            } else {
+                played++;
+            }
+            if (played < QUERIES) {
+                spread(loop, idle);
+            }
+        });
     }
 
     private static byte[] request(Site site, int i) {
--- a/src/main/java/pepperdock/store/Replica.java
+++ b/src/main/java/pepperdock/store/Replica.java
@@ -35,7 +35,8 @@
                 }
             }
         } else if (leads) {
-            lineage = UUID.randomUUID().toString();
+            // Only a log that others may follow needs a name; a random one costs every start the security providers.
+            lineage = file == null ? "memory" : UUID.randomUUID().toString();
             compact();
         }
     }
--- /dev/null
+++ b/src/test/java/pepperdock/StartIT.java
@@ -0,0 +1,123 @@
+package pepperdock;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.RandomAccessFile;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import pepperdock.config.Sites;
+
+/**
+ * The built jar by way of deploy/start, in a folder of its own: with the class archive whole, cut off, spoilt and gone.
+ * Guards against what was seen: handed an archive that is cut off, the JVM ends with SIGBUS before the first line.
+ */
+@Timeout(120)
+class StartIT {
+
+    private static final String NO_ARCHIVE = "no class archive that is whole";
+
+    @TempDir
+    private Path root;
+    private Path archive;
+
+    @BeforeEach
+    void copyOfWhatWasBuilt() throws IOException {
+        Files.createDirectories(root.resolve("target"));
+        Files.createDirectories(root.resolve("deploy"));
+        for (String file : new String[] {"target/pepperdock.jar", "target/pepperdock.jsa", "target/pepperdock.jsa.sum",
+            "deploy/start"}) {
+            // The archive names the jar's time of change.
+            Files.copy(Path.of(file), root.resolve(file), StandardCopyOption.COPY_ATTRIBUTES);
+        }
+        archive = root.resolve("target/pepperdock.jsa");
+        assertTrue(archive.toFile().setWritable(true));
+    }
+
+    private record Served(String log, boolean fromArchive) { }
+
+    /** Starts, asks whether it is ready, looks (by /proc) whether the archive is mapped, ends it. */
+    private Served serves() throws Exception {
+        Files.writeString(root.resolve("config.json"), "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\","
+                + "\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[]},\"settings\":" + Sites.SETTINGS + "}");
+        ProcessBuilder builder = new ProcessBuilder("sh", "deploy/start", "serve").directory(root.toFile());
+        builder.environment().put("EDGE_CONFIG", root.resolve("config.json").toString());
+        Path log = root.resolve("log");
+        boolean mapped;
+        Process process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+        try {
+            String line = null;
+            while (line == null) {
+                assertTrue(process.isAlive(), Files.readString(log));
+                line = Files.readString(log).lines().filter(l -> l.contains(" serves on ")).findFirst().orElse(null);
+                Thread.sleep(10);
+            }
+            int port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).strip());
+            try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                client.getOutputStream().write("GET /-/ready HTTP/1.1\r\nConnection: close\r\n\r\n"
+                        .getBytes(StandardCharsets.US_ASCII));
+                String answer = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+                assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+            }
+            mapped = Files.readString(Path.of("/proc", Long.toString(process.pid()), "maps")).contains("pepperdock.jsa");
+        } finally {
+            process.destroy();
+            assertTrue(process.waitFor(30, TimeUnit.SECONDS));
+        }
+        return new Served(Files.readString(log), mapped);
+    }
+
+    @Test
+    void theArchiveOfTheBuildIsInUse() throws Exception {
+        Served served = serves();
+        assertTrue(served.fromArchive() && !served.log().contains(NO_ARCHIVE), served.log());
+    }
+
+    @Test
+    void anArchiveCutOffIsLeftAsideAndTheProgramServes() throws Exception {
+        try (RandomAccessFile file = new RandomAccessFile(archive.toFile(), "rw")) {
+            file.setLength(file.length() / 2);
+        }
+        leftAside();
+    }
+
+    @Test
+    void anArchiveSpoiltInTheMiddleIsLeftAsideAndTheProgramServes() throws Exception {
+        try (RandomAccessFile file = new RandomAccessFile(archive.toFile(), "rw")) {
+            file.seek(file.length() / 2);
+            file.write("spoilt".getBytes(StandardCharsets.US_ASCII));
+        }
+        leftAside();
+    }
+
+    @Test
+    void withoutAnArchiveTheProgramServes() throws Exception {
+        Files.delete(archive);
+        leftAside();
+    }
+
+    /** The jar was built anew and the archive was not: the JVM itself sees that by the jar's time, and goes on. */
+    @Test
+    void anArchiveOfAnotherJarIsLeftAsideAndTheProgramServes() throws Exception {
+        Path jar = root.resolve("target/pepperdock.jar");
+        Files.setLastModifiedTime(jar, java.nio.file.attribute.FileTime.fromMillis(
+                Files.getLastModifiedTime(jar).toMillis() - 100_000));
+        Served served = serves();
+        assertFalse(served.fromArchive(), served.log());
+    }
+
+    private void leftAside() throws Exception {
+        Served served = serves();
+        assertTrue(!served.fromArchive() && served.log().contains(NO_ARCHIVE), served.log());
+    }
+}
