--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -1,11 +1,13 @@
 package pepperdock;
 
 import java.io.IOException;
+import java.io.PrintWriter;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.function.IntSupplier;
 import pepperdock.aggregator.Aggregator.ListKind;
+import pepperdock.cli.Cli;
 import pepperdock.config.Config;
 import pepperdock.config.ConfigException;
 import pepperdock.config.HostList;
@@ -74,7 +76,8 @@
                 }
                 System.exit(0);
             }
-            default -> stop("usage: pepperdock serve | drill", 2);
+            default -> System.exit(Cli.run(args, new PrintWriter(System.out, true),
+                    new PrintWriter(System.err, true)));
         }
     }
 
--- a/src/main/java/pepperdock/config/Keys.java
+++ b/src/main/java/pepperdock/config/Keys.java
@@ -35,6 +35,21 @@
         return object.has(name) && !object.get(name).isJsonNull();
     }
 
+    /** The names that stand here. */
+    public Set<String> names() {
+        return object.keySet();
+    }
+
+    /** Refuses whatever is not among these names. */
+    public void only(String... names) {
+        Set<String> known = Set.of(names);
+        for (String name : object.keySet()) {
+            if (!known.contains(name)) {
+                throw new ConfigException(key(name), "unknown");
+            }
+        }
+    }
+
     /** The same object with one key put in that another object has. */
     public Keys with(String name, Keys other) {
         return with(name, other.need(name));
--- /dev/null
+++ b/src/main/java/pepperdock/plan/Ratio.java
@@ -0,0 +1,31 @@
+package pepperdock.plan;
+
+import java.math.BigInteger;
+
+/** An exact quotient of work by capacity, the latter above 0; compared without rounding. */
+public record Ratio(BigInteger work, BigInteger capacity) implements Comparable<Ratio> {
+
+    public static final Ratio ZERO = new Ratio(BigInteger.ZERO, BigInteger.ONE);
+
+    public Ratio {
+        if (capacity.signum() <= 0 || work.signum() < 0) {
+            throw new IllegalArgumentException(work + " / " + capacity);
+        }
+        BigInteger common = work.gcd(capacity);
+        work = work.divide(common);
+        capacity = capacity.divide(common);
+    }
+
+    @Override
+    public int compareTo(Ratio other) {
+        return work.multiply(other.capacity).compareTo(other.work.multiply(capacity));
+    }
+
+    public boolean aboveOne() {
+        return work.compareTo(capacity) > 0;
+    }
+
+    public double value() {
+        return work.doubleValue() / capacity.doubleValue();
+    }
+}
