Plan in service: measured speeds weigh the choice between holders; a first laboratory

Change: plan.Upkeep (pure) decides when to plan, from what, and whether a plan is too late for its list; planner.PlannerThread solves beside the loop; the module divides a holder's own parts out by its share. On with the key plan (deploy/planned.json), off on the platform. Package lab: emulated nodes (cores, waiting room, call and connection costs, cold, slow, still) in simulated time round the real core and module, the same for the same seed.

--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -28,6 +28,7 @@
 import pepperdock.platform.Warmup;
 import pepperdock.platform.Watch;
 import pepperdock.platform.WorkerPool;
+import pepperdock.planner.PlannerThread;
 import pepperdock.store.Store;
 
 /** The command line, and the wiring: {@code serve} is one gatherer, {@code drill} the simulator's wire. */
@@ -158,6 +159,11 @@
             fixed.start(core);
         }
         keepNodes(core, config, store);
+        if (config.plan() != null) {
+            PlannerThread planner = new PlannerThread(config.plan(), config.site().module().layout(), loop, core,
+                    PlannerThread.thread(), loop::execute);
+            loop.execute(planner::start);
+        }
         boolean[] ready = {false};
         List<HttpServer> servers = new ArrayList<>();
         IntSupplier clients = () -> (loop.sockets() + OTHER_DESCRIPTORS) / CLIENTS_SHARE
--- a/src/main/java/pepperdock/aggregator/Aggregator.java
+++ b/src/main/java/pepperdock/aggregator/Aggregator.java
@@ -106,6 +106,12 @@
     /** One entry of a list; {@code bootAt} is the clock time of the last start, 0 for long ago. */
     record Listed(String searcher, int zone, int kind, int cell, Readiness readiness, double weight, double bootAt) { }
 
+    /** What part of a shard's work is meant for a searcher, above 0; only ratios between a shard's holders count. */
+    @FunctionalInterface
+    interface Shares {
+        double of(int shard, String searcher);
+    }
+
     /** What happens, told in order. Ids of ended queries and parts, and unknown ids, are harmless. */
     interface Events {
 
@@ -127,6 +133,9 @@
         /** The client of query {@code id} has left. */
         void aborted(long id);
 
+        /** Shares reckoned ahead, in use from now on; without them all holders of a shard are alike. */
+        void shares(Shares planned);
+
         /** A timer set by this instance fell due. */
         void timer(String token);
 
--- a/src/main/java/pepperdock/aggregator/Decide.java
+++ b/src/main/java/pepperdock/aggregator/Decide.java
@@ -149,6 +149,7 @@
     private double shortestReaped;
     private double askAt;
     private double askPause;
+    private Shares planned = (shard, searcher) -> 1;
 
     Decide(Settings settings, long seed, Actions actions) {
         this.settings = settings;
@@ -246,6 +247,11 @@
         }
     }
 
+    @Override
+    public void shares(Shares planned) {
+        this.planned = planned;
+    }
+
     @Override
     public void timer(String token) {
         sweepSet = false;
@@ -382,10 +388,10 @@
     }
 
     /**
-     * Proposes an attempt at the replica with fewest own parts out, ties by the seed, among those whose
-     * record is not clearly worse than the best holder's; the margin grows with the best one's record,
-     * which is less sure the worse it is. Where all are alike none is passed over, so trouble that is
-     * shared does not crowd a few; it harms when the best holder is good by luck only.
+     * Proposes an attempt at the replica with fewest own parts out over its planned share, ties by the seed,
+     * among those whose record is not clearly worse than the best holder's; the margin grows with the best
+     * one's record, which is less sure the worse it is. Where all are alike none is passed over, so trouble
+     * that is shared does not crowd a few; it harms when the best holder is good by luck only.
      */
     private boolean propose(Part p) {
         List<Searcher> open = holders(p.shard).stream().filter(s -> allowed(p, s)).toList();
@@ -397,10 +403,10 @@
                 if (!copies(p) && p.attempts.isEmpty() && trialDue(s)) {
                     return send(p, s);
                 }
-            } else if (best == null || calls(s) < calls(best)) {
+            } else if (best == null || load(s, p) < load(best, p)) {
                 best = s;
                 ties = 1;
-            } else if (calls(s) == calls(best) && random.nextInt(++ties) == 0) {
+            } else if (load(s, p) == load(best, p) && random.nextInt(++ties) == 0) {
                 best = s;
             }
         }
@@ -412,6 +418,10 @@
         return s.open.stream().map(a -> a.call).distinct().count();
     }
 
+    private double load(Searcher s, Part p) {
+        return calls(s) / planned.of(p.shard, s.id);
+    }
+
     private boolean joins(Searcher s) {
         return s.call != null && s.call.sentAt == now && s.call.parts < settings.layout().batch();
     }
--- a/src/main/java/pepperdock/config/Config.java
+++ b/src/main/java/pepperdock/config/Config.java
@@ -11,11 +11,11 @@
 
 /**
  * All that a gatherer is told at its start, checked and with defaults. {@code listen} is null where only
- * the OpenSearch-style front serves, {@code discovery} where the list is fixed or comes from DNS; {@code openSearch} and
- * {@code dnsSd} are null where the operator's file has none.
+ * the OpenSearch-style front serves, {@code discovery} where the list is fixed or comes from DNS; {@code openSearch},
+ * {@code dnsSd} and {@code plan} are null where the operator's file has none.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, HostList known,
-                     Site site, OpenSearchConfig openSearch, DnsSdConfig dnsSd) {
+                     Site site, OpenSearchConfig openSearch, DnsSdConfig dnsSd, PlanConfig plan) {
 
     private static final int SOCKETS = 1024;
 
@@ -54,7 +54,8 @@
                 env.containsKey("EDGE_DISCOVERY") ? address("EDGE_DISCOVERY", env.get("EDGE_DISCOVERY"))
                         : all.has("discovery") ? address("discovery", all.text("discovery")) : null,
                 seed(all), known, openSearch != null && openSearch.backend() ? site.withoutRepeats() : site, openSearch,
-                all.has("dnssd") ? DnsSdConfig.read(all.needed("dnssd")) : null);
+                all.has("dnssd") ? DnsSdConfig.read(all.needed("dnssd")) : null,
+                all.has("plan") ? PlanConfig.read(all.needed("plan")) : null);
     }
 
     public static JsonElement parse(String json, String key) {
--- a/src/main/java/pepperdock/core/Gatherer.java
+++ b/src/main/java/pepperdock/core/Gatherer.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.ObjDoubleConsumer;
 import pepperdock.aggregator.Aggregator;
 import pepperdock.aggregator.Aggregator.ListKind;
 import pepperdock.aggregator.Aggregator.Outcome;
@@ -43,6 +44,7 @@
     private long nextNo = 1;
     private int held;
     private Consumer<Collection<Host>> whenListed = hosts -> { };
+    private ObjDoubleConsumer<Attempt> whenServed = (attempt, spentS) -> { };
 
     public Gatherer(Aggregator.Settings settings, long seed, Clock clock, Backend backend, Discovery discovery) {
         this.settings = settings;
@@ -142,6 +144,9 @@
             a.timeout.cancel();
         }
         double spent = clock.now() - a.sentAt;
+        if (outcome == Outcome.OK) {
+            whenServed.accept(a, spent);
+        }
         tell(() -> {
             Part p = a.part();
             if (outcome == Outcome.OK && p.value == null && !p.query().ended) {
@@ -183,9 +188,19 @@
         tell(() -> module.targets(kind, told));
     }
 
-    /** Tells of the workers now known whenever a list has come. */
+    /** Tells of the workers now known whenever a list has come; each of those who ask, in order. */
     public void whenListed(Consumer<Collection<Host>> then) {
-        whenListed = then;
+        whenListed = whenListed.andThen(then);
+    }
+
+    /** Tells of each attempt that was served, and how long it took in seconds; to one listener. */
+    public void whenServed(ObjDoubleConsumer<Attempt> then) {
+        whenServed = then;
+    }
+
+    /** Shares reckoned ahead, for the module's choice from now on. */
+    public void share(Aggregator.Shares shares) {
+        tell(() -> module.shares(shares));
     }
 
     // ---- Batches ------------------------------------------------------------
--- /dev/null
+++ b/src/main/java/pepperdock/lab/Fleet.java
@@ -0,0 +1,226 @@
+package pepperdock.lab;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import pepperdock.aggregator.Aggregator;
+import pepperdock.aggregator.Aggregator.ListKind;
+import pepperdock.aggregator.Aggregator.Outcome;
+import pepperdock.aggregator.Aggregator.Readiness;
+import pepperdock.config.PlanConfig;
+import pepperdock.core.Ask;
+import pepperdock.core.Attempt;
+import pepperdock.core.Backend;
+import pepperdock.core.Client;
+import pepperdock.core.Gatherer;
+import pepperdock.core.Host;
+import pepperdock.core.ManualClock;
+import pepperdock.core.Query;
+import pepperdock.planner.PlannerThread;
+
+/** A day of a fleet in simulated time: nodes in a ring, gatherers, queries of three classes like the platform's. */
+public final class Fleet {
+
+    /**
+     * What a day is drawn from.
+     *
+     * @param load offered work over the capacity of all nodes, calls included
+     * @param speeds least and greatest speed of a node, the common one being 1; drawn evenly between
+     * @param slowShare share of nodes that are besides {@code slowBy} times slower all day
+     * @param plan the planner in service, or null for equal shares
+     */
+    public record Day(int nodes, int gatherers, double load, double[] speeds, double slowShare, double slowBy, double lengthS,
+                      long seed, PlanConfig plan) { }
+
+    /** What came of it: worth served in time over worth asked for, latencies of answers in seconds, the fullest node. */
+    public record Result(double service, double median, double p99, double utilisation, int queries, int unanswered) { }
+
+    private static final int CORES = 2;
+    private static final double CALL_S = 0.054;
+    private static final int BATCH = 8;
+    private static final int RANGES_A_NODE = 3;
+    private static final int SEARCH_PARTS = 36;
+    private static final double DELAY_S = 0.0003;
+    private static final double WARM_UP_S = 10;
+    private static final double[] SHARE = {0.4, 0.2, 0.4};
+    private static final double[] PART_S = {0.125, 0.14, 0.1};
+    private static final double CV = 0.35;
+    private static final List<Aggregator.QueryClass> CLASSES = List.of(
+            new Aggregator.QueryClass(1.5, 3, 3, 0.1, Aggregator.Effect.SAFE, 0, 0.6, 1, 0.95, 0),
+            new Aggregator.QueryClass(2.5, 6, 5, 0.3, Aggregator.Effect.SAFE, 0, 1, 1, 0.9, 0),
+            new Aggregator.QueryClass(1.5, 3, 1, 0, Aggregator.Effect.KEYED, 1.5, 1, 1, 0.9, 0));
+
+    private final Day day;
+    private final ManualClock clock = new ManualClock(1000);
+    private final Map<String, Node> nodes = new HashMap<>();
+    private final List<Gatherer> gatherers = new ArrayList<>();
+    private final SplittableRandom arrivals;
+    private final SplittableRandom shapes;
+    private final SplittableRandom work;
+    private final int ranges;
+    private final List<Double> latencies = new ArrayList<>();
+    private double asked;
+    private double served;
+    private int queries;
+    private int unanswered;
+    private long nextId;
+
+    private Fleet(Day day) {
+        this.day = day;
+        SplittableRandom root = new SplittableRandom(day.seed());
+        SplittableRandom build = root.split();
+        arrivals = root.split();
+        shapes = root.split();
+        work = root.split();
+        ranges = RANGES_A_NODE * day.nodes();
+        List<Host> hosts = new ArrayList<>();
+        double capacity = 0;
+        for (int n = 0; n < day.nodes(); n++) {
+            double speed = day.speeds()[0] + (day.speeds()[1] - day.speeds()[0]) * build.nextDouble();
+            speed /= build.nextDouble() < day.slowShare() ? day.slowBy() : 1;
+            capacity += CORES * speed;
+            Node node = new Node("n" + n, new Node.Kind(CORES, speed, 17 * CORES, CALL_S, 0.001, 1300, 15, 0.3, 10), clock);
+            nodes.put(node.id, node);
+            hosts.add(new Host(node.id, "", 0, 0, n, Readiness.HEALTHY, 1, 0));
+        }
+        int parts = Math.min(SEARCH_PARTS, ranges);
+        double rate = day.load() * capacity / (SHARE[0] * queryS(0, parts) + SHARE[1] * queryS(1, reportParts())
+                + SHARE[2] * queryS(2, 1));
+        int held = (int) Math.max(3 * (1 + parts), 2 * rate / day.gatherers() * (1 + SHARE[0] * parts + SHARE[1] * reportParts()));
+        Aggregator.Settings settings = new Aggregator.Settings(day.gatherers(), 0, 0.005, true, CLASSES, List.of(), 1, List.of(),
+                new Aggregator.Layout(ranges, day.nodes(), 2, BATCH), new Aggregator.Limits(true, true, false, 4, held, 1),
+                new Aggregator.Rules(0.02, 0.5, 0.16, 14, 2, 1, 0, 0, 0, 10));
+        for (int g = 0; g < day.gatherers(); g++) {
+            Gatherer core = new Gatherer(settings, day.seed() * 31 + g, clock, new Wire(g), () -> { });
+            wires.get(g).core = core;
+            gatherers.add(core);
+            if (day.plan() != null) {
+                new PlannerThread(day.plan(), settings.layout(), clock, core, Runnable::run, Runnable::run).start();
+            }
+            core.listed(ListKind.COMPLETE, hosts);
+        }
+        arrive(rate);
+    }
+
+    private final List<Wire> wires = new ArrayList<>();
+
+    private int reportParts() {
+        return Math.min(7, ranges);
+    }
+
+    /** Work of a query with so many parts: two holders a range in a row, so a call for every {@code RANGES_A_NODE} or so. */
+    private double queryS(int queryClass, int parts) {
+        return parts * PART_S[queryClass] + CALL_S * Math.min(parts, Math.min(day.nodes(), parts / (double) RANGES_A_NODE + 2));
+    }
+
+    /** Plays a day; the same for the same day. */
+    public static Result play(Day day) {
+        Fleet fleet = new Fleet(day);
+        fleet.clock.advance(day.lengthS() + 10);
+        double fullest = fleet.nodes.values().stream().mapToDouble(n -> n.worked() / CORES / day.lengthS()).max().orElse(0);
+        double[] sorted = fleet.latencies.stream().mapToDouble(x -> x).sorted().toArray();
+        return new Result(fleet.served / Math.max(1e-9, fleet.asked), at(sorted, 0.5), at(sorted, 0.99), fullest, fleet.queries,
+                fleet.unanswered);
+    }
+
+    private static double at(double[] sorted, double share) {
+        return sorted.length == 0 ? Double.NaN : sorted[(int) Math.min(sorted.length - 1, share * sorted.length)];
+    }
+
+    /** Open loop: the next query comes when it comes, whatever became of the last. */
+    private void arrive(double rate) {
+        clock.after(-Math.log(1 - arrivals.nextDouble()) / rate, () -> {
+            if (clock.now() < 1000 + day.lengthS()) {
+                ask(gatherers.get(arrivals.nextInt(gatherers.size())));
+                arrive(rate);
+            }
+        });
+    }
+
+    private void ask(Gatherer core) {
+        double dice = shapes.nextDouble();
+        int queryClass = dice < SHARE[0] ? 0 : dice < SHARE[0] + SHARE[1] ? 1 : 2;
+        int count = queryClass == 0 ? Math.min(SEARCH_PARTS, ranges) : queryClass == 1 ? reportParts() : 1;
+        int first = shapes.nextInt(ranges);
+        double[] weights = new double[count];
+        for (int i = 0; i < count; i++) {
+            weights[i] = queryClass == 0 ? 1 / Math.pow(1 + i, 1.2) : 1;
+        }
+        double sum = Arrays.stream(weights).sum();
+        List<Ask.Piece> pieces = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            pieces.add(new Ask.Piece((first + i) % ranges, weights[i] / sum));
+        }
+        Aggregator.QueryClass c = CLASSES.get(queryClass);
+        double at = clock.now();
+        boolean counted = at > 1000 + WARM_UP_S;
+        if (counted) {
+            queries++;
+            asked += c.worth() * count;
+        }
+        String id = "q" + nextId++;
+        core.take(new Ask(id, queryClass, queryClass == 2 ? id : "", c.deadlineS(), pieces, new byte[0], null), new Client() {
+            @Override
+            public void answered(Query q, boolean whole) {
+                if (counted) {
+                    double in = q.parts().stream().filter(p -> p.value() != null).mapToDouble(p -> p.weight()).sum();
+                    double took = clock.now() - at;
+                    latencies.add(took);
+                    served += c.worth() * count * (took <= c.aimS() ? 1 : c.lateWorth()) * (whole ? 1 : c.partialWorth() * in);
+                }
+            }
+
+            @Override
+            public void refused(Query q, double pauseS) {
+                unanswered += counted ? 1 : 0;
+            }
+
+            @Override
+            public void failed(Query q, boolean overdue) {
+                unanswered += counted ? 1 : 0;
+            }
+        });
+    }
+
+    /** One gatherer's way to the nodes. */
+    private final class Wire implements Backend {
+        private final int gatherer;
+        private Gatherer core;
+
+        Wire(int gatherer) {
+            this.gatherer = gatherer;
+            wires.add(this);
+        }
+
+        @Override
+        public void send(String worker, List<Attempt> call) {
+            double partsS = 0;
+            for (Attempt a : call) {
+                double sigma = Math.sqrt(Math.log(1 + CV * CV));
+                partsS += PART_S[a.part().query().ask().queryClass()] * Math.exp(sigma * normal() - sigma * sigma / 2);
+            }
+            double workS = partsS;
+            clock.after(DELAY_S, () -> nodes.get(worker).call(gatherer, workS, outcome -> clock.after(DELAY_S,
+                    () -> call.forEach(a -> core.ended(a, outcome, null, outcome == Outcome.OK ? new byte[1] : null)))));
+        }
+
+        private double normal() {
+            return work.nextGaussian();
+        }
+
+        @Override
+        public void cancel(Attempt attempt) { }
+
+        @Override
+        public void probe(String worker) { }
+
+        @Override
+        public void dropConnections(String worker) { }
+
+        @Override
+        public void listed(Map<String, Host> hosts) { }
+    }
+}
--- /dev/null
+++ b/src/main/java/pepperdock/planner/PlannerThread.java
@@ -0,0 +1,102 @@
+package pepperdock.planner;
+
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Consumer;
+import pepperdock.aggregator.Aggregator.Layout;
+import pepperdock.aggregator.Aggregator.Readiness;
+import pepperdock.config.PlanConfig;
+import pepperdock.core.Clock;
+import pepperdock.core.Gatherer;
+import pepperdock.core.Host;
+import pepperdock.plan.Plan;
+import pepperdock.plan.Planner;
+import pepperdock.plan.Upkeep;
+
+/**
+ * Plans beside the loop: {@link Upkeep} says on the loop when and from what, a thread of its own solves, and what comes back
+ * is handed to the core on the loop again. While there is no plan the core goes on with equal shares, or with the last ones.
+ */
+public final class PlannerThread {
+
+    private static final System.Logger LOG = System.getLogger("pepperdock.plan");
+    private static final double LOOK_S = 0.1;
+
+    private final Clock loop;
+    private final Gatherer core;
+    private final Upkeep upkeep;
+    private final Consumer<Runnable> solver;
+    private final Consumer<Runnable> back;
+
+    /** {@code solver} runs a task apart from the loop, {@code back} one on it; the same thread serves for simulated time. */
+    public PlannerThread(PlanConfig config, Layout layout, Clock loop, Gatherer core,
+                         Consumer<Runnable> solver, Consumer<Runnable> back) {
+        this.loop = loop;
+        this.core = core;
+        this.solver = solver;
+        this.back = back;
+        upkeep = new Upkeep(new Upkeep.Ring(layout.shards(), layout.cells(), layout.span()), config.everyS(),
+                config.leastChange(), config.shareLeast());
+    }
+
+    /** A daemon thread that solves one problem at a time. */
+    public static Consumer<Runnable> thread() {
+        ExecutorService one = Executors.newSingleThreadExecutor(task -> {
+            Thread t = new Thread(task, "planner");
+            t.setDaemon(true);
+            return t;
+        });
+        return one::execute;
+    }
+
+    /** On the loop, before the first list comes. */
+    public void start() {
+        core.whenListed(hosts -> {
+            upkeep.listed(hosts.stream().map(PlannerThread::member).toList());
+            look();
+        });
+        core.whenServed((attempt, spentS) -> upkeep.served(attempt.worker(), attempt.part().shard(), spentS));
+        again();
+    }
+
+    private static Upkeep.Member member(Host h) {
+        return new Upkeep.Member(h.id(), h.cell(), h.readiness() == Readiness.HEALTHY);
+    }
+
+    private void again() {
+        loop.after(LOOK_S, () -> {
+            look();
+            again();
+        });
+    }
+
+    private void look() {
+        Upkeep.Job job = upkeep.due(loop.now());
+        if (job != null) {
+            solver.accept(() -> {
+                Plan plan = solve(job);
+                back.accept(() -> use(job, plan));
+            });
+        }
+    }
+
+    private static Plan solve(Upkeep.Job job) {
+        try {
+            return Planner.plan(job.problem());
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "no plan, shares are equal", e);
+            return null;
+        }
+    }
+
+    private void use(Upkeep.Job job, Plan plan) {
+        Upkeep.Shares shares = upkeep.solved(job, plan);
+        if (shares == null) {
+            LOG.log(System.Logger.Level.INFO, "plan thrown away, the list has changed meanwhile");
+            look();
+        } else {
+            LOG.log(System.Logger.Level.INFO, "new plan for {0} nodes", job.problem().nodes().size());
+            core.share(shares::of);
+        }
+    }
+}
--- a/src/test/java/pepperdock/aggregator/DecideTest.java
+++ b/src/test/java/pepperdock/aggregator/DecideTest.java
@@ -52,6 +52,33 @@
         assertEquals(Map.of("a", 3L, "b", 3L, "c", 3L), counts);
     }
 
+    /** Own parts out over the planned share: three to one, to the part; health goes before it. */
+    @Test
+    void plannedSharesWeighTheReplicasAndGiveWayToHealth() {
+        Scene scene = new Scene().start("a", "b");
+        scene.module.shares((shard, searcher) -> searcher.equals("a") ? 0.75 : 0.25);
+        scene.query(1, 6, Scene.equal(12));
+        scene.module.endBatch();
+        assertEquals(Map.of("a", 9L, "b", 3L), scene.did.sends.stream()
+                .collect(Collectors.groupingBy(Recorder.Sent::searcher, Collectors.counting())));
+        Scene sick = new Scene().start("a", "b");
+        sick.module.shares((shard, searcher) -> searcher.equals("a") ? 0.9 : 0.1);
+        for (int query = 1; query <= 3; query++) {
+            sick.query(query, 6, Scene.equal(4));
+            sick.module.endBatch();
+            sick.at(sick.now + 0.01);
+            for (long part : Scene.parts(query, 4)) {
+                boolean toA = sick.did.sends.stream().anyMatch(s -> s.part() == part && s.searcher().equals("a"));
+                sick.end(part, 0, toA ? Outcome.ERROR : Outcome.OK, 0.01);
+            }
+            sick.module.endBatch();
+        }
+        sick.did.clear();
+        sick.query(9, 6, Scene.equal(4));
+        sick.module.endBatch();
+        assertEquals(List.of(), sick.did.sends.stream().filter(s -> s.searcher().equals("a")).toList());
+    }
+
     /** Brings two queries of eight parts out and the ceiling, by one part turned away as full, to sixteen. */
     private static Scene atTheCeiling(double floor) {
         Scene scene = new Scene();
--- a/src/test/java/pepperdock/cli/CliTest.java
+++ b/src/test/java/pepperdock/cli/CliTest.java
@@ -97,6 +97,7 @@
     @Test
     void configurationIsCheckedAndUsageIsHeldTo() {
         assertEquals("deploy/opensearch.json: sound", run("config", "check", "deploy/opensearch.json").out().strip());
+        assertEquals(0, run("config", "check", "deploy/planned.json").status());
         assertEquals(0, run("config", "check", "deploy/dnssd-and-store.json").status());
         assertEquals(2, run("config", "check", RING).status());
         assertEquals(2, run("config", "check", "no-such-file").status());
--- a/src/test/java/pepperdock/config/ConfigTest.java
+++ b/src/test/java/pepperdock/config/ConfigTest.java
@@ -53,6 +53,7 @@
         "known|{\"hosts\":[{\"host\":\"s\",\"health\":\"odd\",\"block\":0}]}|known.hosts[0].health",
         "known|{\"hosts\":[{\"host\":\"s\",\"health\":\"in_service\"}]}|known.hosts[0].block",
         "dnssd|{\"service\":\"ledger\"}|dnssd.service", "opensearch|{\"indices\":[{\"class\":\"none\"}]}|opensearch.indices[0].class",
+        "plan|{\"every_s\":0}|plan.every_s", "plan|{\"share_least\":0.6}|plan.share_least", "plan|{\"often\":1}|plan.often",
         "opensearch|{\"indices\":[]}|opensearch.indices"})
     void aFaultyKeyIsNamed(String key, String value, String named) {
         JsonObject file = file();
--- /dev/null
+++ b/src/test/java/pepperdock/lab/FleetTest.java
@@ -0,0 +1,86 @@
+package pepperdock.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import pepperdock.aggregator.Aggregator.Outcome;
+import pepperdock.config.PlanConfig;
+import pepperdock.core.ManualClock;
+
+class FleetTest {
+
+    private static final double[] MIXED = {0.7, 1.1};
+
+    private static Fleet.Day day(long seed, PlanConfig plan) {
+        return new Fleet.Day(6, 2, 0.6, MIXED, 0, 1, 25, seed, plan);
+    }
+
+    @Test
+    void theSameSeedIsTheSameDayAndAnotherIsNot() {
+        Fleet.Result one = Fleet.play(day(3, new PlanConfig(5, 0.15, 0.1)));
+        assertEquals(one, Fleet.play(day(3, new PlanConfig(5, 0.15, 0.1))));
+        assertTrue(!one.equals(Fleet.play(day(4, new PlanConfig(5, 0.15, 0.1)))));
+        assertTrue(one.queries() > 20 && one.service() > 0.5, one.toString());
+    }
+
+    /** What one arm does must not shift what the other is asked: pairs by seed would compare different days. */
+    @Test
+    void bothArmsAreAskedTheSame() {
+        assertEquals(Fleet.play(day(5, null)).queries(), Fleet.play(day(5, new PlanConfig(5, 0.15, 0.1))).queries());
+    }
+
+    private final ManualClock clock = new ManualClock(0);
+    private final List<String> heard = new ArrayList<>();
+
+    private Node node(int room, int connections) {
+        return new Node("n", new Node.Kind(1, 1, room, 0.1, 0.05, connections, 10, 0.5, 4), clock);
+    }
+
+    private void call(Node node, int gatherer, double partsS) {
+        node.call(gatherer, partsS, o -> heard.add(String.format(java.util.Locale.ROOT, "%s %.3f", o, clock.now())));
+    }
+
+    @Test
+    void aCallCostsBesideItsPartsAndANewConnectionOnce() {
+        Node node = node(5, 5);
+        call(node, 0, 0.2);
+        call(node, 0, 0.2);
+        clock.advance(20);
+        assertEquals(List.of("OK 0.350", "OK 0.650"), heard);
+        call(node, 0, 0.2);
+        clock.advance(1);
+        assertEquals("OK 20.350", heard.get(2), "the connection had been closed as idle");
+        assertEquals(1.0, node.worked(), 1e-9);
+    }
+
+    @Test
+    void theRoomAndTheConnectionsEnd() {
+        Node node = node(1, 2);
+        call(node, 0, 1);
+        call(node, 1, 1);
+        call(node, 0, 1);
+        call(node, 2, 1);
+        assertEquals(List.of(Outcome.FULL + " 0.000", Outcome.CONNECT_FAILED + " 0.000"), heard);
+    }
+
+    @Test
+    void slowStillAndColdPhasesTakeLonger() {
+        Node node = node(5, 5);
+        call(node, 0, 0.05);
+        clock.advance(1);
+        node.slow(2);
+        call(node, 0, 0.1);
+        clock.advance(1);
+        node.slow(1);
+        node.still(0.5);
+        call(node, 0, 0.1);
+        clock.advance(1);
+        node.restarted();
+        call(node, 0, 0.05);
+        clock.advance(1);
+        assertEquals(List.of("OK 0.200", "OK 1.400", "OK 2.700", "OK 3.400"), heard);
+    }
+}
