--- a/src/main/java/pepperdock/plan/Planner.java
+++ b/src/main/java/pepperdock/plan/Planner.java
@@ -25,6 +25,9 @@
     /** Room for rounding where loads found by one program bound the next, in shares of a node's load. */
     private static final double ROUNDING = 1e-9;
 
+    /** What a flow may be off by when it is checked, in shares. */
+    private static final double CHECK = 1e-7;
+
     private final Problem problem;
     private final Set<Work> some;
     private final BigInteger rates;
@@ -42,13 +45,22 @@
     }
 
     public static Plan plan(Problem problem) {
+        return plan(problem, 0);
+    }
+
+    /**
+     * A plan whose shares may load each node more than need be, by {@code slack} of the greatest utilisation, so as to stay
+     * nearer to equal ones: in a ring, evening out the last digit of measured work moves shares all round it.
+     * Utilisations are then bounds without the slack.
+     */
+    public static Plan plan(Problem problem, double slack) {
         Conflict conflict = conflict(problem, null);
         for (int n = 0; conflict == null && problem.spareNode() && n < problem.nodes().size(); n++) {
             if (problem.nodes().get(n).inService()) {
                 conflict = conflict(problem.without(n), problem.nodes().get(n).name());
             }
         }
-        return conflict != null ? Plan.none(conflict) : new Planner(problem, null).shares();
+        return conflict != null ? Plan.none(conflict) : new Planner(problem, null).shares(slack);
     }
 
     // ---- Conflicts ------------------------------------------------------------
@@ -149,9 +161,9 @@
         return new Ratio(scaled.work(), scaled.capacity().multiply(rates));
     }
 
-    private Plan shares() {
+    private Plan shares(double slack) {
         Spread spread = spread();
-        double[][] flow = nearest(spread);
+        double[][] flow = evenest(spread, nearest(spread), slack);
         List<Ratio> utilisation = new ArrayList<>();
         Ratio greatest = Ratio.ZERO;
         for (int n = 0; n < problem.nodes().size(); n++) {
@@ -196,6 +208,77 @@
         return problem.crossing()[zoneOf.get(demand)][problem.nodes().get(node).zone()];
     }
 
+    /**
+     * Among the spreads with these loads and crossings one that moves least work away from equal shares: a linear program
+     * otherwise ends at a corner, where ranges go whole to one holder for no reason. Reckoned in what is moved: {@code more}
+     * and {@code less} than the equal share.
+     */
+    private double[][] evenest(Spread spread, double[][] near, double slack) {
+        double room = spread.first().isEmpty() ? 0 : slack * spread.utilisation()[spread.first().nextSetBit(0)].value();
+        double unit = demands.stream().mapToDouble(Demand::work).max().orElse(1);
+        ExpressionsBasedModel model = new ExpressionsBasedModel();
+        Expression crossings = model.newExpression("crossings");
+        double most = 0;
+        double equalCrossings = 0;
+        Map<Integer, Expression> loads = new HashMap<>();
+        Map<Integer, Double> equalLoads = new HashMap<>();
+        for (int d = 0; d < demands.size(); d++) {
+            int[] of = demands.get(d).nodes();
+            double equal = demands.get(d).work() / unit / of.length;
+            Expression all = model.newExpression("d" + d).level(0);
+            for (int i = 0; i < of.length; i++) {
+                Variable more = model.newVariable("more" + d + "to" + of[i]).lower(0).weight(1);
+                Variable less = model.newVariable("less" + d + "to" + of[i]).lower(0).upper(equal).weight(1);
+                all.set(more, 1).set(less, -1);
+                loads.computeIfAbsent(of[i], n -> model.newExpression("n" + n)).set(more, 1).set(less, -1);
+                equalLoads.merge(of[i], equal, Double::sum);
+                crossings.set(more, cost(d, of[i])).set(less, -cost(d, of[i]));
+                most += near[d][i] / unit * cost(d, of[i]);
+                equalCrossings += equal * cost(d, of[i]);
+            }
+        }
+        loads.forEach((node, load) -> load.upper((spread.utilisation()[node].value() + room) * problem.nodes().get(node).capacity()
+                / unit * (1 + ROUNDING) - equalLoads.get(node)));
+        crossings.upper(most * (1 + ROUNDING) + ROUNDING - equalCrossings);
+        Optimisation.Result result = model.minimise();
+        if (!result.getState().isOptimal()) {
+            return near;
+        }
+        double[][] flow = new double[demands.size()][];
+        for (int d = 0, x = 0; d < flow.length; d++) {
+            flow[d] = new double[demands.get(d).nodes().length];
+            for (int i = 0; i < flow[d].length; i++, x += 2) {
+                flow[d][i] = Math.max(0, demands.get(d).work() / flow[d].length
+                        + (result.doubleValue(x) - result.doubleValue(x + 1)) * unit);
+            }
+        }
+        return keeps(flow, spread, room) ? flow : near;
+    }
+
+    /**
+     * Whether a flow carries all work and keeps the nodes' bounds, reckoned anew. Guards against what was seen on a random
+     * fleet: the program called optimal a point that overran a bound by a sixth.
+     */
+    private boolean keeps(double[][] flow, Spread spread, double room) {
+        double[] load = new double[problem.nodes().size()];
+        for (int d = 0; d < flow.length; d++) {
+            double sum = Arrays.stream(flow[d]).sum();
+            if (Math.abs(sum - demands.get(d).work()) > CHECK * demands.get(d).work()) {
+                return false;
+            }
+            for (int i = 0; i < flow[d].length; i++) {
+                load[demands.get(d).nodes()[i]] += flow[d][i];
+            }
+        }
+        for (int n = 0; n < load.length; n++) {
+            double bound = (spread.utilisation()[n].value() + room) * problem.nodes().get(n).capacity();
+            if (load[n] > bound * (1 + CHECK) + CHECK) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Among the spreads with these loads one of least crossings; the given one where all cost alike. */
     private double[][] nearest(Spread spread) {
         boolean alike = true;
--- a/src/main/java/pepperdock/plan/Upkeep.java
+++ b/src/main/java/pepperdock/plan/Upkeep.java
@@ -33,6 +33,8 @@
     private static final double KEPT = 0.9;
     /** Speeds are told apart by steps of a twentieth: the plan shall not follow the last digit. */
     private static final double STEP = 20;
+    /** Shares this near to equal ones, in shares of them, are equal. */
+    private static final double ALIKE = 0.25;
     /** Parts that each range is thought to have had besides those seen: few seen say little of how work falls on ranges. */
     private static final double PRIOR = 50;
     private static final long CAPACITY = 1_000_000_000L;
@@ -203,8 +205,11 @@
             Map<String, Double> shares = new HashMap<>();
             for (int i = 0; i < holders.size(); i++) {
                 if (p.nodes().get(holders.get(i)).inService()) {
-                    double least = Math.min(shareLeast, 1.0 / open);
-                    shares.put(p.nodes().get(holders.get(i)).name(), Math.max(least, plan.shares().get(r).get(0)[i]));
+                    double equal = 1.0 / open;
+                    double share = plan.shares().get(r).get(0)[i];
+                    // Ties are worth keeping: broken by a digit they would always fall the same way.
+                    share = Math.abs(share - equal) < ALIKE * equal ? equal : share;
+                    shares.put(p.nodes().get(holders.get(i)).name(), Math.max(Math.min(shareLeast, equal), share));
                 }
             }
             byRange.put(r, shares);
--- a/src/main/java/pepperdock/planner/PlannerThread.java
+++ b/src/main/java/pepperdock/planner/PlannerThread.java
@@ -21,6 +21,8 @@
 
     private static final System.Logger LOG = System.getLogger("pepperdock.plan");
     private static final double LOOK_S = 0.1;
+    /** Of the greatest utilisation: what measured work and speeds are off by without meaning anything. */
+    private static final double SLACK = 0.1;
 
     private final Clock loop;
     private final Gatherer core;
@@ -82,7 +84,7 @@
 
     private static Plan solve(Upkeep.Job job) {
         try {
-            return Planner.plan(job.problem());
+            return Planner.plan(job.problem(), SLACK);
         } catch (RuntimeException e) {
             LOG.log(System.Logger.Level.ERROR, "no plan, shares are equal", e);
             return null;
