Start from the class archive with no child of the shell: a seal in place of a sum

Shown: StartIT, with a search path that holds only java (the former start finds no cksum there and takes no archive); the cut-off, spoilt, missing and foreign archives as before.

--- a/src/test/java/pepperdock/StartIT.java
+++ b/src/test/java/pepperdock/StartIT.java
@@ -30,12 +30,14 @@
     @TempDir
     private Path root;
     private Path archive;
+    /** The search path of the program that is started; null for this one's. */
+    private String path;
 
     @BeforeEach
     void copyOfWhatWasBuilt() throws IOException {
         Files.createDirectories(root.resolve("target"));
         Files.createDirectories(root.resolve("deploy"));
-        for (String file : new String[] {"target/pepperdock.jar", "target/pepperdock.jsa", "target/pepperdock.jsa.sum",
+        for (String file : new String[] {"target/pepperdock.jar", "target/pepperdock.jsa", "target/pepperdock.jsa.tried",
             "deploy/start"}) {
             // The archive names the jar's time of change.
             Files.copy(Path.of(file), root.resolve(file), StandardCopyOption.COPY_ATTRIBUTES);
@@ -50,8 +52,11 @@
     private Served serves() throws Exception {
         Files.writeString(root.resolve("config.json"), "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\","
                 + "\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[]},\"settings\":" + Sites.SETTINGS + "}");
-        ProcessBuilder builder = new ProcessBuilder("sh", "deploy/start", "serve").directory(root.toFile());
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "deploy/start", "serve").directory(root.toFile());
         builder.environment().put("EDGE_CONFIG", root.resolve("config.json").toString());
+        if (path != null) {
+            builder.environment().put("PATH", path);
+        }
         Path log = root.resolve("log");
         boolean mapped;
         Process process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
@@ -106,6 +111,15 @@
         leftAside();
     }
 
+    /** Where fork is refused, a start that wants a child's word on the archive goes without: here there is none to start. */
+    @Test
+    void theArchiveIsInUseWithNoOtherProgramThanJava() throws Exception {
+        Path bin = Files.createDirectories(root.resolve("bin"));
+        Files.createSymbolicLink(bin.resolve("java"), Path.of(System.getProperty("java.home"), "bin", "java"));
+        path = bin.toString();
+        theArchiveOfTheBuildIsInUse();
+    }
+
     /** The jar was built anew and the archive was not: the JVM itself sees that by the jar's time, and goes on. */
     @Test
     void anArchiveOfAnotherJarIsLeftAsideAndTheProgramServes() throws Exception {
