Give up parts at a draining worker without breaking the module's turn

The batch ended half way: the other parts of the query were not called off, later queries of the batch not reviewed. Change: the list is copied. A test with a client that leaves a draining worker's last part fails without it.

--- a/src/main/java/pepperdock/platform/Worker.java
+++ b/src/main/java/pepperdock/platform/Worker.java
@@ -146,9 +146,14 @@
         calls.forEach(call -> call.forEach(a -> core.ended(a, outcome, null, null)));
     }
 
+    /**
+     * On a worker that wants nothing new the last give-up closes its connection, which takes it out of the list gone
+     * through here: walked as it stood, the exception ended the module's turn half way, and the other parts of the query
+     * went on unwatched.
+     */
     @Override
     public void cancel(Attempt a) {
-        connections.forEach(c -> c.cancel(a));
+        List.copyOf(connections).forEach(c -> c.cancel(a));
     }
 
     @Override
--- a/src/test/java/pepperdock/platform/WorkerPoolTest.java
+++ b/src/test/java/pepperdock/platform/WorkerPoolTest.java
@@ -212,4 +212,34 @@
         ask(2, () -> core.listed(ListKind.CHANGES, List.of(host(Readiness.DRAINING))));
         assertEquals("refused " + Outcome.MOOT, ending());
     }
+
+    /** Seen on days of releases: the give-up closed the draining worker's connection while the list of them was walked. */
+    @Test
+    void aClientThatLeavesADrainingWorkersLastPartHarmsNothing() throws Exception {
+        java.util.concurrent.CompletableFuture<Query> taken = new java.util.concurrent.CompletableFuture<>();
+        loop.execute(() -> {
+            core.listed(ListKind.COMPLETE, List.of(host(Readiness.HEALTHY)));
+            taken.complete(core.take(new Ask("q", 0, "", 30, List.of(new Ask.Piece(0, 1)), new byte[] {'t'}, null),
+                    NOBODY));
+        });
+        server.setSoTimeout(30_000);
+        try (Socket s = server.accept()) {
+            s.getInputStream().readNBytes(5);
+            java.util.concurrent.CompletableFuture<Throwable> thrown = new java.util.concurrent.CompletableFuture<>();
+            loop.execute(() -> {
+                core.listed(ListKind.CHANGES, List.of(host(Readiness.DRAINING)));
+                try {
+                    core.gone(taken.join());
+                    thrown.complete(null);
+                } catch (RuntimeException e) {
+                    thrown.complete(e);
+                }
+            });
+            org.junit.jupiter.api.Assertions.assertNull(thrown.get(30, TimeUnit.SECONDS));
+            s.setSoTimeout(30_000);
+            while (s.getInputStream().read() >= 0) {
+                // The give-up, then the end.
+            }
+        }
+    }
 }
