--- a/src/test/java/pepperdock/StartIT.java
+++ b/src/test/java/pepperdock/StartIT.java
@@ -11,6 +11,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -32,13 +33,14 @@
     private Path archive;
     /** The search path of the program that is started; null for this one's. */
     private String path;
+    private List<String> command = List.of("/bin/sh", "deploy/start", "serve");
 
     @BeforeEach
     void copyOfWhatWasBuilt() throws IOException {
         Files.createDirectories(root.resolve("target"));
         Files.createDirectories(root.resolve("deploy"));
         for (String file : new String[] {"target/pepperdock.jar", "target/pepperdock.jsa", "target/pepperdock.jsa.tried",
-            "deploy/start"}) {
+            "deploy/start", "deploy/serve.args"}) {
             // The archive names the jar's time of change.
             Files.copy(Path.of(file), root.resolve(file), StandardCopyOption.COPY_ATTRIBUTES);
         }
@@ -52,7 +54,7 @@
     private Served serves() throws Exception {
         Files.writeString(root.resolve("config.json"), "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\","
                 + "\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[]},\"settings\":" + Sites.SETTINGS + "}");
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "deploy/start", "serve").directory(root.toFile());
+        ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile());
         builder.environment().put("EDGE_CONFIG", root.resolve("config.json").toString());
         if (path != null) {
             builder.environment().put("PATH", path);
@@ -120,6 +122,20 @@
         theArchiveOfTheBuildIsInUse();
     }
 
+    /** The platform's own line: one exec, as each further one is a step in which a start can fail. */
+    @Test
+    void theRunLineOfThePlatformServesWithTheArchiveAndWithout() throws Exception {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
+                .findFirst().orElseThrow().replaceFirst("run = \"(.*)\"", "$1");
+        assertTrue(run.startsWith("exec java "), run);
+        command = List.of("/bin/sh", "-c", run);
+        Served served = serves();
+        assertTrue(served.fromArchive(), served.log());
+        Files.delete(archive);
+        served = serves();
+        assertFalse(served.fromArchive(), served.log());
+    }
+
     /** The jar was built anew and the archive was not: the JVM itself sees that by the jar's time, and goes on. */
     @Test
     void anArchiveOfAnotherJarIsLeftAsideAndTheProgramServes() throws Exception {
