End a drain without losing who asks at that very moment

Found by reading, and shown by a test that holds the loop up while a client writes: idle connections were closed unread, and the queue of the listening socket went with it; the program ended at the first moment with no connection, while still listening. Both lose a request that the machine had taken. Change: what is closed as idle is read first and written out (Connection.poll, HttpServer.closeIfIdle); the listening socket closes 20 ms after the word; the end waits for 0.1 s of quiet with sockets that listen and 0.1 s without.

--- a/src/main/java/pepperdock/Drain.java
+++ b/src/main/java/pepperdock/Drain.java
@@ -31,12 +31,16 @@
     private static final double FAIL_S = 0.35;
     private static final double END_S = 0.2;
     private static final double LOOK_S = 0.02;
+    /** So long nobody may have come or asked, first with sockets that listen and then without, before the end. */
+    private static final double QUIET_S = 0.1;
 
     private final Loop loop;
     private final List<HttpServer> servers;
     private final Gatherer core;
     private final double killS;
     private boolean begun;
+    private boolean stopped;
+    private double quietSince = Double.NaN;
 
     Drain(Loop loop, List<HttpServer> servers, Gatherer core, Site site) {
         this.loop = loop;
@@ -65,15 +69,27 @@
         loop.after(STILL_COMING_S, () -> whenDone(now + killS - CLOSE_S));
     }
 
-    /** Answers count once their last byte is written; clients that keep a connection are waited for till it is closed. */
+    /**
+     * Answers count once their last byte is written; clients that keep a connection are waited for till it is closed. The
+     * end comes after a quiet time, and after the listening sockets are closed: ended at the first moment with nothing in
+     * hand, whoever was just connecting found a machine that accepts and a program that is gone.
+     */
     private void whenDone(double closedAt) {
         boolean written = servers.stream().mapToInt(HttpServer::busy).sum() == 0;
         boolean left = loop.now() > closedAt || servers.stream().mapToInt(HttpServer::connections).sum() == 0;
-        if (core.inHand() == 0 && written && left) {
-            end("with nothing in hand");
-        } else {
-            loop.after(LOOK_S, () -> whenDone(closedAt));
+        if (core.inHand() > 0 || !written || !left) {
+            quietSince = Double.NaN;
+        } else if (Double.isNaN(quietSince)) {
+            quietSince = loop.now();
+        } else if (loop.now() - quietSince > QUIET_S) {
+            if (stopped) {
+                end("with nothing in hand");
+            }
+            stopped = true;
+            quietSince = loop.now();
+            servers.forEach(HttpServer::stopListening);
         }
+        loop.after(LOOK_S, () -> whenDone(closedAt));
     }
 
     private void end(String how) {
--- a/src/main/java/pepperdock/net/Connection.java
+++ b/src/main/java/pepperdock/net/Connection.java
@@ -102,6 +102,16 @@
         return closed;
     }
 
+    /**
+     * Takes what has come by now, without waiting to be told of it. For whoever means to close a connection as idle: what
+     * stands unread in the kernel was written to a machine that had accepted it, and the close would lose it.
+     */
+    public void poll() {
+        if (!closed && handler != null) {
+            guarded(this::read);
+        }
+    }
+
     public InetSocketAddress peer() {
         return channel.getPeerAddress(InetSocketAddress.class);
     }
--- a/src/main/java/pepperdock/net/HttpServer.java
+++ b/src/main/java/pepperdock/net/HttpServer.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -30,6 +29,8 @@
     private static final double IDLE_S = 60;
     private static final double EVICT_S = 2;
     private static final double SWEEP_S = 0.1;
+    /** Between the word to stop listening and its being done. */
+    private static final double LAST_ACCEPT_S = 0.02;
     /** More than the longest line that the parser takes; bodies it takes as they come. */
     private static final int UNREAD_MOST = 16 << 10;
     /** Lines a second about what clients send; the rest are counted. */
@@ -87,10 +88,25 @@
         draining = true;
     }
 
-    /** Stops listening and closes what stands idle. */
+    /**
+     * Closes what stands idle, as {@link #closeIfIdle} does, and stops listening some turns of the loop later: whoever
+     * stands in the queue then was accepted by the machine, and closed with it its request would be lost.
+     */
     public void stopListening() {
-        listening.close();
-        List.copyOf(all).stream().filter(s -> s.at == At.IDLE || s.at == At.FRESH).forEach(s -> s.connection.close());
+        List.copyOf(all).forEach(HttpServer::closeIfIdle);
+        loop.after(LAST_ACCEPT_S, listening::close);
+    }
+
+    /**
+     * Closes a connection that has nothing in hand once all that has come on it is read, and what was answered is written:
+     * closed blindly, a request that came since the last look is taken and never answered. Returns whether it is closed.
+     */
+    private static boolean closeIfIdle(Serving s) {
+        s.connection.poll();
+        if ((s.at == At.IDLE || s.at == At.FRESH) && !s.connection.unwritten()) {
+            s.connection.close();
+        }
+        return s.connection.closed();
     }
 
     /** Connections that stand, idle ones included. */
@@ -120,11 +136,16 @@
     }
 
     private boolean evict(Predicate<Serving> which) {
-        for (Iterator<Serving> it = all.iterator(); it.hasNext();) {
-            Serving s = it.next();
+        for (Serving s : List.copyOf(all)) {
             if (which.test(s)) {
-                it.remove();
-                s.connection.close();
+                if (s.at == At.IDLE || s.at == At.FRESH) {
+                    if (!closeIfIdle(s)) {
+                        continue;
+                    }
+                } else {
+                    s.connection.close();
+                }
+                all.remove(s);
                 return true;
             }
         }
@@ -193,8 +214,9 @@
             }
             double stood = now - since;
             boolean unread = connection.unwritten() && now - writtenAt > FLUSH_S;
-            if (unread || at == At.LEAVING && !connection.unwritten() && stood > LINGER_S
-                    || at == At.FRESH && stood > REQUEST_S || at == At.IDLE && stood > IDLE_S) {
+            if (at == At.FRESH && stood > REQUEST_S || at == At.IDLE && stood > IDLE_S) {
+                closeIfIdle(this);
+            } else if (unread || at == At.LEAVING && !connection.unwritten() && stood > LINGER_S) {
                 connection.close();
                 ended(connection);
             } else if (at == At.READING && stood > REQUEST_S) {
--- /dev/null
+++ b/src/test/java/pepperdock/net/HttpServerTest.java
@@ -0,0 +1,119 @@
+package pepperdock.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import pepperdock.http.HttpMessage;
+
+/**
+ * The end of serving, against clients that ask at that very moment. The loop is held up by a task of the test's while the
+ * client writes: what it wrote stands in the kernel, unread, when the same task closes what is idle.
+ */
+@Timeout(60)
+class HttpServerTest {
+
+    private static final byte[] REQUEST = "GET /x HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
+    private final Loop loop = new Loop(100, 1 << 16);
+    private final HttpServer server = new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1024,
+            () -> 50, new HttpServer.Service() {
+                @Override
+                public Runnable serve(HttpMessage request, HttpServer.Reply reply) {
+                    reply.send(200, "text/plain", "", new byte[0]);
+                    return () -> { };
+                }
+
+                @Override
+                public void malformed(int status, String why, HttpServer.Reply reply) {
+                    reply.send(status, "text/plain", "", new byte[0]);
+                }
+            });
+
+    HttpServerTest() throws IOException { }
+
+    @AfterEach
+    void close() {
+        loop.close();
+    }
+
+    private Socket connect() throws IOException {
+        Socket s = new Socket(server.address().getAddress(), server.address().getPort());
+        s.setSoTimeout(30_000);
+        return s;
+    }
+
+    private static String status(Socket client) throws IOException {
+        return String.valueOf(new BufferedReader(new InputStreamReader(client.getInputStream(),
+                StandardCharsets.US_ASCII)).readLine());
+    }
+
+    /** Serving stops on the loop, after what the client does while the loop stands still. */
+    private void stopAfter(Step whileHeldUp) throws Exception {
+        CountDownLatch heldUp = new CountDownLatch(1);
+        CountDownLatch done = new CountDownLatch(1);
+        loop.execute(() -> {
+            heldUp.countDown();
+            try {
+                assertTrue(done.await(30, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            server.stopListening();
+        });
+        assertTrue(heldUp.await(30, TimeUnit.SECONDS));
+        whileHeldUp.run();
+        done.countDown();
+    }
+
+    private interface Step {
+        void run() throws IOException;
+    }
+
+    @Test
+    void aRequestThatStandsUnreadOnAnIdleConnectionIsAnswered() throws Exception {
+        try (Socket client = connect()) {
+            client.getOutputStream().write(REQUEST);
+            assertEquals("HTTP/1.1 200 OK", status(client));
+            stopAfter(() -> client.getOutputStream().write(REQUEST));
+            String answer = "";
+            for (String line = status(client); !line.equals("null") && answer.isEmpty(); line = status(client)) {
+                answer = line.startsWith("HTTP/1.1") ? line : "";
+            }
+            assertEquals("HTTP/1.1 200 OK", answer);
+        }
+    }
+
+    @Test
+    void aRequestOnAConnectionThatIsNotYetAcceptedIsAnswered() throws Exception {
+        Socket[] client = new Socket[1];
+        stopAfter(() -> {
+            client[0] = connect();
+            client[0].getOutputStream().write(REQUEST);
+        });
+        try (Socket c = client[0]) {
+            assertEquals("HTTP/1.1 200 OK", status(c));
+        }
+    }
+
+    @Test
+    void anIdleConnectionIsClosed() throws Exception {
+        try (Socket client = connect()) {
+            client.getOutputStream().write(REQUEST);
+            assertEquals("HTTP/1.1 200 OK", status(client));
+            stopAfter(() -> { });
+            client.getInputStream().readAllBytes();
+        }
+    }
+}
