Ask for the node list at moments of each gatherer's own

In follow() and targets(): no random share anywhere in the pauses. Change: a pause is half to one and a half times itself, from the seed; the first call comes within 5 ms for each instance that the settings name, at most the first pause (0.5 s). A random source of its own: the choice of replicas is unchanged.

--- a/src/main/java/pepperdock/aggregator/Decide.java
+++ b/src/main/java/pepperdock/aggregator/Decide.java
@@ -74,6 +74,8 @@
     private static final double BUDGET_SLACK = 1;
     /** Pause before asking for the list again, in seconds of AskWithinS shares; doubles up to the whole. */
     private static final double ASK_AGAIN_SHARE = 0.05;
+    /** The first call comes within so many seconds for each instance there is, and within the first pause. */
+    private static final double FIRST_ASK_S = 0.005;
     /** An attempt out for this share of its class's aim counts as a time-out for the ceiling. */
     private static final double LATE_SHARE = 0.5;
     /** A try under this share of the usual one is taken for a client's last, when it would have to wait. */
@@ -105,6 +107,7 @@
     private final Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
+    private final SplittableRandom asking;
     private final double shortestAim;
     private final Map<String, Searcher> searchers = new LinkedHashMap<>();
     private final List<List<Searcher>> cells = new ArrayList<>();
@@ -147,7 +150,7 @@
     private double idleToldAt;
     private double reapedAt = Double.NEGATIVE_INFINITY;
     private double shortestReaped;
-    private double askAt;
+    private double askAt = Double.NaN;
     private double askPause;
     private Shares planned = (shard, searcher) -> 1;
 
@@ -155,6 +158,7 @@
         this.settings = settings;
         this.actions = actions;
         random = new SplittableRandom(seed);
+        asking = new SplittableRandom(~seed);
         shortestAim = settings.classes().stream().mapToDouble(QueryClass::aimS).min().orElseThrow();
         pace = shortestAim * FIRST_PACE_SHARE;
         deviation = pace / 2;
@@ -981,7 +985,7 @@
             } else {
                 askPause = Math.min(settings.rules().askWithinS(),
                         Math.max(2 * askPause, ASK_AGAIN_SHARE * settings.rules().askWithinS()));
-                askAt = now + askPause;
+                askAt = now + askPause * (0.5 + asking.nextDouble());
                 return;
             }
         }
@@ -1016,7 +1020,15 @@
         return searchers.size();
     }
 
+    /**
+     * Asks for the list where there is no watch, at moments of its own: the list is one service for all
+     * instances, and fails calls that wait; those that fail together and ask again together fail again.
+     */
     private void follow() {
+        if (Double.isNaN(askAt)) {
+            askAt = now + asking.nextDouble() * Math.min(settings.instances() * FIRST_ASK_S,
+                    ASK_AGAIN_SHARE * settings.rules().askWithinS());
+        }
         if (!subscribed && !asked && now >= askAt) {
             asked = true;
             actions.subscribe();
