Bound the lines that a hundred failing workers write in a second

Need: of the kinds of line that trouble repeats only what clients send was bounded; a bad frame, a query's ending, a refusal at the door and a client turned away were a line each, written on the loop. Change: LogBudget in core, twenty lines of a kind a second and one that counts the rest; HttpServer's own count goes.

--- a/src/main/java/pepperdock/core/Gatherer.java
+++ b/src/main/java/pepperdock/core/Gatherer.java
@@ -31,6 +31,8 @@
     private final Backend backend;
     private final Discovery discovery;
     private final Aggregator.Events module;
+    private final LogBudget endings;
+    private final LogBudget refusals;
     private final Map<Long, Query> queries = new LinkedHashMap<>();
     private final Map<Long, Part> parts = new HashMap<>();
     private final Set<String> openIds = new HashSet<>();
@@ -52,6 +54,8 @@
         this.backend = backend;
         this.discovery = discovery;
         module = Aggregator.create(settings, seed, this);
+        endings = new LogBudget(LOG, clock, "queries refused, failed or left");
+        refusals = new LogBudget(LOG, clock, "queries refused at the door");
     }
 
     // ---- From the front ------------------------------------------------------------
@@ -70,8 +74,8 @@
         // a calm day stood empty while queries of all shards were refused.
         if (held >= settings.limits().mostHeld()) {
             q.ended = true;
-            LOG.log(System.Logger.Level.INFO, "query {0} of {1} parts refused at the door: {2} of {3} held", ask.id(),
-                    ask.pieces().size(), held, settings.limits().mostHeld());
+            refusals.note(System.Logger.Level.INFO, () -> "query " + ask.id() + " of " + ask.pieces().size()
+                    + " parts refused at the door: " + held + " of " + settings.limits().mostHeld() + " held");
             clock.after(0, () -> client.refused(q, settings.limits().maxPauseS()));
             return q;
         }
@@ -325,7 +329,7 @@
 
     /** One line for each query that ends without an answer: what on-call staff look for first. */
     private void note(String how, Query q) {
-        LOG.log(System.Logger.Level.INFO, () -> String.format(Locale.ROOT,
+        endings.note(System.Logger.Level.INFO, () -> String.format(Locale.ROOT,
                 "query %s of class %d %s %.3f s before its time; parts %d, sent %d, in %d; %d queries in hand",
                 q.ask().id(), q.ask().queryClass(), how, q.endAt - clock.now(), q.parts.size(),
                 q.parts.stream().filter(p -> !p.attempts.isEmpty()).count(),
--- a/src/main/java/pepperdock/net/HttpServer.java
+++ b/src/main/java/pepperdock/net/HttpServer.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
+import pepperdock.core.LogBudget;
 import pepperdock.http.HttpException;
 import pepperdock.http.HttpMessage;
 import pepperdock.http.HttpParser;
@@ -33,8 +34,6 @@
     private static final double LAST_ACCEPT_S = 0.02;
     /** More than the longest line that the parser takes; bodies it takes as they come. */
     private static final int UNREAD_MOST = 16 << 10;
-    /** Lines a second about what clients send; the rest are counted. */
-    private static final int NOTES_MOST = 20;
 
     /** A front. */
     public interface Service {
@@ -60,13 +59,13 @@
     /** In the order in which they came to the state they are in, so that the longest waiting is found first. */
     private final Set<Serving> all = new LinkedHashSet<>();
     private boolean draining;
-    private int noted;
-    private double notedSince;
+    private final LogBudget notes;
 
     /** {@code most} is how many connections clients may hold here, {@code bodyMost} what a request may bring. */
     public HttpServer(Loop loop, InetSocketAddress at, int bodyMost, IntSupplier most, Service service)
             throws IOException {
         this.loop = loop;
+        notes = new LogBudget(LOG, loop, "malformed or not taken");
         this.service = service;
         this.bodyMost = bodyMost;
         this.most = most;
@@ -158,23 +157,9 @@
             s.limit(now);
         }
         all.removeIf(s -> s.connection.closed());
-        if (now - notedSince > 1) {
-            if (noted > NOTES_MOST) {
-                LOG.log(System.Logger.Level.INFO, "and {0} more malformed or not taken", noted - NOTES_MOST);
-            }
-            notedSince = now;
-            noted = 0;
-        }
         loop.after(SWEEP_S, this::sweep);
     }
 
-    /** A client that asks the same again at full speed must not fill the log, nor cost us its writing. */
-    private void note(String text, Object... about) {
-        if (++noted <= NOTES_MOST) {
-            LOG.log(System.Logger.Level.INFO, text, about);
-        }
-    }
-
     /** Nothing came yet; a part of a request did; it is being served; kept between requests; closing after an error. */
     private enum At { FRESH, READING, SERVING, IDLE, LEAVING }
 
@@ -256,7 +241,7 @@
         private void malformed(HttpException e) {
             long no = ++asked;
             inHand = () -> { };
-            note("malformed request: {0}", e.getMessage());
+            notes.note(System.Logger.Level.INFO, () -> "malformed request: " + e.getMessage());
             service.malformed(e.status(), e.getMessage(), (status, type, extra, body) ->
                     reply(no, false, status, type, extra, body));
         }
@@ -273,7 +258,8 @@
                     inHand = gone;
                 }
             } catch (HttpException e) {
-                note("request for {0} not taken: {1} {2}", m.path(), e.status(), e.getMessage());
+                notes.note(System.Logger.Level.INFO, () -> "request for " + m.path() + " not taken: " + e.status() + ' '
+                        + e.getMessage());
                 service.malformed(e.status(), e.getMessage(), reply);
             } catch (RuntimeException e) {
                 LOG.log(System.Logger.Level.ERROR, "request failed", e);
--- a/src/main/java/pepperdock/net/Loop.java
+++ b/src/main/java/pepperdock/net/Loop.java
@@ -21,6 +21,7 @@
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 import pepperdock.core.Clock;
+import pepperdock.core.LogBudget;
 
 /** The one I/O thread, which owns all state: sockets, timers and whatever is handed to {@link #execute}. */
 public final class Loop implements Clock, AutoCloseable {
@@ -37,6 +38,7 @@
     private final double startedAt = System.currentTimeMillis() / 1e3;
     private final long startedNanos = System.nanoTime();
     private final ByteBuffer scratch = ByteBuffer.allocateDirect(1 << 16);
+    private final LogBudget away = new LogBudget(LOG, this, "clients turned away");
     private int dialling;
 
     /** {@code socketCap} bounds connections of all kinds together; {@code bufferCap} the buffer of each. */
@@ -130,7 +132,7 @@
                     }
                 }
             } catch (IOException e) {
-                LOG.log(System.Logger.Level.WARNING, "accept failed: {0}", e.getMessage());
+                away.note(System.Logger.Level.WARNING, () -> "accept failed: " + e.getMessage());
             }
         };
         AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(at, accept,
@@ -152,7 +154,7 @@
 
     private void accepted(StreamConnection taken, BooleanSupplier room, Consumer<Connection> opened) {
         if (!room.getAsBoolean() || spare() <= 0) {
-            LOG.log(System.Logger.Level.WARNING, "client turned away: no socket to spare");
+            away.note(System.Logger.Level.WARNING, () -> "client turned away: no socket to spare");
             IoUtils.safeClose(taken);
         } else {
             opened.accept(adopt(taken));
--- a/src/main/java/pepperdock/platform/Worker.java
+++ b/src/main/java/pepperdock/platform/Worker.java
@@ -8,6 +8,7 @@
 import pepperdock.config.Site;
 import pepperdock.core.Attempt;
 import pepperdock.core.Gatherer;
+import pepperdock.core.LogBudget;
 import pepperdock.core.PooledBackend;
 import pepperdock.net.Connection;
 import pepperdock.net.Loop;
@@ -22,18 +23,20 @@
     final Loop loop;
     final Site site;
     final Gatherer core;
+    final LogBudget notes;
     private final String dial;
     private final List<WorkerConnection> connections = new ArrayList<>();
     private final List<List<Attempt>> queued = new ArrayList<>();
     private boolean open = true;
     private boolean dialling;
 
-    Worker(String id, String dial, Loop loop, Site site, Gatherer core) {
+    Worker(String id, String dial, Loop loop, Site site, Gatherer core, LogBudget notes) {
         this.id = id;
         this.dial = dial;
         this.loop = loop;
         this.site = site;
         this.core = core;
+        this.notes = notes;
     }
 
     @Override
--- a/src/main/java/pepperdock/platform/WorkerConnection.java
+++ b/src/main/java/pepperdock/platform/WorkerConnection.java
@@ -23,7 +23,6 @@
 /** One connection to a worker and the attempts that are out on it, by the id they bear on the wire. */
 final class WorkerConnection implements Connection.Handler {
 
-    private static final System.Logger LOG = System.getLogger("pepperdock.platform");
     /** A value is at most what an answer may hold, 64 KiB; its line comes before it. */
     private static final int FRAME_MOST = (1 << 16) + 2048;
     /** Ids remembered after their attempt has ended: their answers may come late, or twice, and are not noise. */
@@ -228,7 +227,7 @@
 
     /** Nothing on it can be told from noise any more; what is out may have run. */
     private void spoilt(String why) {
-        LOG.log(System.Logger.Level.WARNING, "bad frame from worker {0}: {1}", worker.id, why);
+        worker.notes.note(System.Logger.Level.WARNING, () -> "bad frame from worker " + worker.id + ": " + why);
         abandon();
     }
 
@@ -247,8 +246,8 @@
                 }
             }
             case Frames.UNUSABLE -> {
-                LOG.log(System.Logger.Level.WARNING, "worker {0} could not use a frame: {1}", worker.id,
-                        new String(f.rest(), StandardCharsets.UTF_8));
+                worker.notes.note(System.Logger.Level.WARNING, () -> "worker " + worker.id + " could not use a frame: "
+                        + new String(f.rest(), StandardCharsets.UTF_8));
                 abandon();
             }
             default -> throw new FrameException("letter " + f.letter());
--- /dev/null
+++ b/src/test/java/pepperdock/core/LogBudgetTest.java
@@ -0,0 +1,69 @@
+package pepperdock.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.text.MessageFormat;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.ResourceBundle;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a log that grows with the trouble: a hundred workers in one second, again and again. */
+class LogBudgetTest {
+
+    private final List<String> lines = new ArrayList<>();
+    private final ManualClock clock = new ManualClock(5);
+    private final LogBudget budget = new LogBudget(new System.Logger() {
+        @Override
+        public String getName() {
+            return "test";
+        }
+
+        @Override
+        public boolean isLoggable(Level level) {
+            return true;
+        }
+
+        @Override
+        public void log(Level level, ResourceBundle bundle, String text, Throwable thrown) {
+            lines.add(text);
+        }
+
+        @Override
+        public void log(Level level, ResourceBundle bundle, String format, Object... about) {
+            lines.add(about == null || about.length == 0 ? format : MessageFormat.format(format, about));
+        }
+    }, clock, "failures");
+
+    private void fail(int times) {
+        IntStream.range(0, times).forEach(i -> budget.note(System.Logger.Level.WARNING, () -> "failure " + i));
+    }
+
+    @Test
+    void aHundredInOneSecondAreTwentyLinesAndOneThatCountsTheRest() {
+        fail(100);
+        assertEquals(LogBudget.MOST, lines.size());
+        clock.advance(3);
+        assertEquals(LogBudget.MOST + 1, lines.size());
+        assertEquals("and 80 more failures", lines.get(LogBudget.MOST));
+        fail(3);
+        clock.advance(3);
+        assertEquals(LogBudget.MOST + 4, lines.size());
+    }
+
+    /** A window that begins before the rest of the last was told must not lose its count, nor begin without lines. */
+    @Test
+    void noneIsLostWhereTroubleGoesOn() {
+        int told = 0;
+        for (int i = 0; i < 50; i++) {
+            fail(10);
+            clock.advance(0.1);
+        }
+        clock.advance(2);
+        for (String line : lines) {
+            told += line.startsWith("and ") ? Integer.parseInt(line.split(" ")[1]) : 1;
+        }
+        assertEquals(500, told);
+    }
+}
