Send fewer parts as parts take long, where a gatherer is one of many

Counted over the fleet: each gatherer sees a query every 2.5 s, so no query ever waits for another and the design's count under waiting never acts: arrive() sent all parts of a query of 100 even under a ceiling of 20. Change: trimmed(): a query that need not wait is sent with fewer parts, lightest left out, down to the class's floor, while the mean part takes from 0.3 to 0.5 of the shortest aim; later with few instances, whose own ceilings see the load.

--- a/src/main/java/pepperdock/aggregator/Decide.java
+++ b/src/main/java/pepperdock/aggregator/Decide.java
@@ -25,6 +25,10 @@
     private static final double CUT = 0.85;
     /** The ceiling is cut while the mean part takes this share of the shortest aim: searchers queue. */
     private static final double SLOW_PACE_SHARE = 0.3;
+    /** From fewer parts to the fewest, as the mean part takes longer by this share of the shortest aim. */
+    private static final double TRIM_RANGE = 0.2;
+    /** Instances whose own ceilings see the load well enough; more see it in the time of parts alone. */
+    private static final double TRIM_ALONE = 2;
     /** Arrivals are turned away at random while the mean part takes this share of the shortest aim. */
     private static final double SHED_PACE_SHARE = 0.6;
     /** A tenant's traffic beyond its share is turned away so many times as often as that within. */
@@ -301,7 +305,7 @@
         }
         boolean stale = now + pace > q.freshUntil;
         if (waiting.isEmpty() && out < (stale ? STALE_ROOM : 1) * ceiling) {
-            dispatch(q, q.parts.size());
+            dispatch(q, trimmed(q));
         } else if (now + expectedWait(q) + pace + deviation > q.freshUntil - margin()) {
             end(q, false);
         } else {
@@ -347,6 +351,18 @@
         }
     }
 
+    /**
+     * The count of a query that need not wait here: all its parts, fewer as parts take long, since then
+     * queries wait at the searchers. Each of few instances has queries that wait here, which the ceiling
+     * trims; one of many sees a query now and then, and learns of the load in no other way.
+     */
+    private int trimmed(Query q) {
+        double from = SLOW_PACE_SHARE * (1 + TRIM_ALONE / settings.instances());
+        double over = (pace / shortestAim - from) / TRIM_RANGE;
+        double kept = 1 - Math.max(0, Math.min(1, over));
+        return Math.max(fewest(q), (int) Math.ceil(kept * q.parts.size()));
+    }
+
     /** Pmin: the fewest parts, heaviest first, whose weight reaches the class's floor. */
     private int fewest(Query q) {
         List<Part> sorted = heaviestFirst(q);
--- a/src/test/java/pepperdock/aggregator/DecideTest.java
+++ b/src/test/java/pepperdock/aggregator/DecideTest.java
@@ -313,6 +313,37 @@
         assertEquals(2, scene.did.count("subscribe"));
     }
 
+    /**
+     * Guards against full fan-out into searchers that queue, where no query ever waits here: of 91 instances on a day at
+     * full size each saw a query every 2.5 s, sent all of its parts, and answered half of them at the aim.
+     */
+    @Test
+    void aQueryThatNeedNotWaitLeavesOutLightPartsWhilePartsTakeLong() {
+        List<Long> all = List.of(200L, 201L, 202L, 203L, 204L, 205L);
+        assertEquals(all.subList(1, 6), sentWhileSlow(0.6, 50), "all but the lightest");
+        assertEquals(all, sentWhileSlow(1, 50), "all are needed");
+        assertEquals(all, sentWhileSlow(0.6, 1), "the instance's own ceiling sees the load");
+    }
+
+    private static List<Long> sentWhileSlow(double floor, int instances) {
+        double[] weights = {0.05, 0.3, 0.1, 0.25, 0.1, 0.2};
+        Scene scene = new Scene();
+        scene.floor = floor;
+        scene.instances = instances;
+        scene.shards = 6;
+        scene.start("a", "b", "c");
+        scene.serve(40, 6, 0.2 * Scene.AIM);
+        scene.query(1, 6, weights);
+        scene.module.endBatch();
+        assertEquals(6, scene.did.sends.size(), "while parts are quick");
+        Scene.parts(1, 6).forEach(p -> scene.end(p, 0, Aggregator.Outcome.OK, 0.1));
+        scene.module.endBatch();
+        scene.at(scene.now + 1).serve(60, 6, 0.36 * Scene.AIM);
+        scene.query(2, 6, weights);
+        scene.module.endBatch();
+        return scene.did.sends.stream().map(Recorder.Sent::part).sorted().toList();
+    }
+
     /**
      * Seen over 91 instances: 43 to 56 whose first calls failed together asked again together, and the same ones failed
      * again, three and four times. The list is one service; most calls of any tenth of a second must be few.
