--- /dev/null
+++ b/src/test/java/pepperdock/core/EntriesEndTest.java
@@ -0,0 +1,122 @@
+package pepperdock.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.reflect.Field;
+import java.lang.reflect.Modifier;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import pepperdock.aggregator.Aggregator.ListKind;
+import pepperdock.aggregator.Aggregator.Outcome;
+import pepperdock.aggregator.Aggregator.Readiness;
+
+/**
+ * Memory over a long day: whatever the core and the module keep of queries, parts, attempts and workers ends. By reflection
+ * over all their maps and collections, so that one added later is held to it too; each that may hold something at rest is
+ * named with how much.
+ */
+class EntriesEndTest {
+
+    private static final int WORKERS = 4;
+    /** What stands while nothing is asked: the list, a record of each listed worker, each cell, and each way to a centre. */
+    private static final Map<String, Integer> AT_REST = Map.of("hosts", WORKERS, "searchers", WORKERS, "cells", WORKERS,
+            "ways", 1);
+
+    private final Bench bench = new Bench();
+    private final SplittableRandom random = new SplittableRandom(11);
+    private int asked;
+    private int replaced;
+
+    private Query ask() {
+        int queryClass = random.nextInt(3);
+        int parts = queryClass == 0 ? 12 : queryClass == 1 ? 4 : 1;
+        return bench.core.take(new Ask("q" + asked++, queryClass, queryClass == 2 ? "k" + asked : "", 3,
+                IntStream.range(0, parts).mapToObj(s -> new Ask.Piece(s, 1.0 / parts)).toList(), new byte[0], null), bench);
+    }
+
+    /** A worker gives way to a new one with an id of its own, as on days of releases. */
+    private void replace() {
+        int cell = replaced % WORKERS;
+        String old = replaced < WORKERS ? "w" + cell : "n" + (replaced - WORKERS);
+        bench.core.listed(ListKind.CHANGES, List.of(
+                new Host(old, "127.0.0.1:1", 0, 0, cell, Readiness.REMOVED, 1, 0),
+                new Host("n" + replaced++, "127.0.0.1:1", 0, 0, cell, Readiness.HEALTHY, 1, bench.clock.now())));
+    }
+
+    private void day(int queries) {
+        Outcome[] ends = {Outcome.OK, Outcome.OK, Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.RESET,
+            Outcome.CONNECT_FAILED};
+        for (int i = 0; i < queries; i++) {
+            Query q = ask();
+            bench.clock.advance(0.05 + 0.3 * random.nextDouble());
+            for (Attempt a : bench.out()) {
+                if (random.nextInt(10) > 0) {
+                    bench.end(a, ends[random.nextInt(ends.length)]);
+                }
+            }
+            if (random.nextInt(10) == 0) {
+                bench.core.gone(q);
+            }
+            if (i % 20 == 0) {
+                replace();
+            }
+            bench.calls.clear();
+        }
+        bench.clock.advance(60);
+        // A worker that went with parts still out is forgotten with the next word of the list.
+        bench.core.listed(ListKind.CHANGES, List.of());
+        bench.clock.advance(60);
+    }
+
+    private static Object value(Field f, Object of) {
+        try {
+            f.setAccessible(true);
+            return f.get(of);
+        } catch (IllegalAccessException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private static Map<String, Integer> sizes(Object of) {
+        Map<String, Integer> sizes = new TreeMap<>();
+        for (Field f : of.getClass().getDeclaredFields()) {
+            Object held = Modifier.isStatic(f.getModifiers()) ? null : value(f, of);
+            if (held instanceof Map<?, ?> m) {
+                sizes.put(f.getName(), m.size());
+            } else if (held instanceof Collection<?> c) {
+                sizes.put(f.getName(), c.size());
+            }
+        }
+        return sizes;
+    }
+
+    private Object module() throws NoSuchFieldException {
+        return value(Gatherer.class.getDeclaredField("module"), bench.core);
+    }
+
+    @Test
+    void nothingIsKeptOfWhatIsOver() throws Exception {
+        day(1500);
+        List<String> kept = new ArrayList<>();
+        for (Object owner : List.of(bench.core, module())) {
+            Map<String, Integer> sizes = sizes(owner);
+            assertTrue(sizes.size() >= 5, "no maps found in " + owner.getClass());
+            sizes.forEach((name, size) -> {
+                if (size > AT_REST.getOrDefault(name, 0)) {
+                    kept.add(owner.getClass().getSimpleName() + '.' + name + ": " + size);
+                }
+            });
+        }
+        assertEquals(List.of(), kept);
+        assertTrue(replaced > 70 && bench.answers.size() > 1000, replaced + " replaced, " + bench.answers.size() + " answers");
+        Map<?, ?> searchers = (Map<?, ?>) value(module().getClass().getDeclaredField("searchers"), module());
+        searchers.values().forEach(s -> assertEquals(0, sizes(s).get("open"), "attempts still out"));
+    }
+}
