Tell operators when there is no plan, and which ranges and nodes are in the way

Seen: the planner in service logged 'new plan for N nodes' for a fleet that has none, or where solving failed, while shares were equal. At fault: PlannerThread.use() did not look at what came back. Change: a warning that names the conflict's ranges and nodes, cut to eight of each.

--- a/src/main/java/pepperdock/planner/PlannerThread.java
+++ b/src/main/java/pepperdock/planner/PlannerThread.java
@@ -1,8 +1,10 @@
 package pepperdock.planner;
 
+import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import pepperdock.aggregator.Aggregator.Layout;
 import pepperdock.aggregator.Aggregator.Readiness;
 import pepperdock.config.PlanConfig;
@@ -11,6 +13,7 @@
 import pepperdock.core.Host;
 import pepperdock.plan.Plan;
 import pepperdock.plan.Planner;
+import pepperdock.plan.Problem;
 import pepperdock.plan.Upkeep;
 
 /**
@@ -23,6 +26,8 @@
     private static final double LOOK_S = 0.1;
     /** Of the greatest utilisation: what measured work and speeds are off by without meaning anything. */
     private static final double SLACK = 0.1;
+    /** Ranges or nodes that a line of the log names. */
+    private static final int NAMED = 8;
 
     private final Clock loop;
     private final Gatherer core;
@@ -86,7 +91,7 @@
         try {
             return Planner.plan(job.problem(), SLACK);
         } catch (RuntimeException e) {
-            LOG.log(System.Logger.Level.ERROR, "no plan, shares are equal", e);
+            LOG.log(System.Logger.Level.ERROR, "solving failed", e);
             return null;
         }
     }
@@ -97,8 +102,34 @@
             LOG.log(System.Logger.Level.INFO, "plan thrown away, the list has changed meanwhile");
             look();
         } else {
-            LOG.log(System.Logger.Level.INFO, "new plan for {0} nodes", job.problem().nodes().size());
+            boolean solved = plan != null && plan.solved();
+            LOG.log(solved ? System.Logger.Level.INFO : System.Logger.Level.WARNING, outcome(job.problem(), plan));
             core.share(shares::of);
         }
     }
+
+    /**
+     * What operators read of a plan that is in use from now on, or of why there is none: logged alike, a fleet that can't be
+     * planned for looked like one that was. {@code plan} is null where solving failed.
+     */
+    static String outcome(Problem problem, Plan plan) {
+        int nodes = problem.nodes().size();
+        if (plan != null && plan.solved()) {
+            return "new plan for " + nodes + " nodes";
+        }
+        String why = "solving failed";
+        if (plan != null) {
+            List<Integer> ranges = plan.conflict().work().stream().map(w -> problem.ranges().get(w.range()).number())
+                    .distinct().sorted().toList();
+            List<String> full = plan.conflict().nodes().stream().map(n -> problem.nodes().get(n).name()).toList();
+            why = "range" + (ranges.size() == 1 ? " " : "s ") + named(ranges) + (full.isEmpty()
+                    ? ": no holder in service" : ": more work than " + named(full) + " can do");
+        }
+        return "no plan for " + nodes + " nodes, shares are equal: " + why;
+    }
+
+    private static String named(List<?> all) {
+        String first = all.stream().limit(NAMED).map(Object::toString).collect(Collectors.joining(", "));
+        return all.size() <= NAMED ? first : first + " and " + (all.size() - NAMED) + " more";
+    }
 }
