--- a/src/main/java/pepperdock/aggregator/Decide.java
+++ b/src/main/java/pepperdock/aggregator/Decide.java
@@ -359,8 +359,8 @@
     private int trimmed(Query q) {
         double from = SLOW_PACE_SHARE * (1 + TRIM_ALONE / settings.instances());
         double over = (pace / shortestAim - from) / TRIM_RANGE;
-        double kept = 1 - Math.max(0, Math.min(1, over));
-        return Math.max(fewest(q), (int) Math.ceil(kept * q.parts.size()));
+        return over <= 0 ? q.parts.size()
+                : Math.max(fewest(q), (int) Math.ceil((1 - Math.min(1, over)) * q.parts.size()));
     }
 
     /** Pmin: the fewest parts, heaviest first, whose weight reaches the class's floor. */
--- a/src/main/java/pepperdock/net/HttpServer.java
+++ b/src/main/java/pepperdock/net/HttpServer.java
@@ -98,14 +98,13 @@
 
     /**
      * Closes a connection that has nothing in hand once all that has come on it is read, and what was answered is written:
-     * closed blindly, a request that came since the last look is taken and never answered. Returns whether it is closed.
+     * closed blindly, a request that came since the last look is taken and never answered.
      */
-    private static boolean closeIfIdle(Serving s) {
+    private static void closeIfIdle(Serving s) {
         s.connection.poll();
         if ((s.at == At.IDLE || s.at == At.FRESH) && !s.connection.unwritten()) {
             s.connection.close();
         }
-        return s.connection.closed();
     }
 
     /** Connections that stand, idle ones included. */
@@ -134,16 +133,12 @@
                 || evict(s -> s.at == At.IDLE);
     }
 
+    /** What has come on it is read first: whoever has just asked does not give way. */
     private boolean evict(Predicate<Serving> which) {
-        for (Serving s : List.copyOf(all)) {
-            if (which.test(s)) {
-                if (s.at == At.IDLE || s.at == At.FRESH) {
-                    if (!closeIfIdle(s)) {
-                        continue;
-                    }
-                } else {
-                    s.connection.close();
-                }
+        for (Serving s : all.stream().filter(which).toList()) {
+            s.connection.poll();
+            if (which.test(s) || s.connection.closed()) {
+                s.connection.close();
                 all.remove(s);
                 return true;
             }
@@ -199,11 +194,12 @@
             }
             double stood = now - since;
             boolean unread = connection.unwritten() && now - writtenAt > FLUSH_S;
-            if (at == At.FRESH && stood > REQUEST_S || at == At.IDLE && stood > IDLE_S) {
-                closeIfIdle(this);
-            } else if (unread || at == At.LEAVING && !connection.unwritten() && stood > LINGER_S) {
+            if (unread || at == At.LEAVING && !connection.unwritten() && stood > LINGER_S
+                    || at == At.IDLE && stood > IDLE_S && connection.unwritten()) {
                 connection.close();
                 ended(connection);
+            } else if (at == At.FRESH && stood > REQUEST_S || at == At.IDLE && stood > IDLE_S) {
+                closeIfIdle(this);
             } else if (at == At.READING && stood > REQUEST_S) {
                 malformed(new HttpException(408, "request not finished in time"));
             }
--- a/src/main/java/pepperdock/opensearch/SearchBackend.java
+++ b/src/main/java/pepperdock/opensearch/SearchBackend.java
@@ -6,6 +6,7 @@
 import pepperdock.core.Attempt;
 import pepperdock.core.Gatherer;
 import pepperdock.core.Host;
+import pepperdock.core.LogBudget;
 import pepperdock.core.PooledBackend;
 import pepperdock.net.Loop;
 
@@ -15,16 +16,19 @@
     private final Loop loop;
     private final Site site;
     private final OpenSearchConfig config;
+    /** One for all workers: a hundred of them may fail in the same second. */
+    private final LogBudget notes;
 
     public SearchBackend(Loop loop, Site site, OpenSearchConfig config) {
         this.loop = loop;
         this.site = site;
         this.config = config;
+        notes = new LogBudget(System.getLogger("pepperdock.opensearch"), loop, "answers of workers that can't be used");
     }
 
     @Override
     protected SearchWorker make(Host host, Gatherer core) {
-        return new SearchWorker(host.id(), host.dial(), loop, site, config, core);
+        return new SearchWorker(host.id(), host.dial(), loop, site, config, core, notes);
     }
 
     /** Nobody will page on from this copy: its context must not wait for its time-out. */
--- a/src/main/java/pepperdock/opensearch/SearchWorker.java
+++ b/src/main/java/pepperdock/opensearch/SearchWorker.java
@@ -16,6 +16,7 @@
 import pepperdock.config.Site;
 import pepperdock.core.Attempt;
 import pepperdock.core.Gatherer;
+import pepperdock.core.LogBudget;
 import pepperdock.core.PooledBackend;
 import pepperdock.http.HttpMessage;
 import pepperdock.http.HttpWriter;
@@ -25,7 +26,6 @@
 /** One worker of the OpenSearch-style API: asked for one shard a request, over a few kept connections. */
 final class SearchWorker implements PooledBackend.Remote {
 
-    private static final System.Logger LOG = System.getLogger("pepperdock.opensearch");
     private static final int ANSWER_MOST = 4 << 20;
     private static final double IDLE_SHARE = 0.8;
     /** How long a request that nobody awaits may still bring the context that is then freed. */
@@ -54,17 +54,20 @@
     private final Site site;
     private final OpenSearchConfig config;
     private final Gatherer core;
+    private final LogBudget notes;
     private final List<Line> lines = new ArrayList<>();
     private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
     private boolean open = true;
 
-    SearchWorker(String id, String dial, Loop loop, Site site, OpenSearchConfig config, Gatherer core) {
+    SearchWorker(String id, String dial, Loop loop, Site site, OpenSearchConfig config, Gatherer core,
+                 LogBudget notes) {
         this.id = id;
         this.dial = dial;
         this.loop = loop;
         this.site = site;
         this.config = config;
         this.core = core;
+        this.notes = notes;
     }
 
     @Override
@@ -145,7 +148,8 @@
                 value = m.body();
                 outcome = Outcome.OK;
             } catch (RuntimeException e) {
-                LOG.log(System.Logger.Level.INFO, "worker {0}, shard {1}: {2}", id, a.part().shard(), e.getMessage());
+                notes.note(System.Logger.Level.INFO, () -> "worker " + id + ", shard " + a.part().shard() + ": "
+                        + e.getMessage());
             }
         }
         core.ended(a, outcome, null, value);
@@ -220,7 +224,7 @@
                 try {
                     page = m.status() == 200 ? ShardAnswer.strict(shard, m.body()) : null;
                 } catch (RuntimeException e) {
-                    LOG.log(System.Logger.Level.INFO, "worker {0}, scroll: {1}", id, e.getMessage());
+                    notes.note(System.Logger.Level.INFO, () -> "worker " + id + ", scroll: " + e.getMessage());
                 }
                 then.accept(page);
             }
@@ -243,7 +247,8 @@
 
             @Override
             public void failed(HttpClient.Failure why) {
-                LOG.log(System.Logger.Level.INFO, "worker {0} was not told to free a scroll; it will expire", id);
+                notes.note(System.Logger.Level.INFO, () -> "worker " + id
+                        + " was not told to free a scroll; it will expire");
             }
         });
     }
@@ -309,7 +314,7 @@
             lines.add(made);
             return made;
         } catch (ConfigException e) {
-            LOG.log(System.Logger.Level.WARNING, "worker {0}: {1}", id, e.getMessage());
+            notes.note(System.Logger.Level.WARNING, () -> "worker " + id + ": " + e.getMessage());
             return null;
         }
     }
--- a/src/main/java/pepperdock/platform/Watch.java
+++ b/src/main/java/pepperdock/platform/Watch.java
@@ -77,14 +77,9 @@
         return WHOLE + "?since=" + seq + "&timeout_ms=" + waitMs;
     }
 
-    /** Seconds after which a call that may wait so many milliseconds counts as failed. */
-    static double givenUpAfter(int waitMs) {
-        return waitMs / 1e3 + SILENT_S;
-    }
-
     private void call(String target, int waitMs) {
         byte[] request = HttpWriter.request("GET", target, authority, "", new byte[0]);
-        http.ask(request, givenUpAfter(waitMs), new HttpClient.Then() {
+        http.ask(request, waitMs / 1e3 + SILENT_S, new HttpClient.Then() {
             @Override
             public void response(HttpMessage m) {
                 answered(m);
--- a/src/main/java/pepperdock/platform/Worker.java
+++ b/src/main/java/pepperdock/platform/Worker.java
@@ -150,13 +150,16 @@
     }
 
     /**
-     * On a worker that wants nothing new the last give-up closes its connection, which takes it out of the list gone
-     * through here: walked as it stood, the exception ended the module's turn half way, and the other parts of the query
-     * went on unwatched.
+     * Looks no further than the one connection it is out on: at a worker that wants nothing new the last give-up closes its
+     * connection and takes it out of this list. Walked on, the exception ended the module's turn half way.
      */
     @Override
     public void cancel(Attempt a) {
-        List.copyOf(connections).forEach(c -> c.cancel(a));
+        for (WorkerConnection c : connections) {
+            if (c.cancel(a)) {
+                return;
+            }
+        }
     }
 
     @Override
--- a/src/main/java/pepperdock/platform/WorkerConnection.java
+++ b/src/main/java/pepperdock/platform/WorkerConnection.java
@@ -100,17 +100,19 @@
         return a.part().query().ask().id() + '.' + a.part().shard();
     }
 
-    /** Gives an attempt up; the worker's answer to it, should one come, finds nothing here. */
-    void cancel(Attempt a) {
+    /** Gives an attempt up if it is out here; the worker's answer to it, should one come, finds nothing here. */
+    boolean cancel(Attempt a) {
         String id = wireId(a);
         Out o = out.get(id);
-        if (o != null && o.attempt() == a) {
-            out.remove(id);
-            past.add(id);
-            used();
-            connection.write(Frames.giveUp(id));
-            closeIfUnwanted();
+        if (o == null || o.attempt() != a) {
+            return false;
         }
+        out.remove(id);
+        past.add(id);
+        used();
+        connection.write(Frames.giveUp(id));
+        closeIfUnwanted();
+        return true;
     }
 
     void probe() {
--- a/src/test/java/pepperdock/net/HttpServerTest.java
+++ b/src/test/java/pepperdock/net/HttpServerTest.java
@@ -26,12 +26,15 @@
 
     private static final byte[] REQUEST = "GET /x HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
-    private final Loop loop = new Loop(100, 1 << 16);
+    /** More than both sockets' buffers take, less than the connection's own cap. */
+    private static final int BIG = 24 << 20;
+
+    private final Loop loop = new Loop(100, 1 << 25);
     private final HttpServer server = new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1024,
-            () -> 50, new HttpServer.Service() {
+            () -> 1, new HttpServer.Service() {
                 @Override
                 public Runnable serve(HttpMessage request, HttpServer.Reply reply) {
-                    reply.send(200, "text/plain", "", new byte[0]);
+                    reply.send(200, "text/plain", "", new byte[request.path().equals("/big") ? BIG : 0]);
                     return () -> { };
                 }
 
@@ -107,6 +110,19 @@
         }
     }
 
+    /** An answer that its client does not read must not hold the room that another could have. */
+    @Test
+    void whoDoesNotReadItsAnswerGivesWay() throws Exception {
+        try (Socket deaf = connect()) {
+            deaf.getOutputStream().write("GET /big HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertEquals('H', deaf.getInputStream().read());
+            try (Socket client = connect()) {
+                client.getOutputStream().write(REQUEST);
+                assertEquals("HTTP/1.1 200 OK", status(client));
+            }
+        }
+    }
+
     @Test
     void anIdleConnectionIsClosed() throws Exception {
         try (Socket client = connect()) {
