--- a/src/test/java/pepperdock/StartIT.java
+++ b/src/test/java/pepperdock/StartIT.java
@@ -5,19 +5,16 @@
 
 import java.io.IOException;
 import java.io.RandomAccessFile;
-import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
-import pepperdock.config.Sites;
 
 /**
  * The built jar by way of deploy/start, in a folder of its own: with the class archive whole, cut off, spoilt and gone.
@@ -52,36 +49,13 @@
 
     /** Starts, asks whether it is ready, looks (by /proc) whether the archive is mapped, ends it. */
     private Served serves() throws Exception {
-        Files.writeString(root.resolve("config.json"), "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\","
-                + "\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[]},\"settings\":" + Sites.SETTINGS + "}");
-        ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile());
-        builder.environment().put("EDGE_CONFIG", root.resolve("config.json").toString());
-        if (path != null) {
-            builder.environment().put("PATH", path);
-        }
-        Path log = root.resolve("log");
-        boolean mapped;
-        Process process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
-        try {
-            String line = null;
-            while (line == null) {
-                assertTrue(process.isAlive(), Files.readString(log));
-                line = Files.readString(log).lines().filter(l -> l.contains(" serves on ")).findFirst().orElse(null);
-                Thread.sleep(10);
-            }
-            int port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).strip());
-            try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
-                client.getOutputStream().write("GET /-/ready HTTP/1.1\r\nConnection: close\r\n\r\n"
-                        .getBytes(StandardCharsets.US_ASCII));
-                String answer = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
-                assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+        try (BuiltJar jar = new BuiltJar(root, root, command, "\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[]},", path)) {
+            try (Socket client = jar.connect()) {
+                BuiltJar.ready(client);
             }
-            mapped = Files.readString(Path.of("/proc", Long.toString(process.pid()), "maps")).contains("pepperdock.jsa");
-        } finally {
-            process.destroy();
-            assertTrue(process.waitFor(30, TimeUnit.SECONDS));
+            return new Served(jar.log(), Files.readString(Path.of("/proc", Long.toString(jar.process.pid()), "maps"))
+                    .contains("pepperdock.jsa"));
         }
-        return new Served(Files.readString(log), mapped);
     }
 
     @Test
--- a/src/test/java/pepperdock/core/EntriesEndTest.java
+++ b/src/test/java/pepperdock/core/EntriesEndTest.java
@@ -1,5 +1,6 @@
 package pepperdock.core;
 
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -76,12 +77,10 @@
     }
 
     private static Object value(Field f, Object of) {
-        try {
+        return assertDoesNotThrow(() -> {
             f.setAccessible(true);
             return f.get(of);
-        } catch (IllegalAccessException e) {
-            throw new AssertionError(e);
-        }
+        });
     }
 
     private static Map<String, Integer> sizes(Object of) {
--- a/src/test/java/pepperdock/core/LogBudgetTest.java
+++ b/src/test/java/pepperdock/core/LogBudgetTest.java
@@ -2,10 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.text.MessageFormat;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.ResourceBundle;
+import java.util.logging.SimpleFormatter;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -14,27 +13,13 @@
 
     private final List<String> lines = new ArrayList<>();
     private final ManualClock clock = new ManualClock(5);
-    private final LogBudget budget = new LogBudget(new System.Logger() {
-        @Override
-        public String getName() {
-            return "test";
-        }
-
-        @Override
-        public boolean isLoggable(Level level) {
-            return true;
-        }
+    private final java.util.logging.Logger jul = java.util.logging.Logger.getLogger("test.budget");
+    private final LogBudget budget = new LogBudget(System.getLogger("test.budget"), clock, "failures");
 
-        @Override
-        public void log(Level level, ResourceBundle bundle, String text, Throwable thrown) {
-            lines.add(text);
-        }
-
-        @Override
-        public void log(Level level, ResourceBundle bundle, String format, Object... about) {
-            lines.add(about == null || about.length == 0 ? format : MessageFormat.format(format, about));
-        }
-    }, clock, "failures");
+    LogBudgetTest() {
+        jul.setUseParentHandlers(false);
+        jul.setFilter(r -> lines.add(new SimpleFormatter().formatMessage(r)));
+    }
 
     private void fail(int times) {
         IntStream.range(0, times).forEach(i -> budget.note(System.Logger.Level.WARNING, () -> "failure " + i));
--- a/src/test/java/pepperdock/net/HttpServerTest.java
+++ b/src/test/java/pepperdock/net/HttpServerTest.java
@@ -3,9 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -57,9 +55,16 @@
         return s;
     }
 
+    /** The first line of an answer without a body, read to its end and no further. */
     private static String status(Socket client) throws IOException {
-        return String.valueOf(new BufferedReader(new InputStreamReader(client.getInputStream(),
-                StandardCharsets.US_ASCII)).readLine());
+        StringBuilder head = new StringBuilder();
+        for (int b = client.getInputStream().read(); b >= 0; b = client.getInputStream().read()) {
+            head.append((char) b);
+            if (head.toString().endsWith("\r\n\r\n")) {
+                break;
+            }
+        }
+        return head.toString().lines().findFirst().orElse("none");
     }
 
     /** Serving stops on the loop, after what the client does while the loop stands still. */
@@ -90,11 +95,7 @@
             client.getOutputStream().write(REQUEST);
             assertEquals("HTTP/1.1 200 OK", status(client));
             stopAfter(() -> client.getOutputStream().write(REQUEST));
-            String answer = "";
-            for (String line = status(client); !line.equals("null") && answer.isEmpty(); line = status(client)) {
-                answer = line.startsWith("HTTP/1.1") ? line : "";
-            }
-            assertEquals("HTTP/1.1 200 OK", answer);
+            assertEquals("HTTP/1.1 200 OK", status(client));
         }
     }
 
