Start several processes of the jar and hurt what lies between them: the rig's first piece

Cause: nothing here could start several gatherers, pause or cut them, and judge them together, so nothing of how they behave when parts fail could be shown.

Change: package lab.fleet. A script (JSON, checked by key) becomes a timetable drawn from a seed, a pure step; a relay with one selector lies on each ordered pair, datagrams and streams alike; processes get SIGSTOP, SIGCONT, SIGKILL and SIGTERM by their own ids through a shell that also ends them when the rig is killed. What the members tell (events, off unless the file asks) and what the rig did go to one history by one clock, which a checker judges, live or again from the file. The store reaches others by 'reach'.

--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -19,6 +19,7 @@
 import pepperdock.core.Host;
 import pepperdock.core.PooledBackend;
 import pepperdock.dnssd.DnsSd;
+import pepperdock.events.Events;
 import pepperdock.drill.WireHost;
 import pepperdock.net.HttpServer;
 import pepperdock.net.Loop;
@@ -138,6 +139,7 @@
     /** Returns the servers that listen; they say that they are ready a moment later, on the loop. */
     static List<HttpServer> serve(Keys file, Map<String, String> env, Loop loop, Store store) throws IOException {
         Config config = Config.read(file, env);
+        Events events = Events.of(Config.events(file));
         Warmup warmup = new Warmup(config.site());
         warmup.play(Warmup.BEFORE);
         boolean searches = config.openSearch() != null && config.openSearch().backend();
@@ -179,6 +181,7 @@
         loop.execute(() -> {
             core.listed(ListKind.HELD, config.known().hosts());
             ready[0] = true;
+            events.tell("ready");
             servers.forEach(s -> LOG.log(System.Logger.Level.INFO, "{0} serves on {1}", config.name(), s.address()));
             warmup.spread(loop, () -> core.inHand() == 0);
         });
--- a/src/main/java/pepperdock/config/Config.java
+++ b/src/main/java/pepperdock/config/Config.java
@@ -34,7 +34,12 @@
 
     /** The store's part of a file, which is wanted before the rest; null where there is none. */
     public static StoreConfig store(Keys all) {
-        return all.has("store") ? StoreConfig.read(all.needed("store")) : null;
+        return all.has("store") ? StoreConfig.read(all.needed("store"), Reach.read(all)) : null;
+    }
+
+    /** Whether events are written for a rig that judges several gatherers together. */
+    public static boolean events(Keys all) {
+        return all.flag("events", false);
     }
 
     public static int sockets(Keys all) {
@@ -44,6 +49,7 @@
     /** Reads and checks a file; the platform's variables go before what stands in it. */
     public static Config read(Keys all, Map<String, String> env) {
         sockets(all);
+        events(all);
         Site site = Site.read(all.needed("settings"));
         HostList known = all.has("known") ? HostList.read(all.needed("known"), site) : HostList.none();
         OpenSearchConfig openSearch = all.has("opensearch")
--- a/src/main/java/pepperdock/config/StoreConfig.java
+++ b/src/main/java/pepperdock/config/StoreConfig.java
@@ -12,7 +12,7 @@
 public record StoreConfig(String self, String leader, Map<String, InetSocketAddress> members, Path folder,
                           double retryS, int snapshotEvery) {
 
-    static StoreConfig read(Keys keys) {
+    static StoreConfig read(Keys keys, Reach reach) {
         Map<String, InetSocketAddress> members = new LinkedHashMap<>();
         for (Keys m : keys.objects("members")) {
             if (members.put(m.text("name"), Config.address(m.key("address"), m.text("address"))) != null) {
@@ -20,6 +20,7 @@
             }
         }
         String self = keys.text("self");
+        members.replaceAll((name, announced) -> name.equals(self) ? announced : reach.of(announced));
         String leader = keys.text("leader");
         if (!members.containsKey(self)) {
             throw new ConfigException(keys.key("self"), "not among the members");
--- /dev/null
+++ b/src/main/java/pepperdock/lab/fleet/Timetable.java
@@ -0,0 +1,232 @@
+package pepperdock.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import pepperdock.lab.fleet.Links.Kind;
+import pepperdock.lab.fleet.Links.Pair;
+import pepperdock.lab.fleet.Script.Act;
+import pepperdock.lab.fleet.Script.What;
+import pepperdock.lab.fleet.Script.Whom;
+
+/**
+ * A script with everything drawn and spread out in time: phases, each some timed steps and what is awaited at its end. Pure;
+ * the same script and seed give the same timetable, whatever then happens.
+ */
+record Timetable(List<Phase> phases) {
+
+    /** Kinds that a {@code drawn} act may take. */
+    static final List<String> DRAWN = List.of("stop", "kill", "lost", "cut", "one-way", "loss", "delay", "partition", "reset");
+    private static final double DRAWN_LOSS = 0.3;
+    private static final double DRAWN_DELAY_S = 0.2;
+
+    /** What is awaited is null at the end of the last phase, where the rig awaits what its checkers want. */
+    record Phase(List<Timed> steps, Script.Await then) { }
+
+    /** Seconds from the start of the phase. */
+    record Timed(double at, Step step) { }
+
+    sealed interface Step permits On, Off, Cut, Signal, Start { }
+
+    /** Fault number so-and-so begins. */
+    record On(int number, Links.Fault fault) implements Step { }
+
+    record Off(int number) implements Step { }
+
+    /** Streams on these pairs are reset. */
+    record Cut(Set<Pair> pairs) implements Step { }
+
+    enum Sent { STOP, CONT, KILL, TERM }
+
+    record Signal(Sent what, List<String> members) implements Step { }
+
+    record Start(List<String> members, boolean emptyFolder, boolean newPorts) implements Step { }
+
+    static Timetable of(Script script) {
+        Random chance = new Random(script.seed());
+        Writer writer = new Writer(script.names(), chance);
+        List<Phase> phases = new ArrayList<>();
+        for (Act act : script.acts()) {
+            if (act instanceof Script.Await await) {
+                phases.add(new Phase(writer.taken(), new Script.Await(await.condition(),
+                        new Whom(await.whom() == Whom.ALL ? script.names() : writer.drawn(await.whom()), 0))));
+            } else {
+                writer.add(act);
+            }
+        }
+        phases.add(new Phase(writer.taken(), null));
+        return new Timetable(List.copyOf(phases));
+    }
+
+    /** Writes acts out into steps. */
+    private static final class Writer {
+        private final List<String> names;
+        private final Random chance;
+        private final List<Timed> steps = new ArrayList<>();
+        private int number;
+
+        Writer(List<String> names, Random chance) {
+            this.names = names;
+            this.chance = chance;
+        }
+
+        /** The steps so far in the order of their times; those of one time in the order of the script. */
+        List<Timed> taken() {
+            steps.sort(Comparator.comparingDouble(Timed::at));
+            List<Timed> all = List.copyOf(steps);
+            steps.clear();
+            return all;
+        }
+
+        List<String> drawn(Whom whom) {
+            return whom.drawn() > 0 ? some(whom.drawn()) : whom.names().isEmpty() ? names : whom.names();
+        }
+
+        private List<String> some(int count) {
+            List<String> all = new ArrayList<>(names);
+            Collections.shuffle(all, chance);
+            return List.copyOf(all.subList(0, count));
+        }
+
+        private static Set<Pair> pairs(List<String> from, List<String> to, boolean both) {
+            Set<Pair> pairs = new LinkedHashSet<>();
+            for (String a : from) {
+                for (String b : to) {
+                    if (!a.equals(b)) {
+                        pairs.add(new Pair(a, b));
+                        if (both) {
+                            pairs.add(new Pair(b, a));
+                        }
+                    }
+                }
+            }
+            return pairs;
+        }
+
+        private void add(Act act) {
+            if (act instanceof Script.OnLinks a) {
+                fault(a.at(), a.lastS(), a.flipS(), new Links.Fault(a.kind(),
+                        pairs(drawn(a.from()), drawn(a.to()), a.both()), a.amount(), a.spread()));
+            } else if (act instanceof Script.Reset r) {
+                steps.add(new Timed(r.at(), new Cut(pairs(drawn(r.from()), drawn(r.to()), r.both()))));
+            } else if (act instanceof Script.Partition p) {
+                partition(p);
+            } else if (act instanceof Script.OnProcesses p) {
+                processes(p);
+            } else if (act instanceof Script.Draw d) {
+                draw(d);
+            }
+        }
+
+        private void fault(double at, double last, double flip, Links.Fault fault) {
+            int no = number++;
+            double end = at + last;
+            if (flip <= 0) {
+                steps.add(new Timed(at, new On(no, fault)));
+                if (!Double.isInfinite(end)) {
+                    steps.add(new Timed(end, new Off(no)));
+                }
+                return;
+            }
+            for (double t = at; t < end; t += 2 * flip) {
+                steps.add(new Timed(t, new On(no, fault)));
+                steps.add(new Timed(Math.min(t + flip, end), new Off(no)));
+            }
+        }
+
+        private void partition(Script.Partition p) {
+            double each = p.moveS() > 0 ? p.moveS() : p.lastS();
+            double end = p.at() + p.lastS();
+            double t = p.at();
+            do {
+                List<List<String>> groups = p.groups().isEmpty() ? split(p.drawn()) : p.groups();
+                Set<Pair> apart = new LinkedHashSet<>();
+                for (List<String> a : groups) {
+                    groups.stream().filter(b -> b != a).forEach(b -> apart.addAll(pairs(a, b, true)));
+                }
+                fault(t, Math.min(each, end - t), 0, new Links.Fault(Kind.CUT, apart, 0, 0));
+                t += each;
+            } while (t < end && !Double.isInfinite(each));
+        }
+
+        private List<List<String>> split(int into) {
+            List<String> all = some(names.size());
+            List<List<String>> groups = new ArrayList<>();
+            for (int g = 0; g < into; g++) {
+                groups.add(all.subList(g * all.size() / into, (g + 1) * all.size() / into));
+            }
+            return groups;
+        }
+
+        private void processes(Script.OnProcesses p) {
+            List<String> whom = drawn(p.whom());
+            if (p.apartS() > 0) {
+                for (int i = 0; i < whom.size(); i++) {
+                    befall(p.at() + i * p.apartS(), p, List.of(whom.get(i)));
+                }
+            } else {
+                befall(p.at(), p, whom);
+            }
+        }
+
+        private void befall(double at, Script.OnProcesses p, List<String> whom) {
+            Start start = new Start(whom, p.emptyFolder(), p.newPorts());
+            if (p.what() == What.START) {
+                steps.add(new Timed(at, start));
+                return;
+            }
+            steps.add(new Timed(at, new Signal(Sent.valueOf(p.what().name()), whom)));
+            if (!Double.isInfinite(p.lastS())) {
+                steps.add(new Timed(at + p.lastS(), p.what() == What.STOP ? new Signal(Sent.CONT, whom) : start));
+            }
+        }
+
+        /** No two drawn faults of a process overlap: each takes its own members, free again when it ends. */
+        private void draw(Script.Draw d) {
+            double[] freeAt = new double[names.size()];
+            for (double t = d.at(); t < d.at() + d.forS(); t += d.everyS()) {
+                String kind = d.kinds().get(chance.nextInt(d.kinds().size()));
+                double last = Math.min(d.leastS() + chance.nextDouble() * (d.mostS() - d.leastS()), d.at() + d.forS() - t);
+                int count = 1 + chance.nextInt(Math.min(d.mostMembers(), names.size()));
+                List<String> whom = new ArrayList<>();
+                for (String m : some(names.size())) {
+                    if (whom.size() < count && freeAt[names.indexOf(m)] <= t) {
+                        whom.add(m);
+                    }
+                }
+                if (whom.isEmpty()) {
+                    continue;
+                }
+                switch (kind) {
+                    case "stop", "kill", "lost" -> {
+                        int down = 0;
+                        for (double free : freeAt) {
+                            down += free > t ? 1 : 0;
+                        }
+                        whom = whom.subList(0, Math.max(0, Math.min(whom.size(), d.mostMembers() - down)));
+                        for (String m : whom) {
+                            freeAt[names.indexOf(m)] = t + last;
+                        }
+                        if (!whom.isEmpty()) {
+                            befall(t, new Script.OnProcesses(t, kind.equals("stop") ? What.STOP : What.KILL, Whom.ALL, last,
+                                    0, kind.equals("lost"), false), List.copyOf(whom));
+                        }
+                    }
+                    case "cut" -> fault(t, last, 0, new Links.Fault(Kind.CUT, pairs(whom, names, true), 0, 0));
+                    case "one-way" -> fault(t, last, 0, new Links.Fault(Kind.CUT, chance.nextBoolean()
+                            ? pairs(whom, names, false) : pairs(names, whom, false), 0, 0));
+                    case "loss" -> fault(t, last, 0, new Links.Fault(Kind.LOSS, pairs(names, names, false), DRAWN_LOSS, 0));
+                    case "delay" -> fault(t, last, 0, new Links.Fault(Kind.DELAY, pairs(whom, names, true), DRAWN_DELAY_S,
+                            DRAWN_DELAY_S));
+                    case "partition" -> partition(new Script.Partition(t, List.of(), 2, last, 0));
+                    case "reset" -> steps.add(new Timed(t, new Cut(pairs(whom, names, true))));
+                    default -> throw new IllegalArgumentException(kind);
+                }
+            }
+        }
+    }
+}
--- a/src/test/java/pepperdock/PackagesTest.java
+++ b/src/test/java/pepperdock/PackagesTest.java
@@ -19,13 +19,13 @@
 /** No package imports another that, directly or by way of others, imports it. */
 class PackagesTest {
 
-    private static final Pattern USE = Pattern.compile("\\bpepperdock\\.([a-z]+)\\.[A-Z]");
+    private static final Pattern USE = Pattern.compile("\\bpepperdock\\.([a-z.]+)\\.[A-Z]");
 
     private static Map<String, Set<String>> uses() throws Exception {
         Map<String, Set<String>> uses = new TreeMap<>();
         try (Stream<Path> files = Files.walk(Path.of("src/main/java/pepperdock"))) {
             for (Path f : files.filter(p -> p.toString().endsWith(".java")).toList()) {
-                String own = f.getParent().getFileName().toString();
+                String own = Path.of("src/main/java/pepperdock").relativize(f.getParent()).toString().replace('/', '.');
                 Matcher m = USE.matcher(Files.readString(f));
                 Set<String> found = uses.computeIfAbsent(own, k -> new TreeSet<>());
                 while (m.find()) {
--- /dev/null
+++ b/src/test/java/pepperdock/lab/fleet/RigIT.java
@@ -0,0 +1,88 @@
+package pepperdock.lab.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The rig on the built jar. */
+class RigIT {
+
+    private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+
+    @TempDir
+    Path folder;
+
+    private Path script(String acts) throws Exception {
+        Path base = Path.of("deploy/rig/store.json").toAbsolutePath();
+        String all = Files.readString(base).replace("../opensearch.json", base.getParent().getParent() + "/opensearch.json");
+        Path file = folder.resolve("script.json");
+        Files.writeString(file, all.substring(0, all.indexOf("\"script\"")) + "\"script\":[" + acts + "]}");
+        return file;
+    }
+
+    private static final List<String> MEMBER = List.of(JAVA, "-Xmx56m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-jar",
+            "target/pepperdock.jar", "serve");
+
+    @Test
+    void aFleetIsStartedHurtJudgedAndEnded() throws Exception {
+        Outcome outcome = Rig.run(script("""
+                {"await": "settled"},
+                {"fault": "stop", "members": ["g3"], "for": 0.3},
+                {"fault": "kill", "members": ["g2"], "for": 0.1, "folder": "empty"},
+                {"fault": "cut", "from": ["g3"], "to": ["g1"], "for": 0.4, "flip_s": 0.1},
+                {"at": 0.5, "fault": "term", "members": 1, "for": 0}
+                """), 3L, folder.resolve("run"), MEMBER);
+        assertEquals(List.of(), outcome.findings());
+        List<Event> events = History.read(folder.resolve("run").resolve(Rig.HISTORY));
+        assertEquals(5, events.stream().filter(e -> e.what().equals("ready")).count());
+        assertEquals(5, events.stream().filter(e -> e.what().equals("exit")).count(), "each ended, also at the run's end");
+        assertTrue(Files.exists(folder.resolve("run/g1/state/snapshot")), "the store lies in the member's own folder");
+        assertEquals(outcome.findings(), Rig.check(folder.resolve("run").resolve(Rig.HISTORY), null).findings());
+        assertTrue(Report.html(folder.resolve("run").resolve(Rig.HISTORY), outcome).contains("\"row\":\"g3\",\"state\":\"stopped\""));
+    }
+
+    @Test
+    void aMemberThatEndsByItselfIsFound() throws Exception {
+        Path file = script("");
+        Files.writeString(file, Files.readString(file).replace("\"leader\": \"g1\"", "\"leader\": \"nobody\""));
+        Outcome outcome = Rig.run(file, null, folder.resolve("run"), MEMBER);
+        assertTrue(outcome.findings().stream().anyMatch(f -> f.contains("ended by itself, with status 2")),
+                outcome.findings().toString());
+        assertFalse(outcome.passed());
+    }
+
+    @Test
+    void noMemberOutlivesARigThatIsKilledNotEvenAStoppedOne() throws Exception {
+        Process rig = new ProcessBuilder(JAVA, "-jar", "target/pepperdock.jar", "lab", "fleet", script("""
+                {"await": "settled"}, {"fault": "stop", "members": ["g2"]}, {"at": 600, "fault": "start"}
+                """).toString(), "--folder", folder.resolve("run").toString()).redirectErrorStream(true)
+                .redirectOutput(folder.resolve("out").toFile()).start();
+        try {
+            Path history = folder.resolve("run").resolve(Rig.HISTORY);
+            List<ProcessHandle> members = List.of();
+            // The guard and three members; a stopped one is told of in the history only when the rig flushes it.
+            while (members.size() < 4) {
+                assertTrue(rig.isAlive(), Files.readString(folder.resolve("out")));
+                Thread.sleep(20);
+                members = rig.children().toList();
+            }
+            while (Files.notExists(history) || !Files.readString(history).contains("\"what\":\"stop\"")) {
+                assertTrue(rig.isAlive(), Files.readString(folder.resolve("out")));
+                Thread.sleep(20);
+            }
+            rig.destroyForcibly().waitFor();
+            for (ProcessHandle m : members) {
+                m.onExit().get(60, TimeUnit.SECONDS);
+            }
+        } finally {
+            rig.destroyForcibly();
+        }
+    }
+}
