--- a/src/main/java/pepperdock/Drain.java
+++ b/src/main/java/pepperdock/Drain.java
@@ -37,12 +37,15 @@
     private final Loop loop;
     private final List<HttpServer> servers;
     private final Gatherer core;
+    private final Runnable leave;
     private final double killS;
     private boolean begun;
     private boolean stopped;
     private double quietSince = Double.NaN;
 
-    Drain(Loop loop, List<HttpServer> servers, Gatherer core, Site site) {
+    /** {@code leave} tells others that this one goes, before all else. */
+    Drain(Loop loop, List<HttpServer> servers, Gatherer core, Site site, Runnable leave) {
+        this.leave = leave;
         this.loop = loop;
         this.servers = servers;
         this.core = core;
@@ -60,6 +63,7 @@
             return;
         }
         begun = true;
+        leave.run();
         double now = loop.now();
         LOG.log(System.Logger.Level.INFO, "draining, {0} in hand", core.inHand());
         loop.after(killS - SEND_AWAY_S, () -> servers.forEach(HttpServer::drain));
--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -21,6 +21,7 @@
 import pepperdock.dnssd.DnsSd;
 import pepperdock.events.Events;
 import pepperdock.drill.WireHost;
+import pepperdock.members.Members;
 import pepperdock.net.HttpServer;
 import pepperdock.net.Loop;
 import pepperdock.opensearch.SearchBackend;
@@ -96,33 +97,36 @@
             Config.read(file, env);
         }
         Loop loop = new Loop(Config.sockets(file) - OTHER_DESCRIPTORS,
-                file.has("opensearch") || members != null ? SEARCH_BUFFER_MOST : BUFFER_MOST);
+                file.has("opensearch") || members != null || file.has("members") ? SEARCH_BUFFER_MOST : BUFFER_MOST);
         Store store = new Store(members, loop);
+        Events events = Events.of(Config.events(file));
+        Members fleet = file.has("members") ? Members.open(file, loop, events) : null;
+        Base base = new Base(env, loop, store, events, fleet);
         if (file.has("settings")) {
-            serve(known(file, store), env, loop, store);
+            serve(known(file, store), base);
             loop.execute(() -> {
                 if (store.leads() && !file.json("settings").equals(store.get("settings"))) {
                     store.put("settings", file.json("settings"), held -> { });
                 }
             });
         } else if (store.get("settings") != null) {
-            serveStored(file, env, loop, store);
+            serveStored(file, base);
         } else {
             LOG.log(System.Logger.Level.INFO, "no settings yet, waiting for the store");
             boolean[] begun = {false};
             store.watch((key, value) -> {
                 if (key.equals("settings") && !begun[0]) {
                     begun[0] = true;
-                    loop.execute(() -> serveStored(file, env, loop, store));
+                    loop.execute(() -> serveStored(file, base));
                 }
             });
         }
     }
 
-    private static void serveStored(Keys file, Map<String, String> env, Loop loop, Store store) {
+    private static void serveStored(Keys file, Base base) {
         try {
-            Keys whole = file.with("settings", Config.parse(store.get("settings"), "settings"));
-            serve(known(whole, store), env, loop, store);
+            Keys whole = file.with("settings", Config.parse(base.store().get("settings"), "settings"));
+            serve(known(whole, base.store()), base);
         } catch (ConfigException e) {
             stop("configuration: " + e.getMessage(), 2);
         } catch (IOException e) {
@@ -136,10 +140,14 @@
                 : file.with("known", Config.parse(store.get("nodes"), "known"));
     }
 
+    /** What stands before there are settings; {@code members} is null where the file has none. */
+    record Base(Map<String, String> env, Loop loop, Store store, Events events, Members members) { }
+
     /** Returns the servers that listen; they say that they are ready a moment later, on the loop. */
-    static List<HttpServer> serve(Keys file, Map<String, String> env, Loop loop, Store store) throws IOException {
+    static List<HttpServer> serve(Keys file, Base base) throws IOException {
+        Map<String, String> env = base.env();
+        Loop loop = base.loop();
         Config config = Config.read(file, env);
-        Events events = Events.of(Config.events(file));
         Warmup warmup = new Warmup(config.site());
         warmup.play(Warmup.BEFORE);
         boolean searches = config.openSearch() != null && config.openSearch().backend();
@@ -160,7 +168,7 @@
         } else {
             fixed.start(core);
         }
-        keepNodes(core, config, store);
+        keepNodes(core, config, base.store());
         if (config.plan() != null) {
             PlannerThread planner = new PlannerThread(config.plan(), config.site().module().layout(), loop, core,
                     PlannerThread.thread(), loop::execute);
@@ -181,13 +189,13 @@
         loop.execute(() -> {
             core.listed(ListKind.HELD, config.known().hosts());
             ready[0] = true;
-            events.tell("ready");
+            base.events().tell("ready");
             servers.forEach(s -> LOG.log(System.Logger.Level.INFO, "{0} serves on {1}", config.name(), s.address()));
             warmup.spread(loop, () -> core.inHand() == 0);
         });
         new Reload(env, file, loop::execute, new Reload.Live(watch == null ? null : watch::move,
                 fixed == null ? null : fixed::replace, n -> loop.capSockets(n - OTHER_DESCRIPTORS))).onSignal();
-        new Drain(loop, servers, core, config.site()).onSignal();
+        new Drain(loop, servers, core, config.site(), base.members() == null ? () -> { } : base.members()::leave).onSignal();
         return servers;
     }
 
--- a/src/main/java/pepperdock/Rehearsal.java
+++ b/src/main/java/pepperdock/Rehearsal.java
@@ -17,6 +17,7 @@
 import pepperdock.config.Keys;
 import pepperdock.drill.WireHost;
 import pepperdock.frame.Frames;
+import pepperdock.events.Events;
 import pepperdock.net.Loop;
 import pepperdock.store.Store;
 
@@ -65,7 +66,7 @@
         Keys served = whole.with("discovery", Config.parse("\"127.0.0.1:" + discovery + '"', "discovery"))
                 .with("known", Config.parse(list, "known"));
         Loop loop = new Loop(200, 1 << 18);
-        InetSocketAddress at = Main.serve(served, Map.of(), loop, new Store(null, loop)).get(0).address();
+        InetSocketAddress at = Main.serve(served, new Main.Base(Map.of(), loop, new Store(null, loop), Events.of(false), null)).get(0).address();
         ask(at);
     }
 
--- a/src/main/java/pepperdock/cli/Cli.java
+++ b/src/main/java/pepperdock/cli/Cli.java
@@ -20,7 +20,7 @@
  */
 @Command(name = "pepperdock", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
         description = "A gatherer for sharded queries, and its tools.",
-        subcommands = {PlanCommand.class, LabCommand.class, Cli.ConfigCommand.class, GenerateCompletion.class},
+        subcommands = {PlanCommand.class, MembersCommand.class, LabCommand.class, Cli.ConfigCommand.class, GenerateCompletion.class},
         exitCodeListHeading = "Exit status:%n", exitCodeList = {"0:done", "1:failed", "2:faulty input or usage",
             "3:no solution"}, synopsisSubcommandLabel = "COMMAND")
 public final class Cli implements Runnable {
--- a/src/main/java/pepperdock/cli/LabCommand.java
+++ b/src/main/java/pepperdock/cli/LabCommand.java
@@ -16,6 +16,7 @@
 import pepperdock.lab.fleet.Outcome;
 import pepperdock.lab.fleet.Report;
 import pepperdock.lab.fleet.Rig;
+import pepperdock.lab.fleet.Seeds;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -26,7 +27,7 @@
 /** The laboratory on real processes (docs/rig.md). */
 @Command(name = "lab", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
         description = "Several processes of the program on loopback, and faults between them (docs/rig.md).",
-        subcommands = {LabCommand.FleetCommand.class, LabCommand.CheckCommand.class})
+        subcommands = {LabCommand.FleetCommand.class, LabCommand.SimCommand.class, LabCommand.CheckCommand.class})
 final class LabCommand implements Runnable {
 
     /** What a run's exit status says where it does not count: the machine was late, not the program. */
@@ -98,6 +99,44 @@
         }
     }
 
+    /** Plays a script in simulated time. */
+    @Command(name = "sim", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
+            description = "Play a script's membership in simulated time, over many seeds.")
+    static final class SimCommand implements Callable<Integer> {
+
+        @Parameters(paramLabel = "FILE", description = "The script, as JSON.")
+        private Path file;
+
+        @Option(names = "--seeds", paramLabel = "N", defaultValue = "100", description = "How many. Default: ${DEFAULT-VALUE}")
+        private int seeds;
+
+        @Option(names = "--from", paramLabel = "N", defaultValue = "1", description = "The first. Default: ${DEFAULT-VALUE}")
+        private long from;
+
+        @Option(names = "--members", paramLabel = "N", description = "Goes before the script's own count.")
+        private int members;
+
+        @Option(names = "--arm", paramLabel = "ARM", defaultValue = "FULL", description = "What is left out, to see its worth:"
+                + " ${COMPLETION-CANDIDATES}. Default: ${DEFAULT-VALUE}")
+        private Seeds.Arm arm;
+
+        @Option(names = "--threads", paramLabel = "N", description = "Seeds played side by side. Default: one a core.")
+        private int threads = Runtime.getRuntime().availableProcessors();
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws IOException, InterruptedException {
+            Outcome outcome = Seeds.run(file, from, seeds, members, arm, threads);
+            PrintWriter out = spec.commandLine().getOut();
+            outcome.figures().forEach(out::println);
+            outcome.findings().stream().limit(20).forEach(f -> out.println("FOUND " + f));
+            out.println(outcome.verdict());
+            return outcome.passed() ? 0 : 1;
+        }
+    }
+
     /** Judges a history again. */
     @Command(name = "check", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
             description = "Judge a history again, by its own checkers or others.")
--- a/src/main/java/pepperdock/config/Config.java
+++ b/src/main/java/pepperdock/config/Config.java
@@ -50,6 +50,9 @@
     public static Config read(Keys all, Map<String, String> env) {
         sockets(all);
         events(all);
+        if (all.has("members")) {
+            MembersConfig.read(all);
+        }
         Site site = Site.read(all.needed("settings"));
         HostList known = all.has("known") ? HostList.read(all.needed("known"), site) : HostList.none();
         OpenSearchConfig openSearch = all.has("opensearch")
@@ -83,6 +86,12 @@
         }
     }
 
+    /** An address as {@link #address} reads it. */
+    public static String text(InetSocketAddress address) {
+        String host = address.getAddress().getHostAddress();
+        return (host.indexOf(':') < 0 ? host : '[' + host + ']') + ':' + address.getPort();
+    }
+
     /** An address and port, given in digits: nothing is looked up. */
     public static InetSocketAddress address(String key, String text) {
         int colon = text.lastIndexOf(':');
--- a/src/main/java/pepperdock/events/Events.java
+++ b/src/main/java/pepperdock/events/Events.java
@@ -1,7 +1,7 @@
 package pepperdock.events;
 
 import com.google.gson.JsonObject;
-import java.io.PrintStream;
+import java.util.function.Consumer;
 
 /**
  * What a gatherer did, for whoever judges several of them together: one JSON object on a line of standard output, where its
@@ -15,29 +15,33 @@
 
     private static final Events NONE = new Events(null);
 
-    private final PrintStream out;
+    private final Consumer<JsonObject> to;
 
-    private Events(PrintStream out) {
-        this.out = out;
+    private Events(Consumer<JsonObject> to) {
+        this.to = to;
     }
 
+    /** To standard output, or nowhere. */
     public static Events of(boolean on) {
-        return on ? new Events(System.out) : NONE;
+        return on ? new Events(System.out::println) : NONE;
     }
 
-    public static Events none() {
-        return NONE;
+    public static Events to(Consumer<JsonObject> to) {
+        return new Events(to);
     }
 
     public boolean on() {
-        return out != null;
+        return to != null;
     }
 
     /** Writes one event: its name, then keys and values by turns; a value is a text, a number, or a truth. */
     public void tell(String what, Object... keysAndValues) {
-        if (out == null) {
-            return;
+        if (to != null) {
+            to.accept(event(what, keysAndValues));
         }
+    }
+
+    public static JsonObject event(String what, Object... keysAndValues) {
         JsonObject line = new JsonObject();
         line.addProperty("what", what);
         for (int i = 0; i < keysAndValues.length; i += 2) {
@@ -51,6 +55,6 @@
                 line.addProperty(key, String.valueOf(value));
             }
         }
-        out.println(line);
+        return line;
     }
 }
--- a/src/main/java/pepperdock/lab/fleet/Checkers.java
+++ b/src/main/java/pepperdock/lab/fleet/Checkers.java
@@ -10,7 +10,8 @@
 /** The checkers by name, and several taken together. */
 final class Checkers {
 
-    private static final Map<String, Supplier<Checker>> ALL = Map.of("processes", ProcessChecker::new);
+    private static final Map<String, Supplier<Checker>> ALL = Map.of("processes", ProcessChecker::new,
+            "members", () -> new MembersChecker(false), "members-strict", () -> new MembersChecker(true));
 
     private final List<Checker> of = new ArrayList<>();
     private long events;
@@ -49,6 +50,12 @@
         return of.stream().flatMap(c -> c.findings(atEnd).stream()).toList();
     }
 
+    /** Those of membership; null where none of its checkers runs. */
+    MemberFigures memberFigures() {
+        return of.stream().filter(c -> c instanceof MembersChecker).map(c -> ((MembersChecker) c).total()).findFirst()
+                .orElse(null);
+    }
+
     List<String> figures() {
         return of.stream().flatMap(c -> c.figures().stream()).toList();
     }
--- a/src/main/java/pepperdock/lab/fleet/Children.java
+++ b/src/main/java/pepperdock/lab/fleet/Children.java
@@ -82,8 +82,15 @@
             if (emptyFolder) {
                 delete(folder.resolve(name).resolve("state"));
             }
-            Map<Integer, Boolean> ports = new LinkedHashMap<>();
-            script.ports().forEach(p -> ports.put(port(name, p.name()), p.stream()));
+            List<Relay.Laid> ports = new ArrayList<>();
+            for (Script.Port p : script.ports()) {
+                if (p.streams()) {
+                    ports.add(new Relay.Laid(port(name, p.name()), true));
+                }
+                if (p.datagrams()) {
+                    ports.add(new Relay.Laid(port(name, p.name()), false));
+                }
+            }
             relay.lay(name, script.names(), ports);
             down.add(name);
         }
--- a/src/main/java/pepperdock/lab/fleet/History.java
+++ b/src/main/java/pepperdock/lab/fleet/History.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import pepperdock.events.Events;
 
 /**
  * What happened, in one order and by one clock: each event is written and then shown to whoever listens, under one lock, so
@@ -51,16 +52,7 @@
 
     /** An event of the rig's own. */
     void rig(String what, Object... keysAndValues) {
-        JsonObject event = new JsonObject();
-        event.addProperty("what", what);
-        for (int i = 0; i < keysAndValues.length; i += 2) {
-            if (keysAndValues[i + 1] instanceof Number n) {
-                event.addProperty((String) keysAndValues[i], n);
-            } else {
-                event.addProperty((String) keysAndValues[i], String.valueOf(keysAndValues[i + 1]));
-            }
-        }
-        add(Event.RIG, event);
+        add(Event.RIG, Events.event(what, keysAndValues));
     }
 
     private synchronized void add(String who, JsonObject event) {
--- /dev/null
+++ b/src/main/java/pepperdock/lab/fleet/MemberFigures.java
@@ -0,0 +1,56 @@
+package pepperdock.lab.fleet;
+
+import java.util.List;
+import java.util.Locale;
+import org.HdrHistogram.Histogram;
+
+/** What a run of membership is measured by, and several runs together. Times in milliseconds. */
+final class MemberFigures {
+
+    final Histogram noticed = new Histogram(3);
+    final Histogram agreement = new Histogram(3);
+    final Histogram datagrams = new Histogram(3);
+    final Histogram bytes = new Histogram(3);
+    /** Rosters seen by anybody, in each run. */
+    final Histogram rosters = new Histogram(3);
+    double memberSeconds;
+    long changes;
+    long faults;
+    long falseGone;
+    long refuted;
+
+    void add(MemberFigures other) {
+        noticed.add(other.noticed);
+        agreement.add(other.agreement);
+        datagrams.add(other.datagrams);
+        bytes.add(other.bytes);
+        rosters.add(other.rosters);
+        memberSeconds += other.memberSeconds;
+        changes += other.changes;
+        faults += other.faults;
+        falseGone += other.falseGone;
+        refuted += other.refuted;
+    }
+
+    List<String> lines() {
+        return List.of(
+                "true deaths noticed " + seconds(noticed),
+                String.format(Locale.ROOT, "running members called gone %d times in %.3f member-hours, refuted %d times",
+                        falseGone, memberSeconds / 3600, refuted),
+                String.format(Locale.ROOT, "changes told %d, faults and ends of faults %d", changes, faults),
+                "all agreed after the last fault " + seconds(agreement),
+                "rosters seen in a run: " + plain(rosters),
+                "datagrams a second of a member: " + plain(datagrams),
+                "bytes a second of a member: " + plain(bytes));
+    }
+
+    private static String seconds(Histogram h) {
+        return String.format(Locale.ROOT, "%d times: median %.2f s, p99 %.2f s, worst %.2f s", h.getTotalCount(),
+                h.getValueAtPercentile(50) / 1e3, h.getValueAtPercentile(99) / 1e3, h.getMaxValue() / 1e3);
+    }
+
+    private static String plain(Histogram h) {
+        return String.format(Locale.ROOT, "median %d, p99 %d, most %d", h.getValueAtPercentile(50),
+                h.getValueAtPercentile(99), h.getMaxValue());
+    }
+}
--- a/src/main/java/pepperdock/lab/fleet/ProcessChecker.java
+++ b/src/main/java/pepperdock/lab/fleet/ProcessChecker.java
@@ -49,8 +49,11 @@
 
     @Override
     public Boolean holds(String condition, Set<String> members) {
-        return condition.equals("settled") ? !at.containsValue(At.STARTED) : condition.equals("ready")
-                ? members.stream().allMatch(m -> at.get(m) == At.READY) : null;
+        return switch (condition) {
+            case "settled" -> !at.containsValue(At.STARTED);
+            case "ready" -> members.stream().allMatch(m -> at.get(m) == At.READY);
+            default -> null;
+        };
     }
 
     @Override
--- a/src/main/java/pepperdock/lab/fleet/Relay.java
+++ b/src/main/java/pepperdock/lab/fleet/Relay.java
@@ -50,6 +50,9 @@
         long streamBytes;
     }
 
+    /** A port to lay links to, for streams or for datagrams. */
+    record Laid(int number, boolean stream) { }
+
     private record Delayed(double due, long no, Runnable then) { }
 
     private interface Ready {
@@ -65,7 +68,7 @@
     private final PriorityQueue<Delayed> delayed = new PriorityQueue<>(
             Comparator.comparingDouble(Delayed::due).thenComparingLong(Delayed::no));
     private final Map<String, List<SelectableChannel>> into = new HashMap<>();
-    private final Map<String, Map<Integer, Boolean>> laid = new HashMap<>();
+    private final Map<String, List<Laid>> laid = new HashMap<>();
     private final Set<Stream> streams = new LinkedHashSet<>();
     private final Map<String, Traffic> traffic = new HashMap<>();
     private final ByteBuffer scratch = ByteBuffer.allocateDirect(DATAGRAM_MOST);
@@ -130,8 +133,8 @@
      * Lays links into one member from all others, at these ports; those that lay there at other ports are taken up. Called by
      * one thread only.
      */
-    void lay(String to, List<String> members, Map<Integer, Boolean> streamByPort) throws IOException {
-        if (streamByPort.equals(laid.put(to, Map.copyOf(streamByPort)))) {
+    void lay(String to, List<String> members, List<Laid> ports) throws IOException {
+        if (ports.equals(laid.put(to, List.copyOf(ports)))) {
             return;
         }
         List<SelectableChannel> opened = new ArrayList<>();
@@ -140,12 +143,12 @@
                 continue;
             }
             Pair pair = new Pair(from, to);
-            for (Map.Entry<Integer, Boolean> port : streamByPort.entrySet()) {
-                InetSocketAddress here = new InetSocketAddress(host(block, number(from), number(to)), port.getKey());
-                InetSocketAddress there = new InetSocketAddress(host(block, number(to)), port.getKey());
+            for (Laid port : ports) {
+                InetSocketAddress here = new InetSocketAddress(host(block, number(from), number(to)), port.number());
+                InetSocketAddress there = new InetSocketAddress(host(block, number(to)), port.number());
                 SelectableChannel channel;
                 Ready ready;
-                if (port.getValue()) {
+                if (port.stream()) {
                     ServerSocketChannel server = ServerSocketChannel.open();
                     server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
                     server.bind(here, 512);
--- a/src/main/java/pepperdock/lab/fleet/Rig.java
+++ b/src/main/java/pepperdock/lab/fleet/Rig.java
@@ -41,9 +41,10 @@
     public static Outcome run(Path file, Long seed, Path folder, List<String> command)
             throws IOException, InterruptedException {
         Script script = Script.read(file);
-        Script drawn = seed == null ? script : new Script(seed, script.names(), script.zones(), script.machines(),
-                script.config(), script.ports(), script.checkers(), script.mostS(), script.settleS(),
-                script.lateMost(), script.acts());
+        Script drawn = seed == null ? script : script.seeded(seed);
+        if (script.names().size() > Script.PROCESSES_MOST) {
+            throw new ConfigException("members", "more than " + Script.PROCESSES_MOST + " processes");
+        }
         if (Files.exists(folder)) {
             throw new ConfigException(folder.toString(), "exists already");
         }
--- a/src/main/java/pepperdock/lab/fleet/Script.java
+++ b/src/main/java/pepperdock/lab/fleet/Script.java
@@ -1,6 +1,7 @@
 package pepperdock.lab.fleet;
 
 import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -23,13 +24,14 @@
 record Script(long seed, List<String> names, List<String> zones, int machines, JsonObject config, List<Port> ports,
               List<String> checkers, double mostS, double settleS, double lateMost, List<Act> acts) {
 
-    /** Bounds of any run: this is a rig for one machine. */
-    static final int MEMBERS_MOST = 60;
+    /** Bounds of any run, and of one with real processes: this is a rig for one machine. */
+    static final int MEMBERS_MOST = 2000;
+    static final int PROCESSES_MOST = 60;
     static final double SECONDS_MOST = 7200;
     private static final int ACTS_MOST = 10_000;
 
-    /** A port that each member listens on, in the configuration as {@code {port:NAME}}, and its kind. */
-    record Port(String name, boolean stream) { }
+    /** A port that each member listens on, in the configuration as {@code {port:NAME}}, for streams, datagrams or both. */
+    record Port(String name, boolean streams, boolean datagrams) { }
 
     /** Whom: by name, or so many drawn; every member where both are empty. */
     record Whom(List<String> names, int drawn) {
@@ -37,7 +39,7 @@
     }
 
     /** One line of the script. */
-    sealed interface Act permits Await, OnLinks, Partition, Reset, OnProcesses, Draw { }
+    sealed interface Act permits Await, OnLinks, Partition, Reset, Heal, OnProcesses, Draw { }
 
     /** Go on only once the checkers say that this holds, of these members; times count anew from here. */
     record Await(String condition, Whom whom) implements Act { }
@@ -52,7 +54,10 @@
     /** Streams of these links are reset. */
     record Reset(double at, Whom from, Whom to, boolean both) implements Act { }
 
-    enum What { STOP, KILL, TERM, START }
+    /** All faults on links that have no end of their own end. */
+    record Heal(double at) implements Act { }
+
+    enum What { STOP, CONTINUE, KILL, TERM, START }
 
     /**
      * What befalls processes. A stop, kill or term of some length ends with going on, or a start. {@code apartS}: one after
@@ -66,8 +71,14 @@
             implements Act { }
 
     static Script read(Path file) {
+        return read(file, 0);
+    }
+
+    /** {@code members} goes before the file's own count where it is above 0. */
+    static Script read(Path file, int members) {
         try {
-            return read(Keys.of("", Config.parse(Files.readString(file), file.toString())), file.toAbsolutePath().getParent());
+            Keys all = Keys.of("", Config.parse(Files.readString(file), file.toString()));
+            return read(members > 0 ? all.with("members", new JsonPrimitive(members)) : all, file.toAbsolutePath().getParent());
         } catch (IOException e) {
             throw new ConfigException(file.toString(), "can't be read");
         }
@@ -93,8 +104,12 @@
                     .forEach(e -> config.add(e.getKey(), e.getValue()));
         }
         List<Port> ports = k.objects("ports").stream().map(p -> {
-            p.only("name", "stream");
-            return new Port(p.text("name"), p.flag("stream", false));
+            p.only("name", "for");
+            String kind = p.text("for");
+            if (!List.of("streams", "datagrams", "both").contains(kind)) {
+                throw new ConfigException(p.key("for"), "neither streams, datagrams nor both");
+            }
+            return new Port(p.text("name"), !kind.equals("datagrams"), !kind.equals("streams"));
         }).toList();
         List<Act> acts = new ArrayList<>();
         for (Keys act : k.objects("script")) {
@@ -109,6 +124,11 @@
                 seconds(k, "settle_s", 60, SECONDS_MOST), seconds(k, "late_most_s", 1, SECONDS_MOST), List.copyOf(acts));
     }
 
+    /** The same with another seed. */
+    Script seeded(long other) {
+        return new Script(other, names, zones, machines, config, ports, checkers, mostS, settleS, lateMost, acts);
+    }
+
     private static Act act(Keys a, List<String> names) {
         if (a.has("await")) {
             a.only("await", "members");
@@ -142,7 +162,11 @@
                 a.only("at", "fault", "from", "to", "both");
                 return new Reset(at, whom(a, "from", names), whom(a, "to", names), a.flag("both", false));
             }
-            case "stop", "kill", "term", "start" -> {
+            case "heal" -> {
+                a.only("at", "fault");
+                return new Heal(at);
+            }
+            case "stop", "continue", "kill", "term", "start" -> {
                 a.only("at", "for", "fault", "members", "apart_s", "folder", "ports");
                 What what = What.valueOf(fault.toUpperCase(Locale.ROOT));
                 return new OnProcesses(at, what, whom(a, "members", names), last, seconds(a, "apart_s", 0, SECONDS_MOST),
--- /dev/null
+++ b/src/main/java/pepperdock/lab/fleet/Seeds.java
@@ -0,0 +1,81 @@
+package pepperdock.lab.fleet;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import pepperdock.config.ConfigException;
+import pepperdock.config.Keys;
+import pepperdock.config.MembersConfig;
+import pepperdock.membership.Settings;
+
+/** A script in simulated time over many seeds, side by side, each seed by itself the same as ever. */
+public final class Seeds {
+
+    /** What is left out of membership, to see its worth. */
+    public enum Arm {
+        FULL, NO_SELF_DOUBT, ONE_OBSERVER, PLAIN;
+
+        Settings of(Settings s) {
+            boolean one = this == ONE_OBSERVER || this == PLAIN;
+            return new Settings(s.probeS(), s.doubtS(), s.confirmS(), s.observers(), one ? 0.01 : s.high(), one ? 1 : s.low(),
+                    s.helpers(), s.slowS(), s.syncS(), s.forgetS(), s.datagramsPerS(), s.bytesPerS(), s.membersMost(),
+                    this == FULL || this == ONE_OBSERVER);
+        }
+    }
+
+    private record Run(long seed, List<String> findings, MemberFigures figures) { }
+
+    private Seeds() { }
+
+    /** Plays so many seeds from the first on; {@code members} goes before the script's own count where it is above 0. */
+    public static Outcome run(Path file, long first, int count, int members, Arm arm, int threads)
+            throws IOException, InterruptedException {
+        Script script = Script.read(file, members);
+        Settings settings = arm.of(MembersConfig.timings(new Keys("config", script.config()).needed("members")));
+        ExecutorService pool = Executors.newFixedThreadPool(threads);
+        try {
+            List<Future<Run>> runs = new ArrayList<>();
+            for (int i = 0; i < count; i++) {
+                Script drawn = script.seeded(first + i);
+                runs.add(pool.submit(() -> {
+                    Checkers judge = new Checkers(drawn.checkers());
+                    String unmet = new Sim(drawn, settings, judge::see).play(judge);
+                    List<String> findings = new ArrayList<>(judge.findings(true).stream().map(Checker.Finding::what).toList());
+                    if (unmet != null) {
+                        findings.add(unmet);
+                    }
+                    return new Run(drawn.seed(), findings, judge.memberFigures());
+                }));
+            }
+            MemberFigures all = new MemberFigures();
+            List<String> findings = new ArrayList<>();
+            int failed = 0;
+            for (Future<Run> f : runs) {
+                Run r = f.get();
+                if (r.figures() != null) {
+                    all.add(r.figures());
+                }
+                failed += r.findings().isEmpty() ? 0 : 1;
+                r.findings().stream().limit(2).forEach(x -> findings.add("seed " + r.seed() + ": " + x));
+            }
+            List<String> figures = new ArrayList<>();
+            figures.add(String.format(Locale.ROOT, "%d seeds from %d, %d members, arm %s: %d failed", count, first,
+                    script.names().size(), arm.name().toLowerCase(Locale.ROOT), failed));
+            figures.addAll(all.lines());
+            return new Outcome(true, findings, figures, 0);
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof ConfigException c) {
+                throw c;
+            }
+            throw new IllegalStateException("a seed could not be played", e.getCause());
+        } finally {
+            pool.shutdownNow();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pepperdock/lab/fleet/Sim.java
@@ -0,0 +1,304 @@
+package pepperdock.lab.fleet;
+
+import com.google.gson.JsonObject;
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import pepperdock.events.Events;
+import pepperdock.lab.fleet.Links.Pair;
+import pepperdock.members.MemberEvents;
+import pepperdock.membership.Card;
+import pepperdock.membership.Membership;
+import pepperdock.membership.Message;
+import pepperdock.membership.Output;
+import pepperdock.membership.Settings;
+import pepperdock.membership.Status;
+
+/**
+ * A script played in simulated time: the real machines of membership, the rig's own links between them, one queue of events.
+ * Gives the same history as the rig for the same checkers, the same each time. Datagrams take half a millisecond to one and a
+ * half, streams as long for each message; processes take no time at all.
+ */
+final class Sim {
+
+    private static final double LEAST_S = 0.0005;
+    private static final double SPREAD_S = 0.001;
+    private static final double LOOK_S = 0.1;
+    /** What a stopped process's socket holds; more is lost, as in a kernel. */
+    private static final int HELD_MOST = 500;
+
+    private record Due(double at, long no, Runnable task) { }
+
+    /** A process. */
+    private final class Node {
+        private final String name;
+        private final String address;
+        private Membership machine;
+        private boolean up;
+        private boolean stopped;
+        private long life;
+        private long[] counted = new long[4];
+        private double countedAt;
+        private final Deque<Runnable> held = new ArrayDeque<>();
+        private final Events events;
+
+        Node(String name) {
+            this.name = name;
+            address = name + ":1";
+            events = Events.to(e -> tell(name, e));
+        }
+
+        /** Runs on this process now, or when it goes on, or never where it has ended meanwhile. */
+        void on(Runnable task) {
+            long then = life;
+            if (machine == null) {
+                return;
+            }
+            if (up && stopped) {
+                if (held.size() < HELD_MOST) {
+                    held.add(() -> {
+                        if (then == life && up) {
+                            task.run();
+                        }
+                    });
+                }
+            } else if (up && then == life) {
+                task.run();
+                carryOut();
+            }
+        }
+
+        private void carryOut() {
+            for (Output o : machine.taken()) {
+                if (o instanceof Output.Send s) {
+                    datagram(this, s);
+                } else if (o instanceof Output.Exchange e) {
+                    Node to = byAddress(e.address());
+                    if (to != null) {
+                        stream(this, to, machine.digest());
+                    }
+                } else {
+                    MemberEvents.tell(events, o);
+                }
+            }
+        }
+
+    }
+
+    private final Script script;
+    private final Settings settings;
+    private final Consumer<Event> listener;
+    private final Random chance;
+    private final Links links = new Links();
+    private final Map<String, Node> nodes = new LinkedHashMap<>();
+    private final PriorityQueue<Due> queue = new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::no));
+    private final Map<String, Node> addresses = new HashMap<>();
+    private long count;
+    private double now;
+
+    Sim(Script script, Settings settings, Consumer<Event> listener) {
+        this.script = script;
+        this.settings = settings;
+        this.listener = listener;
+        chance = new Random(script.seed() * 31 + 7);
+        script.names().forEach(n -> {
+            Node node = new Node(n);
+            nodes.put(n, node);
+            addresses.put(node.address, node);
+        });
+    }
+
+    private Node byAddress(String address) {
+        return addresses.get(address);
+    }
+
+    private void at(double when, Runnable task) {
+        queue.add(new Due(when, count++, task));
+    }
+
+    private void tell(String who, JsonObject event) {
+        JsonObject whole = new JsonObject();
+        whole.addProperty("at", now);
+        whole.addProperty("who", who);
+        event.entrySet().forEach(e -> whole.add(e.getKey(), e.getValue()));
+        listener.accept(new Event(now, who, event.get("what").getAsString(), whole));
+    }
+
+    private void rig(String what, Object... keysAndValues) {
+        tell(Event.RIG, Events.event(what, keysAndValues));
+    }
+
+    private void datagram(Node from, Output.Send s) {
+        Node to = byAddress(s.address());
+        if (to == null || to == from) {
+            return;
+        }
+        for (double in : links.on(new Pair(from.name, to.name)).fate(chance)) {
+            at(now + LEAST_S + SPREAD_S * chance.nextDouble() + in, () -> to.on(() -> to.machine.received(s.message(), now)));
+        }
+    }
+
+    /** One message of a stream; the answer goes back the same way. A stream that stands is given up. */
+    private void stream(Node from, Node to, Message m) {
+        Pair way = new Pair(from.name, to.name);
+        if (links.on(way).streamStands() || links.on(new Pair(to.name, from.name)).streamStands()) {
+            return;
+        }
+        at(now + LEAST_S + SPREAD_S * chance.nextDouble() + links.on(way).delay(), () -> to.on(() -> {
+            Message back = to.machine.exchanged(m, now);
+            if (back != null) {
+                stream(to, from, back);
+            }
+        }));
+    }
+
+    private void start(List<String> names, String folder) {
+        List<String> down = names.stream().filter(n -> !nodes.get(n).up).toList();
+        if (down.isEmpty()) {
+            return;
+        }
+        rig("start", "members", String.join(",", down), "folder", folder);
+        for (String name : down) {
+            Node n = nodes.get(name);
+            n.up = true;
+            n.stopped = false;
+            n.held.clear();
+            n.life++;
+            n.machine = null;
+            int number = Relay.number(name);
+            Card card = new Card(name, chance.nextLong(), 0, Status.HERE, n.address,
+                    script.zones().get((number - 1) % script.zones().size()), "m" + ((number - 1) % script.machines() + 1));
+            List<String> seeds = script.names().subList(0, Math.min(3, script.names().size())).stream()
+                    .map(s -> nodes.get(s).address).toList();
+            // A start takes a while, and never the same.
+            double begins = now + 0.3 + 0.2 * chance.nextDouble();
+            long life = n.life;
+            at(begins, () -> {
+                if (n.life == life && n.up) {
+                    n.machine = new Membership(settings, "sim", card, seeds, chance.nextLong(), now);
+                    n.counted = new long[4];
+                    n.countedAt = now;
+                    MemberEvents.begins(n.events, card, settings);
+                    n.events.tell("ready");
+                    n.on(() -> { });
+                    ticks(n, life);
+                }
+            });
+        }
+    }
+
+    private void ticks(Node n, long life) {
+        at(now + settings.tickS(), () -> {
+            if (n.life != life || !n.up) {
+                return;
+            }
+            if (n.stopped) {
+                // The timer falls due once, when the process goes on.
+                n.held.add(() -> n.machine.tick(now));
+                n.held.add(() -> ticks(n, life));
+                return;
+            }
+            n.on(() -> n.machine.tick(now));
+            if (now - n.countedAt >= 1) {
+                long[] c = n.machine.counts();
+                rig("traffic", "member", n.name, "over_s", now - n.countedAt, "datagrams", c[0] - n.counted[0], "bytes",
+                        c[1] - n.counted[1]);
+                n.counted = c;
+                n.countedAt = now;
+            }
+            ticks(n, life);
+        });
+    }
+
+    private void signal(Timetable.Sent what, List<String> names) {
+        List<String> up = names.stream().filter(m -> nodes.get(m).up).toList();
+        if (up.isEmpty()) {
+            return;
+        }
+        rig(what.name().toLowerCase(Locale.ROOT), "members", String.join(",", up));
+        for (String name : up) {
+            Node n = nodes.get(name);
+            switch (what) {
+                case STOP -> n.stopped = true;
+                case CONT -> {
+                    n.stopped = false;
+                    n.countedAt = now;
+                    if (n.machine != null) {
+                        n.counted = n.machine.counts();
+                    }
+                    List<Runnable> all = List.copyOf(n.held);
+                    n.held.clear();
+                    all.forEach(n::on);
+                }
+                case KILL, TERM -> {
+                    if (what == Timetable.Sent.TERM && !n.stopped && n.machine != null) {
+                        n.on(() -> n.machine.leave(now));
+                    }
+                    n.up = false;
+                    rig("exit", "member", name, "status", 0);
+                }
+            }
+        }
+    }
+
+    private void step(Timetable.Step step) {
+        if (step instanceof Timetable.On on) {
+            rig("fault on", "number", on.number(), "kind", on.fault().kind().name().toLowerCase(Locale.ROOT));
+            links.on(on.number(), on.fault());
+        } else if (step instanceof Timetable.Off off) {
+            rig("fault off", "number", off.number());
+            links.off(off.number());
+        } else if (step instanceof Timetable.Signal s) {
+            signal(s.what(), s.members());
+        } else if (step instanceof Timetable.Start s) {
+            start(s.members(), s.emptyFolder() ? "empty" : "kept");
+        }
+    }
+
+    /** Plays all; returns what was never reached, in words, or null. */
+    String play(Checkers judge) {
+        rig("script", "seed", script.seed(), "members", String.join(",", script.names()), "checkers",
+                String.join(",", script.checkers()));
+        start(script.names(), "kept");
+        for (Timetable.Phase phase : Timetable.of(script).phases()) {
+            double base = now;
+            for (Timetable.Timed t : phase.steps()) {
+                run(base + t.at());
+                step(t.step());
+            }
+            Script.Await then = phase.then() != null ? phase.then()
+                    : new Script.Await("settled", new Script.Whom(script.names(), 0));
+            Set<String> whom = Set.copyOf(then.whom().names());
+            double until = Math.min(now + script.settleS(), script.mostS());
+            while (!judge.holds(then.condition(), whom)) {
+                if (now >= until) {
+                    String members = whom.stream().sorted().collect(Collectors.joining(","));
+                    rig("not reached", "awaited", then.condition(), "members", members);
+                    return "never reached: " + then.condition() + " of " + members;
+                }
+                run(now + LOOK_S);
+            }
+            rig("reached", "awaited", then.condition());
+        }
+        return null;
+    }
+
+    private void run(double until) {
+        while (!queue.isEmpty() && queue.peek().at() <= until) {
+            Due d = queue.poll();
+            now = d.at();
+            d.task().run();
+        }
+        now = until;
+    }
+}
--- a/src/main/java/pepperdock/lab/fleet/Timetable.java
+++ b/src/main/java/pepperdock/lab/fleet/Timetable.java
@@ -67,6 +67,7 @@
         private final List<String> names;
         private final Random chance;
         private final List<Timed> steps = new ArrayList<>();
+        private final List<Integer> endless = new ArrayList<>();
         private int number;
 
         Writer(List<String> names, Random chance) {
@@ -113,6 +114,9 @@
                         pairs(drawn(a.from()), drawn(a.to()), a.both()), a.amount(), a.spread()));
             } else if (act instanceof Script.Reset r) {
                 steps.add(new Timed(r.at(), new Cut(pairs(drawn(r.from()), drawn(r.to()), r.both()))));
+            } else if (act instanceof Script.Heal h) {
+                endless.forEach(no -> steps.add(new Timed(h.at(), new Off(no))));
+                endless.clear();
             } else if (act instanceof Script.Partition p) {
                 partition(p);
             } else if (act instanceof Script.OnProcesses p) {
@@ -127,7 +131,9 @@
             double end = at + last;
             if (flip <= 0) {
                 steps.add(new Timed(at, new On(no, fault)));
-                if (!Double.isInfinite(end)) {
+                if (Double.isInfinite(end)) {
+                    endless.add(no);
+                } else {
                     steps.add(new Timed(end, new Off(no)));
                 }
                 return;
@@ -179,6 +185,10 @@
                 steps.add(new Timed(at, start));
                 return;
             }
+            if (p.what() == What.CONTINUE) {
+                steps.add(new Timed(at, new Signal(Sent.CONT, whom)));
+                return;
+            }
             steps.add(new Timed(at, new Signal(Sent.valueOf(p.what().name()), whom)));
             if (!Double.isInfinite(p.lastS())) {
                 steps.add(new Timed(at + p.lastS(), p.what() == What.STOP ? new Signal(Sent.CONT, whom) : start));
--- /dev/null
+++ b/src/main/java/pepperdock/membership/Membership.java
@@ -0,0 +1,643 @@
+package pepperdock.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import pepperdock.membership.Message.Ack;
+import pepperdock.membership.Message.Ask;
+import pepperdock.membership.Message.Digest;
+import pepperdock.membership.Message.Head;
+import pepperdock.membership.Message.Other;
+import pepperdock.membership.Message.Ping;
+import pepperdock.membership.Message.Told;
+
+/**
+ * One member's half of the agreement about who is there. Messages and the time come in, {@link Output} goes out; no clock, no
+ * sockets, no threads, and chance only from the seed: the same inputs give the same outputs.
+ *
+ * <p>The caller hands every datagram to {@link #received}, what comes on streams to {@link #exchanged}, the time to
+ * {@link #tick} every {@link Settings#tickS} or as soon after as it can, and carries out what {@link #taken} returns after
+ * each of these. Times are seconds of any clock that never goes back. All calls come from one thread.
+ *
+ * <p>Promised: changes are told once each and in the order of their numbers; a member's incarnation never goes back; a member
+ * that hears that it was called gone refutes it; whoever does not reach a majority calls nobody gone; what is sent stays
+ * within the settings' budget, but for answers to probes, which have a reserve of it.
+ */
+public final class Membership {
+
+    /** Numbers of pings sent for others, apart from those of our own. */
+    private static final long ERRANDS = 1L << 40;
+    private static final int ERRANDS_MOST = 256;
+    private static final int LATE_MOST = 8;
+    private static final double STRETCH = 0.25;
+    /** Of the budget, what only answers may use. */
+    private static final double RESERVE = 0.25;
+    private static final int UDP_AND_IP = 28;
+
+    private record Errand(String asker, String subject, long life, long seq, double until) { }
+
+    private final Settings settings;
+    private final String fleet;
+    private final List<String> seeds;
+    private final Random chance;
+    private final Table table;
+    private final Judge judge;
+    private final Gossip gossip = new Gossip();
+    private final Map<String, Probe> probes = new TreeMap<>();
+    private final Map<Long, Errand> errands = new HashMap<>();
+    private final Map<String, Standing> standings = new TreeMap<>();
+    private final Map<String, Long> lives = new HashMap<>();
+    private final Set<String> touched = new TreeSet<>();
+    private final List<Output> outputs = new ArrayList<>();
+    private Card self;
+    private Card rival;
+    private Probe rivalProbe;
+    private boolean leaving;
+    /** Has heard from another what is held of this name: until then whoever has it was there first. */
+    private boolean joined;
+    private long number;
+    private long errand = ERRANDS;
+    private boolean sure = true;
+    private int reached = 1;
+    private int known = 1;
+    private double lastTick;
+    private int late;
+    private int onTime;
+    private double graceUntil;
+    private double lastChange;
+    private double lastExchange = Double.NEGATIVE_INFINITY;
+    private double mismatchSince = Double.NaN;
+    private double nextSeed;
+    private double nextFull;
+    private double nextGone;
+    private double nextForget;
+    private double datagrams;
+    private double bytes;
+    private double budgetAt;
+    private long sentDatagrams;
+    private long sentBytes;
+    private long withheld;
+    private long foreign;
+
+    /** {@code seeds} are addresses of members that may be there already; one's own among them is passed over. */
+    public Membership(Settings settings, String fleet, Card self, List<String> seeds, long seed, double now) {
+        this.settings = settings;
+        this.fleet = fleet;
+        this.self = self;
+        this.seeds = seeds.stream().filter(s -> !s.equals(self.address())).toList();
+        chance = new Random(seed);
+        table = new Table(settings.membersMost(), settings.observers());
+        judge = new Judge(settings, table);
+        lastTick = now;
+        budgetAt = now;
+        datagrams = settings.datagramsPerS();
+        bytes = settings.bytesPerS();
+        nextSeed = now;
+        nextFull = now + settings.syncS() * (0.5 + chance.nextDouble());
+        nextGone = now;
+        nextForget = now;
+        publish(self, now);
+    }
+
+    // ---- What the caller sees ------------------------------------------------------------
+
+    /** What is to be done and told since the last call. */
+    public List<Output> taken() {
+        List<Output> all = List.copyOf(outputs);
+        outputs.clear();
+        return all;
+    }
+
+    public View view() {
+        List<View.Member> members = new ArrayList<>();
+        for (Table.Entry e : table.all()) {
+            Card c = e.card();
+            members.add(new View.Member(c.name(), c.zone(), c.machine(), c.address(), c.life(), c.incarnation(),
+                    standings.getOrDefault(c.name(), Standing.HERE), e.since(), Map.copyOf(table.saidOf(c.name()))));
+        }
+        return new View(number, self.name(), sure, reached, known, rival == null ? "" : rival.address(), members);
+    }
+
+    public Card self() {
+        return self;
+    }
+
+    /** Equal for two members that hold the same of all who are here. */
+    public long state() {
+        return table.state();
+    }
+
+    /** Datagrams sent, their bytes with headers, datagrams withheld for the budget, messages of other fleets: all so far. */
+    public long[] counts() {
+        return new long[] {sentDatagrams, sentBytes, withheld, foreign};
+    }
+
+    /** Says to all that this member leaves; it goes on answering until the caller ends it. */
+    public void leave(double now) {
+        leaving = true;
+        if (rival == null) {
+            publish(self.with(Status.LEFT), now);
+            for (String s : table.rings().names()) {
+                if (!s.equals(self.name())) {
+                    ping(table.get(s).card(), 0, now);
+                }
+            }
+            told();
+        }
+    }
+
+    // ---- Time ------------------------------------------------------------
+
+    public void tick(double now) {
+        refill(now);
+        double by = now - lastTick - settings.tickS();
+        lastTick = now;
+        if (settings.selfDoubt()) {
+            lateness(by, now);
+        }
+        if (now >= nextForget) {
+            nextForget = now + settings.doubtS();
+            table.forget(now - settings.forgetS(), self.name());
+            standings.keySet().removeIf(n -> table.get(n) == null);
+            lives.keySet().removeIf(n -> table.get(n) == null);
+            errands.values().removeIf(e -> e.until() < now);
+        }
+        seek(now);
+        if (rival != null) {
+            contest(now);
+        } else if (!leaving) {
+            observe(now);
+            speak(now);
+            verdicts(now);
+        }
+        told();
+    }
+
+    /**
+     * A member that was paused, or is starved of time, has heard nothing because it did not listen. What it missed is added to
+     * all it waits for, it waits longer while it goes on, and after a long pause its word counts for nothing for a while.
+     */
+    private void lateness(double by, double now) {
+        if (by > settings.tickS()) {
+            late = Math.min(LATE_MOST, late + 1);
+            onTime = 0;
+            probes.values().forEach(p -> p.paused(by));
+            if (by > settings.probeS()) {
+                graceUntil = now + settings.doubtS();
+                outputs.add(new Output.Noted("paused", "late by its own clock", by));
+            }
+        } else if (late > 0 && ++onTime >= LATE_MOST) {
+            late--;
+            onTime = 0;
+        }
+    }
+
+    private double stretch() {
+        return 1 + late * STRETCH;
+    }
+
+    /** Looks for members: seeds while alone and now and then, all there is at intervals, and those gone, who may be back. */
+    private void seek(double now) {
+        boolean alone = table.rings().names().size() < 2 || rival != null;
+        if (!seeds.isEmpty() && now >= nextSeed) {
+            nextSeed = now + settings.probeS() * (alone ? 2 : 20) * (0.75 + chance.nextDouble() / 2);
+            List<String> open = new ArrayList<>(seeds);
+            if (!alone) {
+                table.all().stream().filter(Table.Entry::here).forEach(e -> open.remove(e.card().address()));
+            }
+            if (!open.isEmpty()) {
+                exchange(open.get(chance.nextInt(open.size())), now);
+            }
+        }
+        if (now >= nextFull) {
+            nextFull = now + settings.syncS() * (0.75 + chance.nextDouble() / 2);
+            List<String> others = new ArrayList<>(table.rings().names());
+            others.remove(self.name());
+            if (!others.isEmpty()) {
+                exchange(table.get(others.get(chance.nextInt(others.size()))).card().address(), now);
+            }
+        }
+        if (now >= nextGone) {
+            nextGone = now + settings.probeS() * 4;
+            List<Card> gone = table.all().stream().map(Table.Entry::card).filter(c -> c.status() == Status.GONE).toList();
+            if (!gone.isEmpty() && rival == null) {
+                ping(gone.get(chance.nextInt(gone.size())), 0, now);
+            }
+        }
+    }
+
+    private void exchange(String address, double now) {
+        lastExchange = now;
+        mismatchSince = Double.NaN;
+        outputs.add(new Output.Exchange(address));
+    }
+
+    // ---- Observing ------------------------------------------------------------
+
+    private void observe(double now) {
+        Set<String> subjects = table.rings().subjectsOf(self.name());
+        probes.entrySet().removeIf(p -> !subjects.contains(p.getKey())
+                || p.getValue().life() != table.get(p.getKey()).card().life());
+        for (String s : subjects) {
+            Card c = table.get(s).card();
+            Probe p = probes.computeIfAbsent(s, x -> new Probe(settings, c.life(), now,
+                    now + settings.probeS() * chance.nextDouble()));
+            if (p.due(now)) {
+                ping(c, p.sent(now), now);
+            } else if (p.wantsHelp(now)) {
+                for (String helper : helpers(s)) {
+                    send(table.get(helper).card().address(), new Ask(head(), s, c.life(), c.address(), p.lastSeq()), 0, now);
+                }
+            }
+        }
+    }
+
+    private List<String> helpers(String subject) {
+        List<String> others = new ArrayList<>(table.rings().names());
+        others.remove(self.name());
+        others.remove(subject);
+        Collections.shuffle(others, chance);
+        return others.subList(0, Math.min(settings.helpers(), others.size()));
+    }
+
+    /** What this member says as an observer, told to all when it changes. */
+    private void speak(double now) {
+        Map<String, Links.Said> said = new HashMap<>();
+        int unreached = 0;
+        for (Map.Entry<String, Probe> p : probes.entrySet()) {
+            Word w = p.getValue().word(now, stretch());
+            if (w != null) {
+                said.put(p.getKey(), new Links.Said(p.getValue().life(), w));
+                unreached += w == Word.UNREACHED ? 1 : 0;
+            }
+        }
+        boolean ill = settings.selfDoubt() && (now < graceUntil || 2 * unreached > probes.size());
+        Links before = table.get(self.name()).links();
+        if (!said.equals(before.said()) || ill != before.ill()) {
+            merged(new Links(self.name(), self.life(), before.revision() + 1, ill, said), now);
+        }
+    }
+
+    private void verdicts(double now) {
+        Judge.Verdicts v = judge.judge(self.name(), table.get(self.name()).links().ill(), now);
+        if (v.sure() != sure) {
+            outputs.add(new Output.Sure(v.sure(), v.reached(), v.fleet()));
+        }
+        sure = v.sure();
+        reached = v.reached();
+        known = v.fleet();
+        for (String name : v.gone()) {
+            merged(table.get(name).card().with(Status.GONE), now);
+        }
+    }
+
+    // ---- A name used twice ------------------------------------------------------------
+
+    /** Another process has this member's name, and goes before it: found out whether it lives, and the name claimed if not. */
+    private void contest(double now) {
+        Card held = table.get(self.name()).card();
+        if (held.life() != self.life()) {
+            rival = held;
+        }
+        if (rivalProbe == null || rivalProbe.life() != rival.life()) {
+            rivalProbe = new Probe(settings, rival.life(), now, now);
+        }
+        if (rival.status() != Status.HERE || rival.address().equals(self.address())
+                || rivalProbe.word(now, stretch()) == Word.UNREACHED) {
+            claim(rival.incarnation() + 1, now);
+        } else if (rivalProbe.due(now)) {
+            ping(rival, rivalProbe.sent(now), now);
+        } else if (rivalProbe.wantsHelp(now)) {
+            for (String helper : helpers(self.name())) {
+                send(table.get(helper).card().address(),
+                        new Ask(head(), rival.name(), rival.life(), rival.address(), rivalProbe.lastSeq()), 0, now);
+            }
+        }
+    }
+
+    private void claim(long incarnation, double now) {
+        if (rival != null) {
+            outputs.add(new Output.Noted("claimed", "the other process of this name does not answer", incarnation));
+        }
+        rival = null;
+        rivalProbe = null;
+        publish(self.at(incarnation), now);
+    }
+
+    private void publish(Card card, double now) {
+        self = card;
+        merged(card, now);
+    }
+
+    /** A card with this member's own name. */
+    private void own(Card c, double now) {
+        if (c.life() == self.life()) {
+            if (c.status() == Status.GONE && c.incarnation() >= self.incarnation() && !leaving && rival == null) {
+                outputs.add(new Output.Noted("refuted", "called gone", c.incarnation() + 1));
+                claim(c.incarnation() + 1, now);
+            }
+        } else if (rival != null) {
+            merged(c, now);
+        } else if ((c.beats(self) || !joined) && !leaving) {
+            if (c.status() != Status.HERE || c.address().equals(self.address())) {
+                // An earlier life of this very member.
+                claim(c.incarnation() + 1, now);
+            } else {
+                rival = c;
+                probes.clear();
+                outputs.add(new Output.Noted("taken", c.address(), c.incarnation()));
+                if (joined) {
+                    merged(c, now);
+                } else {
+                    table.yield(c, now);
+                    touched.add(c.name());
+                    // In place of this one's own, which nobody has heard yet.
+                    gossip.add(c);
+                }
+            }
+        }
+    }
+
+    // ---- Messages ------------------------------------------------------------
+
+    private Head head() {
+        return new Head(fleet, self.name(), self.life(), self.incarnation(), self.address(), table.state());
+    }
+
+    /** A datagram. Whatever it says, late, twice or out of order, does no harm. */
+    public void received(Message m, double now) {
+        if (!accepted(m.head())) {
+            return;
+        }
+        refill(now);
+        Probe from = probes.get(m.head().name());
+        if (from != null && from.life() == m.head().life()) {
+            from.heard(now);
+        }
+        if (m instanceof Ping p) {
+            if (p.to().equals(self.name()) && p.life() == self.life()) {
+                send(m.head().address(), new Ack(head(), p.seq(), rides(now)), RESERVE, now);
+            } else {
+                send(m.head().address(), new Other(head(), p.to(), p.life()), RESERVE, now);
+            }
+            items(p.gossip(), now);
+        } else if (m instanceof Ack a) {
+            acked(a, now);
+            items(a.gossip(), now);
+        } else if (m instanceof Ask a) {
+            help(a, now);
+        } else if (m instanceof Told t) {
+            Probe p = t.subject().equals(self.name()) ? rivalProbe : probes.get(t.subject());
+            if (p != null && p.life() == t.life()) {
+                p.toldOf(now);
+            }
+        } else if (m instanceof Other o) {
+            Probe p = o.wanted().equals(self.name()) ? rivalProbe : probes.get(o.wanted());
+            if (p != null && p.life() == o.life()) {
+                p.notThere();
+            }
+        }
+        compare(m.head(), now);
+        told();
+    }
+
+    private boolean accepted(Head h) {
+        if (!h.fleet().equals(fleet)) {
+            foreign++;
+            return false;
+        }
+        return h.life() != self.life();
+    }
+
+    private void acked(Ack a, double now) {
+        if (a.seq() >= ERRANDS) {
+            Errand e = errands.remove(a.seq());
+            if (e != null && e.subject().equals(a.head().name()) && e.life() == a.head().life()) {
+                send(e.asker(), new Told(head(), e.subject(), e.life(), e.seq()), RESERVE, now);
+            }
+            return;
+        }
+        Probe p = a.head().name().equals(self.name()) ? rivalProbe : probes.get(a.head().name());
+        if (p != null && p.life() == a.head().life()) {
+            p.acked(a.seq(), now);
+        }
+    }
+
+    private void help(Ask a, double now) {
+        if (errands.size() >= ERRANDS_MOST) {
+            for (Iterator<Errand> i = errands.values().iterator(); i.hasNext();) {
+                if (i.next().until() < now) {
+                    i.remove();
+                }
+            }
+        }
+        if (errands.size() < ERRANDS_MOST) {
+            errands.put(++errand, new Errand(a.head().address(), a.subject(), a.life(), a.seq(), now + settings.doubtS()));
+            send(a.address(), new Ping(head(), a.subject(), a.life(), errand, List.of()), 0, now);
+        }
+    }
+
+    /** Where a sender holds other than this member, for longer than gossip takes, all is exchanged with it. */
+    private void compare(Head h, double now) {
+        Table.Entry e = table.get(h.name());
+        boolean stranger = e == null || !e.here() || e.card().life() != h.life() || e.card().incarnation() < h.incarnation();
+        if (h.state() == table.state() && !stranger) {
+            mismatchSince = Double.NaN;
+            return;
+        }
+        if (Double.isNaN(mismatchSince)) {
+            mismatchSince = now;
+        }
+        double quiet = 2 * settings.probeS();
+        boolean settled = now - lastChange > quiet && now - mismatchSince > quiet || now - mismatchSince > 5 * quiet;
+        if ((stranger || settled) && now - lastExchange > quiet) {
+            exchange(h.address(), now);
+        }
+    }
+
+    private void items(Collection<Item> items, double now) {
+        for (Item i : items) {
+            if (i.name().equals(self.name())) {
+                if (i instanceof Card c) {
+                    own(c, now);
+                } else if (rival != null) {
+                    merged(i, now);
+                }
+            } else {
+                merged(i, now);
+            }
+        }
+    }
+
+    /** Takes an item in, and passes on what is new. */
+    private void merged(Item i, double now) {
+        Set<String> subjects = new HashSet<>();
+        Table.Merged what;
+        if (i instanceof Card c) {
+            what = table.merge(c, now);
+            subjects.add(c.name());
+        } else {
+            Links l = (Links) i;
+            Table.Entry before = table.get(l.name());
+            if (before != null) {
+                subjects.addAll(before.links().said().keySet());
+            }
+            subjects.addAll(l.said().keySet());
+            what = table.merge(l);
+        }
+        if (what != Table.Merged.NOTHING) {
+            touched.addAll(subjects);
+            gossip.add(i);
+            lastChange = now;
+        }
+    }
+
+    // ---- Full exchange ------------------------------------------------------------
+
+    /** The first message of an exchange that this member opens. */
+    public Message digest() {
+        return new Digest(head(), table.sums());
+    }
+
+    /** What came on a stream; returns what goes back on it, null where the stream is to be closed. */
+    public Message exchanged(Message m, double now) {
+        if (!accepted(m.head())) {
+            return null;
+        }
+        Message back = null;
+        if (m instanceof Digest d) {
+            List<Item> items = table.against(d.sums());
+            back = new Message.Reply(head(), joined ? items
+                    : items.stream().filter(i -> !i.name().equals(self.name())).toList(), table.lacking(d.sums()));
+        } else if (m instanceof Message.Reply r) {
+            items(r.items(), now);
+            joined = true;
+            List<Item> rest = new ArrayList<>();
+            // This member's own card may have changed by what it has just heard.
+            Set<String> names = new TreeSet<>(r.wanted());
+            names.add(self.name());
+            names.forEach(n -> rest.addAll(table.of(n)));
+            back = new Message.Rest(head(), rest);
+        } else if (m instanceof Message.Rest r) {
+            items(r.items(), now);
+            joined = true;
+        }
+        told();
+        return back;
+    }
+
+    // ---- Changes told ------------------------------------------------------------
+
+    private void told() {
+        if (touched.isEmpty()) {
+            return;
+        }
+        Set<String> names = new TreeSet<>(touched);
+        names.addAll(table.spokenOf());
+        standings.forEach((n, s) -> {
+            if (s == Standing.SLOW || s == Standing.CUT_OFF) {
+                names.add(n);
+            }
+        });
+        touched.clear();
+        for (String n : names) {
+            Table.Entry e = table.get(n);
+            if (e == null) {
+                continue;
+            }
+            Card c = e.card();
+            Standing before = standings.get(n);
+            Long life = lives.put(n, c.life());
+            if (life != null && life != c.life() && before != Standing.GONE && before != Standing.LEFT) {
+                change(c, life, before, Standing.GONE, "another life of it has taken its place");
+                before = Standing.GONE;
+            }
+            Standing is = standing(e);
+            if (is != before) {
+                change(c, c.life(), before, is, why(e, is));
+            }
+        }
+    }
+
+    private void change(Card c, long life, Standing from, Standing to, String why) {
+        standings.put(c.name(), to);
+        outputs.add(new Output.Changed(new View.Change(++number, c.name(), life, c.incarnation(), from, to, why)));
+    }
+
+    private Standing standing(Table.Entry e) {
+        if (!e.here()) {
+            return e.card().status() == Status.LEFT ? Standing.LEFT : Standing.GONE;
+        }
+        int slow = 0;
+        for (Map.Entry<String, Word> s : table.saidOf(e.card().name()).entrySet()) {
+            Table.Entry observer = table.get(s.getKey());
+            if (observer.here() && !observer.links().ill()) {
+                if (s.getValue() != Word.SLOW) {
+                    return Standing.CUT_OFF;
+                }
+                slow++;
+            }
+        }
+        return slow > 0 && 2 * slow >= table.rings().observersOf(e.card().name()).size() ? Standing.SLOW : Standing.HERE;
+    }
+
+    private String why(Table.Entry e, Standing is) {
+        return switch (is) {
+            case HERE -> e.card().incarnation() > 0 ? "incarnation " + e.card().incarnation() : "";
+            case LEFT -> "it said so";
+            case SLOW, CUT_OFF, GONE -> table.saidOf(e.card().name()).entrySet().stream()
+                    .map(s -> s.getKey() + ' ' + s.getValue().name().toLowerCase(java.util.Locale.ROOT))
+                    .collect(java.util.stream.Collectors.joining(", "));
+        };
+    }
+
+    // ---- Sending, within the budget ------------------------------------------------------------
+
+    private void refill(double now) {
+        double passed = Math.max(0, now - budgetAt);
+        budgetAt = now;
+        datagrams = Math.min(settings.datagramsPerS(), datagrams + passed * settings.datagramsPerS());
+        bytes = Math.min(settings.bytesPerS(), bytes + passed * settings.bytesPerS());
+    }
+
+    private void ping(Card to, long seq, double now) {
+        send(to.address(), new Ping(head(), to.name(), to.life(), seq, rides(now)), 0, now);
+    }
+
+    /** Gossip for one datagram; none where the budget is short: probes go first. */
+    private List<Item> rides(double now) {
+        if (bytes < RESERVE * settings.bytesPerS()) {
+            return List.of();
+        }
+        return gossip.take(Settings.DATAGRAM_BYTES - head().size(), table.rings().names().size());
+    }
+
+    /** {@code reserve} is how much of the reserve this may use: all of it, or none. */
+    private void send(String address, Message m, double reserve, double now) {
+        int size = m.head().size() + UDP_AND_IP;
+        if (m instanceof Ping p) {
+            size += p.gossip().stream().mapToInt(Item::size).sum();
+        } else if (m instanceof Ack a) {
+            size += a.gossip().stream().mapToInt(Item::size).sum();
+        }
+        double keep = RESERVE - reserve;
+        if (datagrams < 1 + keep * settings.datagramsPerS() || bytes < size + keep * settings.bytesPerS()) {
+            withheld++;
+            return;
+        }
+        datagrams--;
+        bytes -= size;
+        sentDatagrams++;
+        sentBytes += size;
+        outputs.add(new Output.Send(address, m));
+    }
+}
--- /dev/null
+++ b/src/main/java/pepperdock/membership/View.java
@@ -0,0 +1,21 @@
+package pepperdock.membership;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The fleet as one member sees it. Numbers count this member's own changes; two members' views are compared by what they say.
+ *
+ * @param sure whether this member reaches a majority of the fleet; where not, it may be the one cut off, and calls nobody gone
+ * @param reached of {@code fleet}, which counts those gone a short while ago
+ * @param taken the address of another process of this member's name, which it gives way to; empty where there is none
+ */
+public record View(long number, String self, boolean sure, int reached, int fleet, String taken, List<Member> members) {
+
+    /** {@code since} by the clock of whoever asks; {@code said} is what observers say, by their names. */
+    public record Member(String name, String zone, String machine, String address, long life, long incarnation,
+                         Standing standing, double since, Map<String, Word> said) { }
+
+    /** One change; {@code from} is null for a member that was not known. */
+    public record Change(long number, String name, long life, long incarnation, Standing from, Standing to, String why) { }
+}
--- a/src/main/java/pepperdock/net/Loop.java
+++ b/src/main/java/pepperdock/net/Loop.java
@@ -152,6 +152,12 @@
         };
     }
 
+    /** A UDP socket; what comes is handed over on the loop. */
+    public Datagrams datagrams(InetSocketAddress at, Datagrams.Receiver to) throws IOException {
+        return new Datagrams(worker.createUdpServer(at, OptionMap.EMPTY), (bytes, length) ->
+                guarded(() -> to.received(bytes, length)));
+    }
+
     private void accepted(StreamConnection taken, BooleanSupplier room, Consumer<Connection> opened) {
         if (!room.getAsBoolean() || spare() <= 0) {
             away.note(System.Logger.Level.WARNING, () -> "client turned away: no socket to spare");
--- /dev/null
+++ b/src/test/java/pepperdock/lab/fleet/MembersIT.java
@@ -0,0 +1,49 @@
+package pepperdock.lab.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The hard cases of membership on five real processes each, in short form; a machine that is late is given another try. */
+class MembersIT {
+
+    private static final int TRIES = 3;
+    private static final List<String> MEMBER = List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xmx56m", "-Xss512k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-jar", "target/pepperdock.jar", "serve");
+
+    @TempDir
+    Path folder;
+
+    private Outcome played(String name) throws Exception {
+        Outcome outcome = null;
+        for (int i = 0; i < TRIES && (outcome == null || !outcome.counts()); i++) {
+            outcome = Rig.run(Path.of("deploy/rig/" + name + ".json"), null, folder.resolve(name + i), MEMBER);
+        }
+        return outcome;
+    }
+
+    @Test
+    void nobodyWhoRunsIsCalledGoneWhereNobodyNeedBeAndAllAgreeAfterwards() throws Exception {
+        ExecutorService both = Executors.newFixedThreadPool(2);
+        try {
+            List<Future<Outcome>> runs = new ArrayList<>();
+            for (String name : List.of("members-hold", "members-fall")) {
+                runs.add(both.submit(() -> played(name)));
+            }
+            for (Future<Outcome> run : runs) {
+                assertEquals(List.of(), run.get().findings());
+                assertTrue(run.get().counts(), "the machine was late in each of " + TRIES + " tries");
+            }
+        } finally {
+            both.shutdownNow();
+        }
+    }
+}
--- a/src/test/java/pepperdock/lab/fleet/RelayTest.java
+++ b/src/test/java/pepperdock/lab/fleet/RelayTest.java
@@ -13,9 +13,11 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -44,7 +46,7 @@
         two = new DatagramSocket(new InetSocketAddress(Relay.host(claim.block(), 2), DATAGRAMS));
         server = new ServerSocket(STREAMS, 5, InetAddress.getByName(Relay.host(claim.block(), 2)));
         for (String to : List.of("g1", "g2")) {
-            relay.lay(to, List.of("g1", "g2"), Map.of(DATAGRAMS, false, STREAMS, true));
+            relay.lay(to, List.of("g1", "g2"), List.of(new Relay.Laid(DATAGRAMS, false), new Relay.Laid(STREAMS, true)));
         }
         one.setSoTimeout(30_000);
         two.setSoTimeout(30_000);
@@ -70,35 +72,52 @@
         return new String(p.getData(), 0, p.getLength(), StandardCharsets.US_ASCII);
     }
 
+    /** Has the relay's thread come by here: what was asked of it before is in force. */
+    private void inForce() throws Exception {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        relay.execute(() -> done.complete(null));
+        done.get(30, TimeUnit.SECONDS);
+    }
+
+    /** Waits until the relay has read so many datagrams of the first member; returns how many of them it lost. */
+    private long read(int count) throws Exception {
+        long lost = 0;
+        for (long read = 0; read < count;) {
+            CompletableFuture<Relay.Traffic> some = new CompletableFuture<>();
+            relay.taken(all -> some.complete(all.getOrDefault("g1", new Relay.Traffic())));
+            read += some.get(30, TimeUnit.SECONDS).datagrams;
+            lost += some.get().lost;
+        }
+        return lost;
+    }
+
     @Test
     void aCutOneWayLosesWhatIsSentThatWayAndNothingElse() throws Exception {
         relay.on(1, new Fault(Kind.CUT, THERE, 0, 0));
+        inForce();
         send(one, 1, 2, "lost");
         send(two, 2, 1, "back");
         assertEquals("back", received(one));
-        // The relay takes datagrams and tasks in turn: what came before the cut's end was lost by it.
-        java.util.concurrent.CompletableFuture<Long> lost = new java.util.concurrent.CompletableFuture<>();
-        while (!lost.isDone() || lost.get() == 0) {
-            lost = new java.util.concurrent.CompletableFuture<>();
-            java.util.concurrent.CompletableFuture<Long> now = lost;
-            relay.taken(all -> now.complete(all.containsKey("g1") ? all.get("g1").lost : 0));
-            lost.get();
-        }
+        assertEquals(1, read(1));
         relay.off(1);
+        inForce();
         send(one, 1, 2, "there");
         assertEquals("there", received(two));
     }
 
     @Test
-    void aDelayedDatagramComesAfterOneSentLaterAndADoubledOneTwice() throws Exception {
-        relay.on(1, new Fault(Kind.DELAY, THERE, 0.2, 0));
+    void aDelayedDatagramArrivesInTheEndAndADoubledOneTwice() throws Exception {
+        relay.on(1, new Fault(Kind.DELAY, THERE, 0.5, 0));
+        inForce();
         send(one, 1, 2, "slow");
-        send(two, 2, 1, "mark");
-        assertEquals("mark", received(one));
+        assertEquals(0, read(1));
         relay.off(1);
         relay.on(2, new Fault(Kind.DUPLICATE, THERE, 1, 0));
+        inForce();
         send(one, 1, 2, "quick");
-        assertEquals(List.of("quick", "quick", "slow"), List.of(received(two), received(two), received(two)));
+        List<String> got = new ArrayList<>(List.of(received(two), received(two), received(two)));
+        assertTrue(got.remove("slow"));
+        assertEquals(List.of("quick", "quick"), got);
     }
 
     @Test
@@ -108,6 +127,7 @@
             assertEquals(1, far.getInputStream().read());
             relay.on(1, new Fault(Kind.CUT, THERE, 0, 0));
             relay.on(2, new Fault(Kind.THROTTLE, Set.of(new Pair("g2", "g1")), 1 << 20, 0));
+            inForce();
             far.getOutputStream().write(new byte[300_000]);
             assertEquals(300_000, near.getInputStream().readNBytes(300_000).length);
             near.getOutputStream().write(new byte[100_000]);
--- /dev/null
+++ b/src/test/java/pepperdock/lab/fleet/SimTest.java
@@ -0,0 +1,120 @@
+package pepperdock.lab.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import pepperdock.config.Config;
+import pepperdock.config.Keys;
+import pepperdock.membership.Settings;
+
+/** Membership in simulated time, at its default timings: the hard cases over seeds, each fault found once among them. */
+class SimTest {
+
+    private static final Settings SETTINGS = Settings.of(0.5, 3, 3);
+
+    private static Script script(int members, boolean strict, String acts) {
+        String checker = strict ? "members-strict" : "members";
+        return Script.read(Keys.of("", Config.parse("{\"members\":" + members + ",\"settle_s\":120,\"most_s\":1000,\"checkers\":"
+                + "[\"processes\",\"" + checker + "\"],\"script\":[{\"await\":\"settled\"}," + acts.replace('\'', '"') + "]}", "")),
+                Path.of("."));
+    }
+
+    /** What was found over so many seeds, and the figures of all. */
+    private static List<String> found(Script script, Settings settings, int seeds, MemberFigures all) {
+        List<String> found = new ArrayList<>();
+        for (int seed = 1; seed <= seeds; seed++) {
+            Checkers judge = new Checkers(script.checkers());
+            String unmet = new Sim(script.seeded(seed), settings, judge::see).play(judge);
+            String of = "seed " + seed + ": ";
+            judge.findings(true).forEach(f -> found.add(of + f.what()));
+            if (unmet != null) {
+                found.add(of + unmet);
+            }
+            all.add(judge.memberFigures());
+        }
+        return found;
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(delimiter = '|', textBlock = """
+            a pause under the bound         | {'fault':'stop','members':1,'for':4.5}, {'at':12,'fault':'stop','members':1,'for':0.2}
+            five of ten paused in step      | {'fault':'stop','members':5,'for':4.5}
+            all paused in step              | {'fault':'stop','for':20}
+            everybody late                  | {'fault':'stop','for':0.3,'apart_s':0.05}, {'at':1,'fault':'stop','for':1}, {'at':3,'fault':'stop','for':2}
+            a third of all datagrams lost   | {'fault':'loss','share':0.3,'for':30}
+            one link cut one way            | {'fault':'cut','from':['g2'],'to':['g3'],'for':30}
+            all links into one cut          | {'fault':'cut','to':['g3'],'for':30}
+            a flip-flop out of one          | {'fault':'cut','from':['g3'],'for':20,'flip_s':1}
+            a flip-flop into one            | {'fault':'cut','to':['g3'],'for':20,'flip_s':1}
+            A reaches B only through C      | {'fault':'cut','from':['g1'],'to':['g2'],'both':true,'for':30}
+            halves                          | {'fault':'partition','into':2,'for':30}
+            thirds                          | {'fault':'partition','into':3,'for':30}
+            """)
+    void nobodyWhoRunsIsCalledGone(String name, String acts) {
+        assertEquals(List.of(), found(script(10, true, acts), SETTINGS, 10, new MemberFigures()));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(delimiter = '|', textBlock = """
+            a pause beyond the bound        | {'fault':'stop','members':1,'for':30}
+            all links out of one cut        | {'fault':'cut','from':['g3'],'for':30}
+            four fifths lost at one member  | {'fault':'loss','share':0.8,'from':['g4'],'for':60}, {'fault':'loss','share':0.8,'to':['g4'],'for':60}
+            a minority cut off              | {'fault':'partition','groups':[{'members':['g1','g2','g3']},{'members':['g4','g5','g6','g7','g8','g9','g10']}],'for':30}
+            a partition that moves          | {'fault':'partition','into':2,'for':40,'move_s':10}
+            a third killed at once          | {'fault':'kill','members':3}, {'await':'settled'}, {'fault':'start'}
+            all killed and started again    | {'fault':'kill','for':1}
+            a rolling restart               | {'fault':'term','apart_s':3,'for':0.5}
+            back before anyone noticed      | {'fault':'kill','members':1,'for':0.1,'folder':'empty'}
+            the first seed gone for good    | {'fault':'kill','members':['g1']}, {'at':10,'fault':'kill','members':['g7'],'for':1}
+            drawn faults                    | {'fault':'drawn','for':120,'every_s':4,'most_members':2}
+            """)
+    void viewsMeetAgainAfterwards(String name, String acts) {
+        assertEquals(List.of(), found(script(10, false, acts), SETTINGS, 10, new MemberFigures()));
+    }
+
+    @Test
+    void aFleetOfSixtyLosesAThirdWithinItsBudgetAndInOneChange() {
+        MemberFigures figures = new MemberFigures();
+        assertEquals(List.of(), found(script(60, false, "{'fault':'kill','members':20}"), SETTINGS, 2, figures));
+        assertEquals(2 * 20 * 40, figures.noticed.getTotalCount());
+        assertEquals(0, figures.falseGone);
+    }
+
+    /** A member that hears nothing accuses all others: it doubts itself, or several must agree; without both they are gone. */
+    @Test
+    void oneThatHearsNothingBringsDownOthersOnlyWhereBothGuardsAreLeftOut() {
+        String deaf = "{'fault':'cut','to':['g3'],'for':20}";
+        assertEquals(0, falseGone(Seeds.Arm.FULL, deaf));
+        assertEquals(0, falseGone(Seeds.Arm.NO_SELF_DOUBT, deaf));
+        assertEquals(0, falseGone(Seeds.Arm.ONE_OBSERVER, deaf));
+        assertTrue(falseGone(Seeds.Arm.PLAIN, deaf) > 0);
+    }
+
+    private static long falseGone(Seeds.Arm arm, String acts) {
+        MemberFigures figures = new MemberFigures();
+        found(script(10, false, acts), arm.of(SETTINGS), 5, figures);
+        return figures.falseGone;
+    }
+
+    @Test
+    void theSameSeedGivesTheSameHistory() {
+        Script script = script(8, false, "{'fault':'drawn','for':60,'every_s':3,'most_members':2}");
+        List<String> first = new ArrayList<>();
+        List<String> second = new ArrayList<>();
+        for (List<String> to : List.of(first, second)) {
+            Checkers judge = new Checkers(script.checkers());
+            new Sim(script, SETTINGS, e -> {
+                judge.see(e);
+                to.add(e.toString());
+            }).play(judge);
+        }
+        assertTrue(first.size() > 500);
+        assertEquals(first, second);
+    }
+}
