--- a/src/main/java/pepperdock/config/MembersConfig.java
+++ b/src/main/java/pepperdock/config/MembersConfig.java
@@ -23,8 +23,8 @@
         k.only("fleet", "address", "seeds", "zone", "machine", "ask", "probe_s", "doubt_s", "confirm_s", "observers", "agree",
                 "doubters", "helpers", "slow_s", "exchange_s", "forget_s", "datagrams_per_s", "bytes_per_s", "most");
         InetSocketAddress address = Config.address(k.key("address"), k.text("address"));
-        if (address.getAddress().isAnyLocalAddress()) {
-            throw new ConfigException(k.key("address"), "announced to others, so it has to be one host's");
+        if (address.getAddress().isAnyLocalAddress() || address.getPort() == 0) {
+            throw new ConfigException(k.key("address"), "announced to others, so it has to be one host's, with its port");
         }
         List<String> seeds = k.texts("seeds");
         for (String s : seeds) {
