--- a/src/main/java/pepperdock/lab/fleet/Children.java
+++ b/src/main/java/pepperdock/lab/fleet/Children.java
@@ -39,6 +39,8 @@
         private Thread reader;
         /** Sent SIGKILL or SIGTERM. */
         private boolean ending;
+        /** By the history's clock. */
+        private double startedAt;
         /** How often its ports were changed. */
         private int ports;
     }
@@ -129,6 +131,7 @@
         guard.add(p.pid());
         c.process = p;
         c.ending = false;
+        c.startedAt = history.now();
         c.reader = new Thread(() -> read(name, p), "output of " + name);
         c.reader.setDaemon(true);
         c.reader.start();
@@ -169,8 +172,17 @@
         return p != null && p.isAlive();
     }
 
-    List<Long> pids() {
-        return children.values().stream().filter(c -> c.process != null && c.process.isAlive()).map(c -> c.process.pid()).toList();
+    /** Writes down how much processor time each has used since its start. */
+    void processorTimes() {
+        children.forEach((name, c) -> {
+            if (up(name)) {
+                ProcessHandle.Info info = c.process.info();
+                if (info.totalCpuDuration().isPresent()) {
+                    history.rig("processor", "member", name, "used_s", info.totalCpuDuration().get().toMillis() / 1e3, "up_s",
+                            Math.round((history.now() - c.startedAt) * 1e3) / 1e3);
+                }
+            }
+        });
     }
 
     /** A port of a member: by its place in the script, moved on by as many as there are whenever it takes new ones. */
--- a/src/main/java/pepperdock/lab/fleet/MemberFigures.java
+++ b/src/main/java/pepperdock/lab/fleet/MemberFigures.java
@@ -11,7 +11,7 @@
     final Histogram agreement = new Histogram(3);
     final Histogram datagrams = new Histogram(3);
     final Histogram bytes = new Histogram(3);
-    /** Rosters seen by anybody, in each run. */
+    /** Different rosters seen by anybody since the fleet was first together, in each run. */
     final Histogram rosters = new Histogram(3);
     double memberSeconds;
     long changes;
@@ -39,7 +39,7 @@
                         falseGone, memberSeconds / 3600, refuted),
                 String.format(Locale.ROOT, "changes told %d, faults and ends of faults %d", changes, faults),
                 "all agreed after the last fault " + seconds(agreement),
-                "rosters seen in a run: " + plain(rosters),
+                "rosters seen in a run, once together: " + plain(rosters),
                 "datagrams a second of a member: " + plain(datagrams),
                 "bytes a second of a member: " + plain(bytes));
     }
--- a/src/main/java/pepperdock/lab/fleet/MembersChecker.java
+++ b/src/main/java/pepperdock/lab/fleet/MembersChecker.java
@@ -1,5 +1,7 @@
 package pepperdock.lab.fleet;
 
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,12 +22,18 @@
 
     /** Counted at the relay, in spans of about a second; a span may hold a second's worth more that was saved up. */
     private static final double SAVED_S = 1.1;
+    /** Changes told within this time are one change of the roster. */
+    private static final double ONE_CHANGE_S = 0.005;
+
+    private static final Hasher64 HASH = Hashing.xxh3_64();
 
     private record Held(String life, long incarnation, String standing) { }
 
     /** One process's view, as it told it. */
     private static final class Seen {
         private long number;
+        private long roster;
+        private double rosterAt;
         private final Map<String, Held> of = new TreeMap<>();
     }
 
@@ -38,7 +46,9 @@
     private final Map<String, Double> endedAt = new HashMap<>();
     private final Map<String, double[]> budgets = new HashMap<>();
     private final MemberFigures figures = new MemberFigures();
-    private final Set<String> rosters = new HashSet<>();
+    /** Seen since the fleet was first together. */
+    private final Set<Long> rosters = new HashSet<>();
+    private boolean gathered;
     /** By viewer: whom it sees otherwise than it is. */
     private final Map<String, Set<String>> wrong = new TreeMap<>();
     private int wrongs;
@@ -78,6 +88,7 @@
                 lookAtAll(e.text("member"));
                 views.remove(e.text("member"));
             }
+            case "reached" -> gathered = true;
             case "start", "stop", "cont", "fault on", "fault off", "reset" -> fault(e);
             case "traffic" -> {
                 double[] budget = budgets.get(e.text("member"));
@@ -151,17 +162,16 @@
                 figures.noticed.recordValue(Math.round((e.at() - endedAt.get(name)) * 1e3));
             }
         }
-        rosters.add(roster(seen));
+        if (gathered && e.at() - seen.rosterAt > ONE_CHANGE_S) {
+            rosters.add(seen.roster);
+        }
+        seen.roster ^= share(name, before) ^ share(name, seen.of.get(name));
+        seen.rosterAt = e.at();
     }
 
-    private static String roster(Seen seen) {
-        StringBuilder b = new StringBuilder();
-        seen.of.forEach((n, h) -> {
-            if (!away(h.standing())) {
-                b.append(n).append('/').append(h.life()).append(' ');
-            }
-        });
-        return b.toString();
+    /** A member's share of a roster's sum: rosters are told apart by the sums of those in them. */
+    private static long share(String name, Held h) {
+        return h == null || away(h.standing()) ? 0 : HASH.hashCharsToLong(name + '/' + h.life());
     }
 
     private static boolean away(String standing) {
@@ -242,6 +252,7 @@
     MemberFigures total() {
         MemberFigures all = new MemberFigures();
         all.add(figures);
+        views.values().forEach(v -> rosters.add(v.roster));
         all.rosters.recordValue(rosters.size());
         return all;
     }
--- a/src/main/java/pepperdock/lab/fleet/Rig.java
+++ b/src/main/java/pepperdock/lab/fleet/Rig.java
@@ -105,6 +105,7 @@
                 play(timetable, judge, history, relay, children, unmet);
                 late = heart.late();
             }
+            children.processorTimes();
             children.signal(Timetable.Sent.CONT, script.names());
             children.signal(Timetable.Sent.TERM, script.names());
             double until = history.now() + 10;
--- a/src/test/java/pepperdock/StartIT.java
+++ b/src/test/java/pepperdock/StartIT.java
@@ -124,4 +124,17 @@
         Served served = serves();
         assertTrue(!served.fromArchive() && served.log().contains(NO_ARCHIVE), served.log());
     }
+
+    @Test
+    void nothingOfMembershipOrTheLaboratoryIsLoadedWhereTheFileHasNone() throws Exception {
+        Path classes = root.resolve("classes");
+        command = List.of("java", "-Xlog:class+load:file=" + classes, "-jar", "target/pepperdock.jar", "serve");
+        serves();
+        String loaded = Files.readString(classes);
+        assertTrue(loaded.contains("pepperdock.net.Loop"), "the list is what it should be");
+        for (String absent : List.of("pepperdock.members.", "pepperdock.membership.", "pepperdock.lab.", "pepperdock.cli.",
+                "com.fasterxml.", "com.dynatrace.", "org.HdrHistogram")) {
+            assertFalse(loaded.contains(absent), absent);
+        }
+    }
 }
--- a/src/test/java/pepperdock/cli/CliTest.java
+++ b/src/test/java/pepperdock/cli/CliTest.java
@@ -8,6 +8,7 @@
 import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -97,6 +98,9 @@
     @Test
     void configurationIsCheckedAndUsageIsHeldTo() {
         assertEquals("deploy/opensearch.json: sound", run("config", "check", "deploy/opensearch.json").out().strip());
+        for (String member : List.of("anderlecht-1", "anderlecht-2", "anderlecht-3", "halle-1", "halle-2")) {
+            assertEquals(0, run("config", "check", "deploy/members/" + member + ".json").status());
+        }
         assertEquals(0, run("config", "check", "deploy/planned.json").status());
         assertEquals(0, run("config", "check", "deploy/dnssd-and-store.json").status());
         assertEquals(2, run("config", "check", RING).status());
--- a/src/test/java/pepperdock/config/ConfigTest.java
+++ b/src/test/java/pepperdock/config/ConfigTest.java
@@ -89,4 +89,24 @@
         assertEquals("_ledger._tcp", d.dnsSd().service());
         assertTrue(d.site().module().classes().stream().noneMatch(k -> k.effect() == Effect.KEYED));
     }
+
+    @Test
+    void eachFaultyKeyOfMembersIsNamed() {
+        String sound = "'fleet':'f','address':'127.0.0.1:7400'";
+        assertEquals(6 * 0.5, members(sound).settings().doubtS());
+        for (String[] bad : new String[][] {
+                {"members.fleet", "'fleet':'a fleet','address':'127.0.0.1:7400'"}, {"members.address", "'fleet':'f'"},
+                {"members.address", "'fleet':'f','address':'127.0.0.1:0'"}, {"members.address", "'fleet':'f','address':'0.0.0.0:1'"},
+                {"members.seeds", sound + ",'seeds':['host:1']"}, {"members.ask", sound + ",'ask':'10.0.0.1:1'"},
+                {"members.doubt_s", sound + ",'probe_s':1,'doubt_s':2"}, {"members.agree", sound + ",'agree':0.5"},
+                {"members.datagrams_per_s", sound + ",'datagrams_per_s':10"}, {"members.most", sound + ",'most':1"},
+                {"members.zone", sound + ",'zone':''"}, {"members.seed", sound + ",'seed':1"}}) {
+            String said = assertThrows(ConfigException.class, () -> members(bad[1])).getMessage();
+            assertTrue(said.startsWith(bad[0] + ":"), said);
+        }
+    }
+
+    private static MembersConfig members(String keys) {
+        return MembersConfig.read(Keys.of("", Config.parse(("{'name':'n','members':{" + keys + "}}").replace('\'', '"'), "")));
+    }
 }
--- /dev/null
+++ b/src/test/java/pepperdock/members/MembersTest.java
@@ -0,0 +1,91 @@
+package pepperdock.members;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import pepperdock.cli.Cli;
+import pepperdock.config.Config;
+import pepperdock.config.Keys;
+import pepperdock.events.Events;
+import pepperdock.membership.View;
+import pepperdock.net.Loop;
+
+/** Members on real sockets in this process, and asked as an operator would. */
+@Timeout(120)
+class MembersTest {
+
+    /** A host of its own for each run of the tests, so that the ports are free. */
+    private static final String HOSTS = "127.200." + ProcessHandle.current().pid() % 250 + '.';
+
+    private final List<Loop> loops = new CopyOnWriteArrayList<>();
+
+    @AfterEach
+    void close() {
+        loops.forEach(Loop::close);
+    }
+
+    private Members open(int number, List<View.Change> changes) throws Exception {
+        Loop loop = new Loop(100, 1 << 20);
+        loops.add(loop);
+        Keys file = Keys.of("", Config.parse("{\"name\":\"n" + number + "\",\"members\":{\"fleet\":\"f\",\"probe_s\":0.05,"
+                + "\"datagrams_per_s\":1000,\"bytes_per_s\":1000000,\"address\":\"" + HOSTS + number + ":7400\",\"seeds\":[\""
+                + HOSTS + "1:7400\"],\"ask\":\"" + HOSTS + number + ":7500\"}}", ""));
+        Members m = Members.open(file, loop, Events.of(false));
+        loop.execute(() -> m.watch(changes::add));
+        return m;
+    }
+
+    private static void await(List<View.Change> changes, String what) throws InterruptedException {
+        while (changes.stream().noneMatch(c -> (c.name() + ' ' + c.to()).equals(what))) {
+            Thread.sleep(10);
+        }
+    }
+
+    private static String asked(String... args) {
+        StringWriter out = new StringWriter();
+        assertEquals(0, Cli.run(args, new PrintWriter(out, true), new PrintWriter(out, true)), out::toString);
+        return out.toString();
+    }
+
+    @Test
+    void twoFindEachOtherAreAskedAndOneLeaves() throws Exception {
+        List<View.Change> changes = new CopyOnWriteArrayList<>();
+        open(1, changes);
+        Members two = open(2, new CopyOnWriteArrayList<>());
+        await(changes, "n2 HERE");
+        String words = asked("members", HOSTS + "1:7500");
+        assertTrue(words.startsWith("fleet f as n1 sees it"), words);
+        assertTrue(words.contains("reaching 2 of 2"), words);
+        try (DatagramSocket stranger = new DatagramSocket()) {
+            stranger.send(new DatagramPacket(new byte[3000], 3000, new InetSocketAddress(HOSTS + "1", 7400)));
+        }
+        while (!asked("members", "--json", HOSTS + "1:7500").contains("\"not_to_be_read\": 1")) {
+            Thread.sleep(10);
+        }
+        CompletableFuture<Void> left = new CompletableFuture<>();
+        loops.get(1).execute(() -> {
+            two.leave();
+            left.complete(null);
+        });
+        left.get(30, TimeUnit.SECONDS);
+        await(changes, "n2 LEFT");
+        for (int i = 0; i < changes.size(); i++) {
+            assertEquals(changes.get(0).number() + i, changes.get(i).number());
+        }
+        StringWriter err = new StringWriter();
+        assertEquals(1, Cli.run(new String[] {"members", HOSTS + "9:1"}, new PrintWriter(err), new PrintWriter(err, true)));
+        assertTrue(err.toString().contains("members.ask"), err.toString());
+    }
+}
