--- a/src/main/java/pepperdock/lab/fleet/Children.java
+++ b/src/main/java/pepperdock/lab/fleet/Children.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -49,6 +50,7 @@
     private final int block;
     private final Path folder;
     private final List<String> command;
+    private final boolean disks;
     private final History history;
     private final Relay relay;
     private final Guard guard = new Guard();
@@ -56,7 +58,10 @@
     private int starts;
     private volatile boolean closing;
 
-    Children(Script script, int block, Path folder, List<String> command, History history, Relay relay) throws IOException {
+    /** {@code disks}: whether the members' disks are to be hurt. */
+    Children(Script script, int block, Path folder, List<String> command, boolean disks, History history, Relay relay)
+            throws IOException {
+        this.disks = disks;
         this.script = script;
         this.block = block;
         this.folder = folder;
@@ -82,7 +87,7 @@
                 c.ports++;
             }
             if (emptyFolder) {
-                delete(folder.resolve(name).resolve("state"));
+                delete(folder.resolve(name).resolve(FaultyDisk.TOUCHED));
             }
             List<Relay.Laid> ports = new ArrayList<>();
             for (Script.Port p : script.ports()) {
@@ -111,8 +116,8 @@
             throw new IOException("more than " + STARTS_MOST + " starts");
         }
         Path own = folder.resolve(name);
-        Files.createDirectories(own.resolve("state"));
-        JsonObject config = filled(script.config(), hole -> filling(name, hole)).getAsJsonObject();
+        Files.createDirectories(own.resolve(FaultyDisk.TOUCHED));
+        JsonObject config = filled(script.configOf(name), hole -> filling(name, hole)).getAsJsonObject();
         JsonObject reach = new JsonObject();
         int from = Relay.number(name);
         for (String other : script.names()) {
@@ -124,7 +129,12 @@
         config.add("reach", reach);
         config.addProperty("events", true);
         Files.writeString(own.resolve("config.json"), config.toString());
-        ProcessBuilder builder = new ProcessBuilder(command);
+        List<String> words = new ArrayList<>(command);
+        if (disks) {
+            words.addAll(1, List.of("-Djava.nio.file.spi.DefaultFileSystemProvider=" + FaultyDisk.class.getName(),
+                    "-D" + FaultyDisk.FOLDER + '=' + own));
+        }
+        ProcessBuilder builder = new ProcessBuilder(words);
         builder.environment().keySet().removeIf(k -> k.startsWith("EDGE_"));
         builder.environment().put("EDGE_CONFIG", own.resolve("config.json").toString());
         Process p = builder.redirectError(ProcessBuilder.Redirect.appendTo(own.resolve("log").toFile())).start();
@@ -167,6 +177,16 @@
         }
     }
 
+    /** Says what is with these members' disks from now on. */
+    void disk(List<String> names, String is) throws IOException {
+        history.rig("disk", "members", String.join(",", names), "is", is);
+        for (String name : names) {
+            Path own = Files.createDirectories(folder.resolve(name));
+            Files.writeString(own.resolve("disk.new"), is);
+            Files.move(own.resolve("disk.new"), own.resolve(FaultyDisk.SAYS), StandardCopyOption.ATOMIC_MOVE);
+        }
+    }
+
     boolean up(String name) {
         Process p = children.get(name).process;
         return p != null && p.isAlive();
@@ -205,7 +225,7 @@
             case "host_of" -> Relay.host(block, Relay.number(of));
             case "zone" -> script.zones().get((number - 1) % script.zones().size());
             case "machine" -> "m" + ((number - 1) % script.machines() + 1);
-            case "folder" -> folder.resolve(name).resolve("state").toString();
+            case "folder" -> folder.resolve(name).resolve(FaultyDisk.TOUCHED).toString();
             case "port" -> String.valueOf(port(name, of));
             case "port_of" -> String.valueOf(port(of.substring(0, of.indexOf('.')), of.substring(of.indexOf('.') + 1)));
             default -> throw new IllegalArgumentException(hole.group());
--- a/src/main/java/pepperdock/lab/fleet/Guard.java
+++ b/src/main/java/pepperdock/lab/fleet/Guard.java
@@ -63,10 +63,6 @@
         }
     }
 
-    long pid() {
-        return shell.pid();
-    }
-
     @Override
     public void close() throws IOException {
         in.close();
--- a/src/main/java/pepperdock/lab/fleet/Links.java
+++ b/src/main/java/pepperdock/lab/fleet/Links.java
@@ -1,9 +1,11 @@
 package pepperdock.lab.fleet;
 
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * What lies on each ordered pair of members: the faults in force, and their sum. Faults on one pair add up: any cut cuts,
@@ -31,6 +33,21 @@
         STALL
     }
 
+    /** Pairs as a history has them. */
+    static String text(Set<Pair> pairs) {
+        return pairs.stream().map(p -> p.from() + ">" + p.to()).collect(Collectors.joining(" "));
+    }
+
+    /** The same read back. */
+    static Set<Pair> pairs(String text) {
+        Set<Pair> pairs = new LinkedHashSet<>();
+        for (String one : text.isEmpty() ? new String[0] : text.split(" ")) {
+            int at = one.indexOf('>');
+            pairs.add(new Pair(one.substring(0, at), one.substring(at + 1)));
+        }
+        return pairs;
+    }
+
     /** {@code amount} is a share, seconds or bytes a second, by kind; {@code spread} is in seconds. */
     record Fault(Kind kind, Set<Pair> pairs, double amount, double spread) { }
 
@@ -90,10 +107,6 @@
         sums.clear();
     }
 
-    boolean none() {
-        return inForce.isEmpty();
-    }
-
     Effect on(Pair pair) {
         return sums.computeIfAbsent(pair, p -> {
             Effect sum = Effect.NONE;
--- a/src/main/java/pepperdock/lab/fleet/MemberFigures.java
+++ b/src/main/java/pepperdock/lab/fleet/MemberFigures.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.HdrHistogram.Histogram;
 
 /** What a run of membership is measured by, and several runs together. Times in milliseconds. */
@@ -17,9 +20,17 @@
     long changes;
     long faults;
     long falseGone;
+    /** Of these, by what had befallen the member. */
+    final Map<String, Long> because = new TreeMap<>();
     long refuted;
 
+    void falseGone(String why) {
+        falseGone++;
+        because.merge(why, 1L, Long::sum);
+    }
+
     void add(MemberFigures other) {
+        other.because.forEach((why, n) -> because.merge(why, n, Long::sum));
         noticed.add(other.noticed);
         agreement.add(other.agreement);
         datagrams.add(other.datagrams);
@@ -35,8 +46,9 @@
     List<String> lines() {
         return List.of(
                 "true deaths noticed " + seconds(noticed),
-                String.format(Locale.ROOT, "running members called gone %d times in %.3f member-hours, refuted %d times",
-                        falseGone, memberSeconds / 3600, refuted),
+                String.format(Locale.ROOT, "running members called gone %d times in %.3f member-hours, refuted %d times%s",
+                        falseGone, memberSeconds / 3600, refuted, because.isEmpty() ? "" : ": " + because.entrySet().stream()
+                                .map(b -> b.getKey() + ' ' + b.getValue()).collect(Collectors.joining(", "))),
                 String.format(Locale.ROOT, "changes told %d, faults and ends of faults %d", changes, faults),
                 "all agreed after the last fault " + seconds(agreement),
                 "rosters seen in a run, once together: " + plain(rosters),
--- a/src/main/java/pepperdock/lab/fleet/MembersChecker.java
+++ b/src/main/java/pepperdock/lab/fleet/MembersChecker.java
@@ -10,13 +10,15 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * Of membership. Always wrong: a change told twice or out of its order, or that does not begin where the last one ended; an
  * incarnation that goes back; more sent than the budget. At the end, or where {@code settled} is awaited: all that run see each
  * other here, under each one's newest life, and nobody else: so a refutation that is lost shows, and one dead or back from the
  * dead that is believed otherwise. Whether a running member may be called gone depends on the script: with the checker's strict
- * form it is a finding, else a figure.
+ * form it is a finding, else a figure, told by what had befallen the member until then. Two processes may have one name: then
+ * one of them has to have it in all views, the same in each.
  */
 final class MembersChecker implements Checker {
 
@@ -24,6 +26,8 @@
     private static final double SAVED_S = 1.1;
     /** Changes told within this time are one change of the roster. */
     private static final double ONE_CHANGE_S = 0.005;
+    /** Of datagrams, lost at any member, without anybody being called gone. */
+    private static final double LOSS_BORNE = 0.3;
 
     private static final Hasher64 HASH = Hashing.xxh3_64();
 
@@ -37,11 +41,66 @@
         private final Map<String, Held> of = new TreeMap<>();
     }
 
+    /** What has befallen a process since all was well with it. */
+    private static final class Hurt {
+        private final Map<Integer, Links.Fault> inForce = new TreeMap<>();
+        private double stoppedAt = Double.NaN;
+        private double longestStop;
+        private int mostCut;
+        private double mostLoss;
+
+        void on(String who, int number, Links.Fault f) {
+            inForce.put(number, f);
+            Set<String> cut = new HashSet<>();
+            double gets = 1;
+            for (Links.Fault x : inForce.values()) {
+                if (x.kind() == Links.Kind.CUT) {
+                    x.pairs().stream().filter(p -> p.from().equals(who)).forEach(p -> cut.add(p.to()));
+                } else if (x.kind() == Links.Kind.LOSS) {
+                    gets *= 1 - x.amount();
+                }
+            }
+            mostCut = Math.max(mostCut, cut.size());
+            mostLoss = Math.max(mostLoss, 1 - gets);
+        }
+
+        boolean none() {
+            return inForce.isEmpty() && Double.isNaN(stoppedAt);
+        }
+
+        void ended() {
+            stoppedAt = Double.NaN;
+            longestStop = 0;
+        }
+
+        void goesOn(double at) {
+            if (!Double.isNaN(stoppedAt)) {
+                longestStop = Math.max(longestStop, at - stoppedAt);
+                stoppedAt = Double.NaN;
+            }
+        }
+
+        /** Why others may have called it gone, the strongest reason there was. */
+        String why(double at, double borneS, int others) {
+            double stop = Double.isNaN(stoppedAt) ? longestStop : Math.max(longestStop, at - stoppedAt);
+            return stop >= borneS ? "stopped longer than is borne" : 2 * mostCut > others ? "most links out of it cut"
+                    : mostLoss > LOSS_BORNE + 1e-9 ? "more lost than is borne" : "only what is borne";
+        }
+    }
+
     private final boolean strict;
     private final List<Finding> found = new ArrayList<>();
     private final Map<String, Seen> views = new TreeMap<>();
-    /** Each member's newest life. */
+    /** The name that each process has had, its own as a rule; and each process's newest life. */
+    private final Map<String, String> names = new TreeMap<>();
     private final Map<String, String> lives = new TreeMap<>();
+    /** By name: lives of processes that run. */
+    private final Map<String, Set<String>> running = new TreeMap<>();
+    /** By name: all lives ever begun, and those that anybody told of. */
+    private final Map<String, Set<String>> begun = new HashMap<>();
+    private final Map<String, Set<String>> toldOf = new HashMap<>();
+    private final Map<String, Hurt> hurts = new HashMap<>();
+    private final Map<String, Double> borneS = new HashMap<>();
     private final Set<String> up = new HashSet<>();
     private final Map<String, Double> endedAt = new HashMap<>();
     private final Map<String, double[]> budgets = new HashMap<>();
@@ -51,6 +110,8 @@
     private boolean gathered;
     /** By viewer: whom it sees otherwise than it is. */
     private final Map<String, Set<String>> wrong = new TreeMap<>();
+    /** By name: how many see it otherwise than it is; and the sum of them. */
+    private final Map<String, Integer> wrongOf = new HashMap<>();
     private int wrongs;
     private long last;
     private double at;
@@ -78,18 +139,33 @@
             case "kill", "term" -> {
                 fault(e);
                 for (String m : e.members()) {
-                    up.remove(m);
-                    lookAtAll(m);
-                    endedAt.put(m, e.at());
+                    down(m);
+                    endedAt.put(names.getOrDefault(m, m), e.at());
+                    if (hurts.containsKey(m)) {
+                        hurts.get(m).ended();
+                    }
                 }
             }
             case "exit" -> {
-                up.remove(e.text("member"));
-                lookAtAll(e.text("member"));
+                down(e.text("member"));
                 views.remove(e.text("member"));
             }
             case "reached" -> gathered = true;
-            case "start", "stop", "cont", "fault on", "fault off", "reset" -> fault(e);
+            case "stop", "cont" -> {
+                fault(e);
+                for (String m : e.members()) {
+                    if (e.what().equals("cont")) {
+                        hurt(m).goesOn(e.at());
+                    } else {
+                        hurt(m).stoppedAt = e.at();
+                    }
+                }
+            }
+            case "fault on", "fault off" -> {
+                fault(e);
+                fault((int) e.whole("number"), e);
+            }
+            case "start", "reset", "clock" -> fault(e);
             case "traffic" -> {
                 double[] budget = budgets.get(e.text("member"));
                 if (budget != null) {
@@ -111,11 +187,49 @@
         agreed = false;
     }
 
+    private void fault(int number, Event e) {
+        if (e.what().equals("fault off")) {
+            hurts.values().forEach(h -> h.inForce.remove(number));
+            return;
+        }
+        Links.Kind kind = Links.Kind.valueOf(e.text("kind").toUpperCase(Locale.ROOT));
+        Map<String, Set<Links.Pair>> touched = new HashMap<>();
+        for (Links.Pair p : Links.pairs(e.text("links"))) {
+            touched.computeIfAbsent(p.from(), x -> new HashSet<>()).add(p);
+            if (kind != Links.Kind.CUT) {
+                touched.computeIfAbsent(p.to(), x -> new HashSet<>()).add(p);
+            }
+        }
+        touched.forEach((who, pairs) -> hurt(who).on(who, number, new Links.Fault(kind, pairs, e.number("amount"), 0)));
+    }
+
+    /** What befalls this process adds to what came before, unless all was well again with it. */
+    private Hurt hurt(String who) {
+        Hurt h = hurts.get(who);
+        if (h == null || h.none() && up.contains(who) && wrongOf.getOrDefault(names.get(who), 0) == 0) {
+            h = new Hurt();
+            hurts.put(who, h);
+        }
+        return h;
+    }
+
+    private void down(String process) {
+        if (up.remove(process)) {
+            running.get(names.get(process)).remove(lives.get(process));
+            lookAtAll(process);
+        }
+    }
+
     private void member(long number, Event e) {
         switch (e.what()) {
             case "life" -> {
+                down(e.who());
                 views.put(e.who(), new Seen());
+                names.put(e.who(), e.text("name"));
                 lives.put(e.who(), e.text("life"));
+                borneS.put(e.who(), e.number("bears_s"));
+                running.computeIfAbsent(e.text("name"), n -> new HashSet<>()).add(e.text("life"));
+                begun.computeIfAbsent(e.text("name"), n -> new HashSet<>()).add(e.text("life"));
                 up.add(e.who());
                 lookAtAll(e.who());
                 budgets.put(e.who(), new double[] {e.number("datagrams_per_s"), e.number("bytes_per_s")});
@@ -124,7 +238,7 @@
             case "change" -> change(number, e);
             default -> { }
         }
-        if (!agreed && e.what().equals("change") && !Double.isNaN(faultAt) && wrongs == 0) {
+        if (!agreed && e.what().equals("change") && !Double.isNaN(faultAt) && wrongs == 0 && divided() == null) {
             agreed = true;
             figures.agreement.recordValue(Math.round((e.at() - faultAt) * 1e3));
         }
@@ -149,16 +263,18 @@
                     + before.incarnation() + " to " + e.whole("incarnation")));
         }
         seen.of.put(name, new Held(e.text("life"), e.whole("incarnation"), e.text("to")));
+        toldOf.computeIfAbsent(name, n -> new HashSet<>()).add(e.text("life"));
         if (up.contains(e.who())) {
             look(e.who(), name);
         }
         if (gone && !e.text("why").startsWith("another life")) {
-            if (up.contains(name) && e.text("life").equals(lives.get(name))) {
-                figures.falseGone++;
+            if (running.getOrDefault(name, Set.of()).contains(e.text("life"))) {
+                String process = up.stream().filter(p -> e.text("life").equals(lives.get(p))).findFirst().orElseThrow();
+                figures.falseGone(hurts.getOrDefault(process, new Hurt()).why(e.at(), borneS.get(process), names.size() - 1));
                 if (strict) {
                     found.add(new Finding("members", number, e.who() + " called " + name + " gone, which was running"));
                 }
-            } else if (endedAt.containsKey(name) && !up.contains(name)) {
+            } else if (endedAt.containsKey(name) && running.getOrDefault(name, Set.of()).isEmpty()) {
                 figures.noticed.recordValue(Math.round((e.at() - endedAt.get(name)) * 1e3));
             }
         }
@@ -184,55 +300,84 @@
             if (!w.getValue().isEmpty()) {
                 String m = w.getValue().iterator().next();
                 Held h = views.get(w.getKey()).of.get(m);
+                Set<String> of = running.getOrDefault(m, Set.of());
                 return w.getKey() + " sees " + m + ' ' + (h == null ? "not at all" : h.standing().toLowerCase(Locale.ROOT)
-                        + " in life " + h.life()) + ", and it is " + (up.contains(m) ? "running in life " + lives.get(m)
-                        : "not running");
+                        + " in life " + h.life()) + ", and it is " + (of.isEmpty() ? "not running" : "running in life "
+                        + String.join(" and ", of));
+            }
+        }
+        return divided();
+    }
+
+    /** A name that several processes have, and that does not belong to the same one in all views; null where there is none. */
+    private String divided() {
+        for (Map.Entry<String, Set<String>> r : running.entrySet()) {
+            if (r.getValue().size() > 1) {
+                Set<String> held = new TreeSet<>();
+                up.forEach(v -> held.add(views.get(v).of.containsKey(r.getKey()) ? views.get(v).of.get(r.getKey()).life() : ""));
+                if (held.size() > 1) {
+                    return r.getKey() + " is one process in some views and another in others: lives " + held;
+                }
             }
         }
         return null;
     }
 
-    private boolean isWrong(String viewer, String m) {
-        Held h = views.get(viewer).of.get(m);
-        return up.contains(m) ? h == null || !h.standing().equals("HERE") || !h.life().equals(lives.get(m))
-                : h != null && !away(h.standing());
+    private boolean isWrong(String viewer, String name) {
+        Held h = views.get(viewer).of.get(name);
+        Set<String> of = running.getOrDefault(name, Set.of());
+        return of.isEmpty() ? h != null && !away(h.standing())
+                : h == null || !h.standing().equals("HERE") || !of.contains(h.life());
     }
 
     private void look(String viewer, String m) {
         Set<String> of = wrong.computeIfAbsent(viewer, v -> new HashSet<>());
-        if (isWrong(viewer, m)) {
-            wrongs += of.add(m) ? 1 : 0;
-        } else {
-            wrongs -= of.remove(m) ? 1 : 0;
+        if (isWrong(viewer, m) ? of.add(m) : of.remove(m)) {
+            count(m, of.contains(m) ? 1 : -1);
         }
     }
 
-    /** A member has come or gone: what all see of it is looked at anew, and what it sees. */
-    private void lookAtAll(String m) {
-        Set<String> own = wrong.remove(m);
-        wrongs -= own == null ? 0 : own.size();
-        if (up.contains(m)) {
-            lives.keySet().forEach(other -> look(m, other));
+    private void count(String m, int more) {
+        wrongs += more;
+        wrongOf.merge(m, more, Integer::sum);
+    }
+
+    /** A process has come or gone: what all see of its name is looked at anew, and what it sees. */
+    private void lookAtAll(String process) {
+        Set<String> own = wrong.remove(process);
+        if (own != null) {
+            own.forEach(m -> count(m, -1));
         }
-        up.forEach(viewer -> look(viewer, m));
+        if (up.contains(process)) {
+            running.keySet().forEach(name -> look(process, name));
+        }
+        up.forEach(viewer -> look(viewer, names.get(process)));
     }
 
     @Override
     public Boolean holds(String condition, Set<String> members) {
         return switch (condition) {
-            case "settled" -> wrongs == 0;
+            case "settled" -> wrongs == 0 && divided() == null;
             case "gone" -> up.stream().filter(v -> !members.contains(v)).allMatch(v -> members.stream().allMatch(m -> {
-                Held h = views.containsKey(v) ? views.get(v).of.get(m) : null;
+                Held h = held(v, m);
                 return h != null && away(h.standing());
             }));
             case "cut off" -> members.stream().allMatch(m -> up.stream().filter(v -> !v.equals(m)).allMatch(v -> {
-                Held h = views.containsKey(v) ? views.get(v).of.get(m) : null;
+                Held h = held(v, m);
                 return h != null && h.standing().equals("CUT_OFF");
             }));
+            case "replaced" -> up.stream().filter(v -> !members.contains(v)).allMatch(v -> members.stream().allMatch(m -> {
+                Held h = held(v, m);
+                return h != null && h.standing().equals("HERE") && !h.life().equals(lives.get(m));
+            }));
             default -> null;
         };
     }
 
+    private Held held(String viewer, String process) {
+        return views.containsKey(viewer) ? views.get(viewer).of.get(names.getOrDefault(process, process)) : null;
+    }
+
     @Override
     public List<Finding> findings(boolean atEnd) {
         List<Finding> all = new ArrayList<>(found);
@@ -240,6 +385,11 @@
         if (disagreement != null) {
             all.add(new Finding("members", last, "views never met: " + disagreement));
         }
+        if (atEnd) {
+            toldOf.forEach((name, told) -> told.stream().filter(l -> !begun.getOrDefault(name, Set.of()).contains(l))
+                    .forEach(l -> all.add(new Finding("members", last, name + " was told of in life " + l
+                            + ", which no process of that name has had"))));
+        }
         return all;
     }
 
--- a/src/main/java/pepperdock/lab/fleet/Relay.java
+++ b/src/main/java/pepperdock/lab/fleet/Relay.java
@@ -75,6 +75,7 @@
     private long held;
     private long count;
     private volatile boolean closed;
+    private volatile Exception failed;
 
     /** {@code block} is the second number of all addresses. */
     Relay(int block, long seed) throws IOException {
@@ -218,12 +219,20 @@
                 while (!delayed.isEmpty() && delayed.peek().due() <= now()) {
                     delayed.poll().then().run();
                 }
-            } catch (IOException e) {
-                throw new java.io.UncheckedIOException("the relay can't go on", e);
+            } catch (IOException | RuntimeException e) {
+                failed = e;
+                return;
             }
         }
     }
 
+    /** Fails where the relay's thread has: nothing gets through any more, and a run that goes on would judge that. */
+    void check() throws IOException {
+        if (failed != null) {
+            throw new IOException("the relay can't go on", failed);
+        }
+    }
+
     // ---- Datagrams ------------------------------------------------------------
 
     private void receive(DatagramChannel socket, Pair pair, InetSocketAddress to) throws IOException {
--- a/src/main/java/pepperdock/lab/fleet/Rig.java
+++ b/src/main/java/pepperdock/lab/fleet/Rig.java
@@ -84,12 +84,16 @@
 
     private Outcome run() throws IOException, InterruptedException {
         Timetable timetable = Timetable.of(script);
+        if (timetable.any(Timetable.Clock.class)) {
+            throw new ConfigException("script", "a process has the machine's clock: clock is for simulated time only");
+        }
         Checkers judge = new Checkers(script.checkers());
         List<String> unmet = new ArrayList<>();
         try (Claim claim = Claim.any();
              History history = new History(folder.resolve(HISTORY), judge::see);
              Relay relay = new Relay(claim.block, script.seed());
-             Children children = new Children(script, claim.block, folder, command, history, relay)) {
+             Children children = new Children(script, claim.block, folder, command, timetable.any(Timetable.Disk.class),
+                     history, relay)) {
             Thread hook = new Thread(() -> {
                 try {
                     children.end();
@@ -154,7 +158,8 @@
     }
 
     /** Once a second, what each member has sent since, as counted outside of it. */
-    private static double traffic(History history, Relay relay, double last) {
+    private static double traffic(History history, Relay relay, double last) throws IOException {
+        relay.check();
         double now = history.now();
         if (now - last < 1) {
             return last;
@@ -170,25 +175,23 @@
         if (step instanceof Timetable.On on) {
             Links.Fault f = on.fault();
             history.rig("fault on", "number", on.number(), "kind", f.kind().name().toLowerCase(Locale.ROOT), "amount",
-                    f.amount(), "spread", f.spread(), "links", links(f.pairs()));
+                    f.amount(), "spread", f.spread(), "links", Links.text(f.pairs()));
             relay.on(on.number(), f);
         } else if (step instanceof Timetable.Off off) {
             history.rig("fault off", "number", off.number());
             relay.off(off.number());
         } else if (step instanceof Timetable.Cut cut) {
-            history.rig("reset", "links", links(cut.pairs()));
+            history.rig("reset", "links", Links.text(cut.pairs()));
             relay.reset(cut.pairs());
         } else if (step instanceof Timetable.Signal signal) {
             children.signal(signal.what(), signal.members());
         } else if (step instanceof Timetable.Start start) {
             children.start(start.members(), start.emptyFolder(), start.newPorts());
+        } else if (step instanceof Timetable.Disk disk) {
+            children.disk(disk.members(), disk.is());
         }
     }
 
-    private static String links(Set<Links.Pair> pairs) {
-        return pairs.stream().map(p -> p.from() + ">" + p.to()).collect(Collectors.joining(" "));
-    }
-
     /** A block of addresses that no other rig on this machine uses: one who holds its first port has it. */
     record Claim(int block, ServerSocket held) implements AutoCloseable {
 
--- a/src/main/java/pepperdock/lab/fleet/Script.java
+++ b/src/main/java/pepperdock/lab/fleet/Script.java
@@ -1,5 +1,6 @@
 package pepperdock.lab.fleet;
 
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonPrimitive;
 import java.io.IOException;
@@ -8,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.IntStream;
 import pepperdock.config.Config;
@@ -20,26 +22,28 @@
  * {@code docs/rig.md} for the keys.
  *
  * @param config the configuration of a member, with {@code {name}} and the like in its texts
+ * @param own by member, what goes before the same keys of {@code config}
  */
-record Script(long seed, List<String> names, List<String> zones, int machines, JsonObject config, List<Port> ports,
-              List<String> checkers, double mostS, double settleS, double lateMost, List<Act> acts) {
+record Script(long seed, List<String> names, List<String> zones, int machines, JsonObject config, JsonObject own,
+              List<Port> ports, List<String> checkers, double mostS, double settleS, double lateMost, List<Act> acts) {
 
     /** Bounds of any run, and of one with real processes: this is a rig for one machine. */
     static final int MEMBERS_MOST = 2000;
     static final int PROCESSES_MOST = 60;
     static final double SECONDS_MOST = 7200;
     private static final int ACTS_MOST = 10_000;
+    private static final List<String> DISKS = List.of("full", "broken", "slow");
 
     /** A port that each member listens on, in the configuration as {@code {port:NAME}}, for streams, datagrams or both. */
     record Port(String name, boolean streams, boolean datagrams) { }
 
-    /** Whom: by name, or so many drawn; every member where both are empty. */
+    /** Whom: by name, or so many drawn; every member where both are empty. A share of them is read as a number. */
     record Whom(List<String> names, int drawn) {
         static final Whom ALL = new Whom(List.of(), 0);
     }
 
     /** One line of the script. */
-    sealed interface Act permits Await, OnLinks, Partition, Reset, Heal, OnProcesses, Draw { }
+    sealed interface Act permits Await, OnLinks, Partition, Reset, Heal, OnProcesses, OnDisks, OnClocks, Draw { }
 
     /** Go on only once the checkers say that this holds, of these members; times count anew from here. */
     record Await(String condition, Whom whom) implements Act { }
@@ -66,6 +70,12 @@
     record OnProcesses(double at, What what, Whom whom, double lastS, double apartS, boolean emptyFolder, boolean newPorts)
             implements Act { }
 
+    /** What is with the disks of members: {@code full}, {@code broken}, or {@code slow}, each sync by so many seconds. */
+    record OnDisks(double at, String is, double byS, Whom whom, double lastS) implements Act { }
+
+    /** The clocks by which members measure time go forward at once; in simulated time only. */
+    record OnClocks(double at, Whom whom, double byS) implements Act { }
+
     /** Faults drawn for so long: one every so often, each of a kind from the list, lasting between the two. */
     record Draw(double at, double forS, double everyS, List<String> kinds, double leastS, double mostS, int mostMembers)
             implements Act { }
@@ -85,7 +95,7 @@
     }
 
     static Script read(Keys k, Path beside) {
-        k.only("seed", "members", "zones", "machines", "base", "config", "ports", "checkers", "most_s", "settle_s",
+        k.only("seed", "members", "zones", "machines", "base", "config", "own", "ports", "checkers", "most_s", "settle_s",
                 "late_most_s", "script");
         int n = k.whole("members", 1, MEMBERS_MOST);
         List<String> names = IntStream.rangeClosed(1, n).mapToObj(i -> "g" + i).toList();
@@ -103,6 +113,13 @@
             Config.parse(k.json("config"), k.key("config")).getAsJsonObject().entrySet()
                     .forEach(e -> config.add(e.getKey(), e.getValue()));
         }
+        Keys own = k.within("own");
+        for (String name : own.names()) {
+            if (!names.contains(name)) {
+                throw new ConfigException(own.key(name), "no such member");
+            }
+            own.within(name);
+        }
         List<Port> ports = k.objects("ports").stream().map(p -> {
             p.only("name", "for");
             String kind = p.text("for");
@@ -119,14 +136,40 @@
             throw new ConfigException(k.key("script"), "more than " + ACTS_MOST + " acts");
         }
         return new Script((long) k.number("seed", 1), names, k.has("zones") ? List.copyOf(k.texts("zones")) : List.of("z"),
-                k.whole("machines", 1, MEMBERS_MOST, n), config, ports,
+                k.whole("machines", 1, MEMBERS_MOST, n), config,
+                k.has("own") ? Config.parse(k.json("own"), k.key("own")).getAsJsonObject() : new JsonObject(), ports,
                 List.copyOf(k.texts("checkers")), seconds(k, "most_s", 300, SECONDS_MOST),
                 seconds(k, "settle_s", 60, SECONDS_MOST), seconds(k, "late_most_s", 1, SECONDS_MOST), List.copyOf(acts));
     }
 
     /** The same with another seed. */
     Script seeded(long other) {
-        return new Script(other, names, zones, machines, config, ports, checkers, mostS, settleS, lateMost, acts);
+        return new Script(other, names, zones, machines, config, own, ports, checkers, mostS, settleS, lateMost, acts);
+    }
+
+    /** The configuration of one member, its own keys put in. */
+    JsonObject configOf(String member) {
+        JsonObject all = config.deepCopy();
+        if (own.has(member)) {
+            put(all, own.getAsJsonObject(member));
+        }
+        return all;
+    }
+
+    private static void put(JsonObject into, JsonObject from) {
+        for (Map.Entry<String, JsonElement> e : from.entrySet()) {
+            if (e.getValue().isJsonObject() && into.has(e.getKey()) && into.get(e.getKey()).isJsonObject()) {
+                put(into.getAsJsonObject(e.getKey()), e.getValue().getAsJsonObject());
+            } else {
+                into.add(e.getKey(), e.getValue());
+            }
+        }
+    }
+
+    /** The name that a member has in the fleet: another's where its own keys say so. */
+    String named(String member) {
+        return own.has(member) && own.getAsJsonObject(member).has("name")
+                ? own.getAsJsonObject(member).get("name").getAsString() : member;
     }
 
     private static Act act(Keys a, List<String> names) {
@@ -172,6 +215,19 @@
                 return new OnProcesses(at, what, whom(a, "members", names), last, seconds(a, "apart_s", 0, SECONDS_MOST),
                         word(a, "folder", "kept", "empty"), word(a, "ports", "kept", "new"));
             }
+            case "disk" -> {
+                a.only("at", "for", "fault", "is", "by_s", "members");
+                String is = a.text("is");
+                if (!DISKS.contains(is)) {
+                    throw new ConfigException(a.key("is"), "none of " + DISKS);
+                }
+                return new OnDisks(at, is, is.equals("slow") ? seconds(a, "by_s", 0.1, SECONDS_MOST) : 0,
+                        whom(a, "members", names), last);
+            }
+            case "clock" -> {
+                a.only("at", "fault", "by_s", "members");
+                return new OnClocks(at, whom(a, "members", names), seconds(a, "by_s", 3600, Double.MAX_VALUE));
+            }
             case "drawn" -> {
                 a.only("at", "for", "fault", "every_s", "kinds", "least_s", "most_s", "most_members");
                 if (Double.isInfinite(last)) {
@@ -217,8 +273,12 @@
         if (!k.has(name)) {
             return Whom.ALL;
         }
-        return k.json(name).startsWith("[") ? new Whom(known(k, name, names), 0)
-                : new Whom(List.of(), k.whole(name, 1, names.size()));
+        if (k.json(name).startsWith("[")) {
+            return new Whom(known(k, name, names), 0);
+        }
+        double share = k.number(name);
+        return new Whom(List.of(), share > 0 && share < 1 ? (int) Math.ceil(share * names.size())
+                : k.whole(name, 1, names.size()));
     }
 
     private static List<String> known(Keys k, String name, List<String> names) {
--- a/src/main/java/pepperdock/lab/fleet/Sim.java
+++ b/src/main/java/pepperdock/lab/fleet/Sim.java
@@ -49,6 +49,9 @@
         private long life;
         private long[] counted = new long[4];
         private double countedAt;
+        /** Its clock: as fast as ours within a thousandth, and begun whenever. */
+        private double clockAhead = 1e6 * chance.nextDouble();
+        private final double clockRate = 1 + 0.002 * (chance.nextDouble() - 0.5);
         private final Deque<Runnable> held = new ArrayDeque<>();
         private final Events events;
 
@@ -58,6 +61,10 @@
             events = Events.to(e -> tell(name, e));
         }
 
+        double clock() {
+            return clockAhead + now * clockRate;
+        }
+
         /** Runs on this process now, or when it goes on, or never where it has ended meanwhile. */
         void on(Runnable task) {
             long then = life;
@@ -144,7 +151,7 @@
             return;
         }
         for (double in : links.on(new Pair(from.name, to.name)).fate(chance)) {
-            at(now + LEAST_S + SPREAD_S * chance.nextDouble() + in, () -> to.on(() -> to.machine.received(s.message(), now)));
+            at(now + LEAST_S + SPREAD_S * chance.nextDouble() + in, () -> to.on(() -> to.machine.received(s.message(), to.clock())));
         }
     }
 
@@ -155,7 +162,7 @@
             return;
         }
         at(now + LEAST_S + SPREAD_S * chance.nextDouble() + links.on(way).delay(), () -> to.on(() -> {
-            Message back = to.machine.exchanged(m, now);
+            Message back = to.machine.exchanged(m, to.clock());
             if (back != null) {
                 stream(to, from, back);
             }
@@ -176,7 +183,7 @@
             n.life++;
             n.machine = null;
             int number = Relay.number(name);
-            Card card = new Card(name, chance.nextLong(), 0, Status.HERE, n.address,
+            Card card = new Card(script.named(name), chance.nextLong(), 0, Status.HERE, n.address,
                     script.zones().get((number - 1) % script.zones().size()), "m" + ((number - 1) % script.machines() + 1));
             List<String> seeds = script.names().subList(0, Math.min(3, script.names().size())).stream()
                     .map(s -> nodes.get(s).address).toList();
@@ -185,7 +192,7 @@
             long life = n.life;
             at(begins, () -> {
                 if (n.life == life && n.up) {
-                    n.machine = new Membership(settings, "sim", card, seeds, chance.nextLong(), now);
+                    n.machine = new Membership(settings, "sim", card, seeds, chance.nextLong(), n.clock());
                     n.counted = new long[4];
                     n.countedAt = now;
                     MemberEvents.begins(n.events, card, settings);
@@ -198,17 +205,17 @@
     }
 
     private void ticks(Node n, long life) {
-        at(now + settings.tickS(), () -> {
+        at(now + settings.tickS() / n.clockRate, () -> {
             if (n.life != life || !n.up) {
                 return;
             }
             if (n.stopped) {
                 // The timer falls due once, when the process goes on.
-                n.held.add(() -> n.machine.tick(now));
+                n.held.add(() -> n.machine.tick(n.clock()));
                 n.held.add(() -> ticks(n, life));
                 return;
             }
-            n.on(() -> n.machine.tick(now));
+            n.on(() -> n.machine.tick(n.clock()));
             if (now - n.countedAt >= 1) {
                 long[] c = n.machine.counts();
                 rig("traffic", "member", n.name, "over_s", now - n.countedAt, "datagrams", c[0] - n.counted[0], "bytes",
@@ -242,7 +249,7 @@
                 }
                 case KILL, TERM -> {
                     if (what == Timetable.Sent.TERM && !n.stopped && n.machine != null) {
-                        n.on(() -> n.machine.leave(now));
+                        n.on(() -> n.machine.leave(n.clock()));
                     }
                     n.up = false;
                     rig("exit", "member", name, "status", 0);
@@ -253,7 +260,8 @@
 
     private void step(Timetable.Step step) {
         if (step instanceof Timetable.On on) {
-            rig("fault on", "number", on.number(), "kind", on.fault().kind().name().toLowerCase(Locale.ROOT));
+            rig("fault on", "number", on.number(), "kind", on.fault().kind().name().toLowerCase(Locale.ROOT),
+                    "amount", on.fault().amount(), "links", Links.text(on.fault().pairs()));
             links.on(on.number(), on.fault());
         } else if (step instanceof Timetable.Off off) {
             rig("fault off", "number", off.number());
@@ -262,6 +270,9 @@
             signal(s.what(), s.members());
         } else if (step instanceof Timetable.Start s) {
             start(s.members(), s.emptyFolder() ? "empty" : "kept");
+        } else if (step instanceof Timetable.Clock c) {
+            rig("clock", "members", String.join(",", c.members()), "by_s", c.byS());
+            c.members().forEach(m -> nodes.get(m).clockAhead += c.byS());
         }
     }
 
--- a/src/main/java/pepperdock/lab/fleet/Timetable.java
+++ b/src/main/java/pepperdock/lab/fleet/Timetable.java
@@ -30,7 +30,7 @@
     /** Seconds from the start of the phase. */
     record Timed(double at, Step step) { }
 
-    sealed interface Step permits On, Off, Cut, Signal, Start { }
+    sealed interface Step permits On, Off, Cut, Signal, Start, Disk, Clock { }
 
     /** Fault number so-and-so begins. */
     record On(int number, Links.Fault fault) implements Step { }
@@ -46,6 +46,15 @@
 
     record Start(List<String> members, boolean emptyFolder, boolean newPorts) implements Step { }
 
+    /** What is with these members' disks from now on, as {@link FaultyDisk} reads it; empty where nothing is. */
+    record Disk(List<String> members, String is) implements Step { }
+
+    record Clock(List<String> members, double byS) implements Step { }
+
+    boolean any(Class<? extends Step> kind) {
+        return phases.stream().flatMap(p -> p.steps().stream()).anyMatch(s -> kind.isInstance(s.step()));
+    }
+
     static Timetable of(Script script) {
         Random chance = new Random(script.seed());
         Writer writer = new Writer(script.names(), chance);
@@ -121,6 +130,14 @@
                 partition(p);
             } else if (act instanceof Script.OnProcesses p) {
                 processes(p);
+            } else if (act instanceof Script.OnDisks d) {
+                List<String> whom = drawn(d.whom());
+                steps.add(new Timed(d.at(), new Disk(whom, d.byS() > 0 ? d.is() + ' ' + d.byS() : d.is())));
+                if (!Double.isInfinite(d.lastS())) {
+                    steps.add(new Timed(d.at() + d.lastS(), new Disk(whom, "")));
+                }
+            } else if (act instanceof Script.OnClocks c) {
+                steps.add(new Timed(c.at(), new Clock(drawn(c.whom()), c.byS())));
             } else if (act instanceof Script.Draw d) {
                 draw(d);
             }
--- a/src/main/java/pepperdock/members/MemberEvents.java
+++ b/src/main/java/pepperdock/members/MemberEvents.java
@@ -14,7 +14,7 @@
     /** A process begins, with this budget. */
     public static void begins(Events events, Card self, Settings settings) {
         events.tell("life", "name", self.name(), "life", Long.toHexString(self.life()), "datagrams_per_s",
-                settings.datagramsPerS(), "bytes_per_s", settings.bytesPerS());
+                settings.datagramsPerS(), "bytes_per_s", settings.bytesPerS(), "bears_s", settings.pauseS());
     }
 
     /** Whatever of an output is an event. */
--- a/src/main/java/pepperdock/membership/Judge.java
+++ b/src/main/java/pepperdock/membership/Judge.java
@@ -58,8 +58,8 @@
             count(self, now);
         }
         int lately = 0;
-        for (Table.Entry e : table.all()) {
-            lately += e.card().status() == Status.GONE && now - e.since() < settings.memoryS() ? 1 : 0;
+        for (String g : table.gone()) {
+            lately += now - table.get(g).since() < settings.memoryS() ? 1 : 0;
         }
         int fleet = table.rings().names().size() + lately;
         boolean sure = !ill && 2 * reached > fleet;
--- a/src/main/java/pepperdock/membership/Membership.java
+++ b/src/main/java/pepperdock/membership/Membership.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -69,6 +68,8 @@
     private boolean sure = true;
     private int reached = 1;
     private int known = 1;
+    /** The table's version when subjects were last looked up. */
+    private long observedAt = -1;
     private double lastTick;
     private int late;
     private int onTime;
@@ -228,9 +229,9 @@
         }
         if (now >= nextGone) {
             nextGone = now + settings.probeS() * 4;
-            List<Card> gone = table.all().stream().map(Table.Entry::card).filter(c -> c.status() == Status.GONE).toList();
+            List<String> gone = List.copyOf(table.gone());
             if (!gone.isEmpty() && rival == null) {
-                ping(gone.get(chance.nextInt(gone.size())), 0, now);
+                ping(table.get(gone.get(chance.nextInt(gone.size()))).card(), 0, now);
             }
         }
     }
@@ -244,38 +245,43 @@
     // ---- Observing ------------------------------------------------------------
 
     private void observe(double now) {
-        Set<String> subjects = table.rings().subjectsOf(self.name());
-        probes.entrySet().removeIf(p -> !subjects.contains(p.getKey())
-                || p.getValue().life() != table.get(p.getKey()).card().life());
-        for (String s : subjects) {
-            Card c = table.get(s).card();
-            Probe p = probes.computeIfAbsent(s, x -> new Probe(settings, c.life(), now,
-                    now + settings.probeS() * chance.nextDouble()));
-            if (p.due(now)) {
-                ping(c, p.sent(now), now);
-            } else if (p.wantsHelp(now)) {
-                for (String helper : helpers(s)) {
-                    send(table.get(helper).card().address(), new Ask(head(), s, c.life(), c.address(), p.lastSeq()), 0, now);
-                }
+        if (table.version() != observedAt) {
+            observedAt = table.version();
+            Set<String> subjects = table.rings().subjectsOf(self.name());
+            probes.entrySet().removeIf(p -> !subjects.contains(p.getKey())
+                    || p.getValue().life() != table.get(p.getKey()).card().life());
+            for (String s : subjects) {
+                probes.computeIfAbsent(s, x -> new Probe(settings, table.get(s).card().life(), now,
+                        now + settings.probeS() * chance.nextDouble()));
             }
         }
+        probes.forEach((subject, p) -> probe(p, table.get(subject).card(), now));
     }
 
-    private List<String> helpers(String subject) {
-        List<String> others = new ArrayList<>(table.rings().names());
-        others.remove(self.name());
-        others.remove(subject);
-        Collections.shuffle(others, chance);
-        return others.subList(0, Math.min(settings.helpers(), others.size()));
+    /** Pings a subject when it is time to, and has others ping it when it did not answer in time. */
+    private void probe(Probe p, Card subject, double now) {
+        if (p.due(now)) {
+            ping(subject, p.sent(now), now);
+        } else if (p.wantsHelp(now)) {
+            List<String> others = new ArrayList<>(table.rings().names());
+            others.remove(self.name());
+            others.remove(subject.name());
+            for (int i = 0; i < settings.helpers() && !others.isEmpty(); i++) {
+                String helper = others.remove(chance.nextInt(others.size()));
+                send(table.get(helper).card().address(),
+                        new Ask(head(), subject.name(), subject.life(), subject.address(), p.lastSeq()), 0, now);
+            }
+        }
     }
 
     /** What this member says as an observer, told to all when it changes. */
     private void speak(double now) {
-        Map<String, Links.Said> said = new HashMap<>();
+        Map<String, Links.Said> said = Map.of();
         int unreached = 0;
         for (Map.Entry<String, Probe> p : probes.entrySet()) {
             Word w = p.getValue().word(now, stretch());
             if (w != null) {
+                said = said.isEmpty() ? new HashMap<>() : said;
                 said.put(p.getKey(), new Links.Said(p.getValue().life(), w));
                 unreached += w == Word.UNREACHED ? 1 : 0;
             }
@@ -314,13 +320,8 @@
         if (rival.status() != Status.HERE || rival.address().equals(self.address())
                 || rivalProbe.word(now, stretch()) == Word.UNREACHED) {
             claim(rival.incarnation() + 1, now);
-        } else if (rivalProbe.due(now)) {
-            ping(rival, rivalProbe.sent(now), now);
-        } else if (rivalProbe.wantsHelp(now)) {
-            for (String helper : helpers(self.name())) {
-                send(table.get(helper).card().address(),
-                        new Ask(head(), rival.name(), rival.life(), rival.address(), rivalProbe.lastSeq()), 0, now);
-            }
+        } else {
+            probe(rivalProbe, rival, now);
         }
     }
 
@@ -354,6 +355,7 @@
             } else {
                 rival = c;
                 probes.clear();
+                observedAt = -1;
                 outputs.add(new Output.Noted("taken", c.address(), c.incarnation()));
                 if (joined) {
                     merged(c, now);
--- a/src/main/java/pepperdock/membership/Table.java
+++ b/src/main/java/pepperdock/membership/Table.java
@@ -69,6 +69,7 @@
     private final Map<String, Entry> entries = new TreeMap<>();
     private final Map<String, Map<String, Word>> said = new HashMap<>();
     private final Rings rings;
+    private final Set<String> gone = new TreeSet<>();
     /** Observers that say anything. */
     private final Set<String> speaking = new TreeSet<>();
     private long state;
@@ -93,6 +94,11 @@
         return rings;
     }
 
+    /** Those called gone and not forgotten yet. */
+    Collection<String> gone() {
+        return gone;
+    }
+
     /** Equal for two members that hold the same of those here. */
     long state() {
         return state;
@@ -225,6 +231,11 @@
         } else {
             rings.remove(e.card.name());
         }
+        if (e.card.status() == Status.GONE) {
+            gone.add(e.card.name());
+        } else {
+            gone.remove(e.card.name());
+        }
     }
 
     private static long sum(Entry e) {
@@ -240,6 +251,7 @@
             if (!e.here() && e.since < before && !e.card.name().equals(except)) {
                 unsay(e.links);
                 said.remove(e.card.name());
+                gone.remove(e.card.name());
                 version++;
                 i.remove();
             }
--- a/src/test/java/pepperdock/PackagesTest.java
+++ b/src/test/java/pepperdock/PackagesTest.java
@@ -59,4 +59,22 @@
         assertEquals(Set.of("aggregator"), uses().get("core"));
         assertEquals(Set.of(), uses().get("aggregator"));
     }
+
+    /** A wall clock that jumps can do nothing to a program that reads it once, at its start, and then counts from there. */
+    @Test
+    void theWallClockIsReadOnceByTheLoopAndByNobodyElseInService() throws Exception {
+        Pattern java = Pattern.compile("currentTimeMillis\\(|(Instant|LocalDateTime|ZonedDateTime)\\.now\\(|Clock\\.system|new Date\\(");
+        Map<String, Integer> reads = new TreeMap<>();
+        try (Stream<Path> files = Files.walk(Path.of("src/main/java/pepperdock"))) {
+            for (Path f : files.filter(p -> p.toString().endsWith(".java")).toList()) {
+                int n = (int) java.matcher(Files.readString(f)).results().count();
+                if (n > 0) {
+                    reads.put(f.getFileName().toString(), n);
+                }
+            }
+        }
+        assertEquals(Map.of("Loop.java", 1, "LabCommand.java", 1), reads);
+        assertTrue(Files.readString(Path.of("src/main/java/pepperdock/net/Loop.java"))
+                .contains("private final double startedAt = System.currentTimeMillis() / 1e3;"));
+    }
 }
--- /dev/null
+++ b/src/test/java/pepperdock/lab/fleet/FaultyDiskTest.java
@@ -0,0 +1,69 @@
+package pepperdock.lab.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.FileSystem;
+import java.nio.file.FileSystems;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A member's disk that is full, broken or slow, without the member. */
+class FaultyDiskTest {
+
+    @TempDir
+    Path folder;
+
+    private FileSystem disk() {
+        return new FaultyDisk(FileSystems.getDefault().provider(), folder.toString()).getFileSystem(URI.create("file:///"));
+    }
+
+    private void says(String what) throws IOException {
+        Files.writeString(folder.resolve("disk"), what);
+    }
+
+    @Test
+    void aSoundDiskDoesWhatTheOneUnderneathDoes() throws Exception {
+        Path state = disk().getPath(folder.toString(), "state");
+        Files.createDirectories(state.resolve("a"));
+        Files.write(state.resolve("a").resolve("x"), new byte[] {1, 2, 3});
+        Files.move(state.resolve("a/x"), state.resolve("y"), StandardCopyOption.ATOMIC_MOVE);
+        assertArrayEquals(new byte[] {1, 2, 3}, Files.readAllBytes(folder.resolve("state/y")));
+        try (Stream<Path> all = Files.walk(state)) {
+            assertEquals(3, all.peek(p -> assertTrue(p.startsWith(state))).count());
+        }
+        Files.delete(state.resolve("a"));
+        assertEquals(state.resolve("y"), state.resolve("a").getParent().resolve("y").normalize());
+    }
+
+    @Test
+    void aFullDiskTakesNothingMoreABrokenOneSyncsNothingAndWhatLiesElsewhereIsUntouched() throws Exception {
+        Path state = Files.createDirectories(disk().getPath(folder.toString(), "state"));
+        try (FileChannel file = FileChannel.open(state.resolve("log"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            says("full");
+            assertThrows(IOException.class, () -> file.write(ByteBuffer.wrap(new byte[1])));
+            file.force(true);
+            assertThrows(IOException.class, () -> Files.writeString(state.resolve("new"), "x"));
+            Files.writeString(disk().getPath(folder.toString(), "elsewhere"), "x");
+            says("broken");
+            assertEquals(1, file.write(ByteBuffer.wrap(new byte[1])));
+            assertThrows(IOException.class, () -> file.force(true));
+            says("");
+            file.force(true);
+            says("slow 0.001");
+            file.force(false);
+        }
+        assertEquals(1, Files.size(folder.resolve("state/log")));
+    }
+}
--- a/src/test/java/pepperdock/lab/fleet/MembersCheckerTest.java
+++ b/src/test/java/pepperdock/lab/fleet/MembersCheckerTest.java
@@ -18,7 +18,7 @@
     MembersCheckerTest() {
         rig("start", "members", "a,b");
         for (String who : List.of("a", "b")) {
-            member(who, "life", "life", who + "1", "datagrams_per_s", 10, "bytes_per_s", 1000);
+            life(who, who, who + "1");
             change(who, 1, "a", "a1", 0, "", "HERE");
             change(who, 2, "b", "b1", 0, "", "HERE");
         }
@@ -37,6 +37,10 @@
         add(who, Events.event(what, keys));
     }
 
+    private void life(String who, String name, String life) {
+        member(who, "life", "name", name, "life", life, "datagrams_per_s", 10, "bytes_per_s", 1000, "bears_s", 5);
+    }
+
     private void change(String who, int no, String name, String life, int incarnation, String from, String to) {
         member(who, "change", "no", no, "name", name, "life", life, "incarnation", incarnation, "from", from, "to", to, "why", "");
     }
@@ -60,7 +64,7 @@
         rig("exit", "member", "b", "status", 137);
         change("a", 3, "b", "b1", 0, "HERE", "GONE");
         rig("start", "members", "b");
-        member("b", "life", "life", "b2", "datagrams_per_s", 10, "bytes_per_s", 1000);
+        life("b", "b", "b2");
         change("b", 1, "b", "b2", 1, "", "HERE");
         change("b", 2, "a", "a1", 0, "", "HERE");
     }
@@ -130,4 +134,41 @@
         assertEquals(List.of(), found(false));
         assertEquals(List.of("a called b gone, which was running"), found(true));
     }
+
+    @Test
+    void whyARunningMemberWasCalledGoneIsToldByWhatHadBefallenIt() {
+        rig("fault on", "number", 1, "kind", "cut", "amount", 0, "links", "a>b b>a");
+        change("a", 3, "b", "b1", 0, "HERE", "GONE");
+        change("a", 4, "b", "b1", 1, "GONE", "HERE");
+        rig("fault off", "number", 1);
+        rig("stop", "members", "b");
+        at += 10;
+        change("a", 5, "b", "b1", 1, "HERE", "GONE");
+        rig("cont", "members", "b");
+        change("a", 6, "b", "b1", 2, "GONE", "HERE");
+        rig("fault on", "number", 2, "kind", "loss", "amount", 0.3, "links", "a>b b>a");
+        change("a", 7, "b", "b1", 2, "HERE", "GONE");
+        Checker checker = new MembersChecker(false);
+        history.forEach(e -> checker.see(1, e));
+        assertTrue(checker.figures().get(1).endsWith(
+                ": most links out of it cut 1, only what is borne 1, stopped longer than is borne 1"), checker.figures().get(1));
+    }
+
+    @Test
+    void aNameThatIsOneProcessHereAndAnotherThere() {
+        rig("start", "members", "c");
+        life("c", "b", "c1");
+        change("c", 1, "a", "a1", 0, "", "HERE");
+        change("c", 2, "b", "b1", 0, "", "HERE");
+        assertEquals(List.of(), found(false), "it stays out");
+        change("c", 3, "b", "b1", 0, "HERE", "GONE");
+        change("c", 4, "b", "c1", 1, "GONE", "HERE");
+        assertFound("b is one process in some views and another in others: lives [b1, c1]");
+    }
+
+    @Test
+    void aLifeThatNoProcessHasHad() {
+        change("a", 3, "b", "b9", 1, "HERE", "GONE");
+        assertFound("b was told of in life b9");
+    }
 }
--- a/src/test/java/pepperdock/lab/fleet/MembersIT.java
+++ b/src/test/java/pepperdock/lab/fleet/MembersIT.java
@@ -32,18 +32,18 @@
 
     @Test
     void nobodyWhoRunsIsCalledGoneWhereNobodyNeedBeAndAllAgreeAfterwards() throws Exception {
-        ExecutorService both = Executors.newFixedThreadPool(2);
+        ExecutorService all = Executors.newFixedThreadPool(3);
         try {
             List<Future<Outcome>> runs = new ArrayList<>();
-            for (String name : List.of("members-hold", "members-fall")) {
-                runs.add(both.submit(() -> played(name)));
+            for (String name : List.of("members-hold", "members-fall", "members-twice")) {
+                runs.add(all.submit(() -> played(name)));
             }
             for (Future<Outcome> run : runs) {
                 assertEquals(List.of(), run.get().findings());
                 assertTrue(run.get().counts(), "the machine was late in each of " + TRIES + " tries");
             }
         } finally {
-            both.shutdownNow();
+            all.shutdownNow();
         }
     }
 }
--- a/src/test/java/pepperdock/lab/fleet/RigIT.java
+++ b/src/test/java/pepperdock/lab/fleet/RigIT.java
@@ -48,6 +48,21 @@
         assertTrue(Report.html(folder.resolve("run").resolve(Rig.HISTORY), outcome).contains("\"row\":\"g3\",\"state\":\"stopped\""));
     }
 
+    @Test
+    void aMemberWhoseDiskIsFullCannotBeginAnewAndOneWhoseDiskIsSlowCan() throws Exception {
+        Outcome outcome = Rig.run(script("""
+                {"await": "settled"},
+                {"fault": "disk", "is": "slow", "by_s": 0.01, "members": ["g1"]},
+                {"fault": "kill", "members": ["g1"], "for": 0.1},
+                {"await": "settled"},
+                {"fault": "disk", "is": "full", "members": ["g2"]},
+                {"fault": "kill", "members": ["g2"], "for": 0.1, "folder": "empty"}
+                """), null, folder.resolve("run"), MEMBER);
+        assertTrue(outcome.findings().stream().anyMatch(f -> f.contains("g2 ended by itself")), outcome.findings().toString());
+        assertTrue(Files.readString(folder.resolve("run/g2/log")).contains("No space left on device"));
+        assertTrue(outcome.findings().stream().noneMatch(f -> f.contains("g1")), outcome.findings().toString());
+    }
+
     @Test
     void aMemberThatEndsByItselfIsFound() throws Exception {
         Path file = script("");
--- a/src/test/java/pepperdock/lab/fleet/SimTest.java
+++ b/src/test/java/pepperdock/lab/fleet/SimTest.java
@@ -54,6 +54,8 @@
             a flip-flop into one            | {'fault':'cut','to':['g3'],'for':20,'flip_s':1}
             A reaches B only through C      | {'fault':'cut','from':['g1'],'to':['g2'],'both':true,'for':30}
             halves                          | {'fault':'partition','into':2,'for':30}
+            a clock an hour ahead at once   | {'fault':'clock','members':1,'by_s':3600}
+            all clocks an hour ahead        | {'fault':'clock','by_s':3600}
             thirds                          | {'fault':'partition','into':3,'for':30}
             """)
     void nobodyWhoRunsIsCalledGone(String name, String acts) {
