Call nobody gone on what was heard before a cut

Checked: g2 was sure of its majority, since its own observers' words change only after doubt_s; the statements against g5 that it held had been taken back meanwhile by all who made them, which it could not hear. At fault: Judge.due and Membership.verdicts, which carried a verdict out at the moment it was due, whoever had been heard last.

A verdict that is due now waits until more than half of the subjects not accused have been heard since. The checker has such a verdict as a finding in all scripts.

--- a/src/main/java/pepperdock/lab/fleet/MembersChecker.java
+++ b/src/main/java/pepperdock/lab/fleet/MembersChecker.java
@@ -17,17 +17,17 @@
  * incarnation that goes back; more sent than the budget. At the end, or where {@code settled} is awaited: all that run see each
  * other here, under each one's newest life, and nobody else: so a refutation that is lost shows, and one dead or back from the
  * dead that is believed otherwise. Whether a running member may be called gone depends on the script: with the checker's strict
- * form it is a finding, else a figure, told by what had befallen the member until then. Two processes may have one name: then
+ * form it is a finding, else a figure, told by what had befallen the member until then, and a finding only where that was
+ * nothing beyond what is promised to be borne. Two processes may have one name: then
  * one of them has to have it in all views, the same in each.
  */
 final class MembersChecker implements Checker {
 
     /** Counted at the relay, in spans of about a second; a span may hold a second's worth more that was saved up. */
     private static final double SAVED_S = 1.1;
-    /** Changes told within this time are one change of the roster. */
-    private static final double ONE_CHANGE_S = 0.005;
     /** Of datagrams, lost at any member, without anybody being called gone. */
     private static final double LOSS_BORNE = 0.3;
+    private static final String BORNE = "only what is borne";
 
     private static final Hasher64 HASH = Hashing.xxh3_64();
 
@@ -37,7 +37,6 @@
     private static final class Seen {
         private long number;
         private long roster;
-        private double rosterAt;
         private final Map<String, Held> of = new TreeMap<>();
     }
 
@@ -84,7 +83,7 @@
         String why(double at, double borneS, int others) {
             double stop = Double.isNaN(stoppedAt) ? longestStop : Math.max(longestStop, at - stoppedAt);
             return stop >= borneS ? "stopped longer than is borne" : 2 * mostCut > others ? "most links out of it cut"
-                    : mostLoss > LOSS_BORNE + 1e-9 ? "more lost than is borne" : "only what is borne";
+                    : mostLoss > LOSS_BORNE + 1e-9 ? "more lost than is borne" : BORNE;
         }
     }
 
@@ -150,7 +149,10 @@
                 down(e.text("member"));
                 views.remove(e.text("member"));
             }
-            case "reached" -> gathered = true;
+            case "reached" -> {
+                gathered = true;
+                views.values().forEach(v -> rosters.add(v.roster));
+            }
             case "stop", "cont" -> {
                 fault(e);
                 for (String m : e.members()) {
@@ -234,6 +236,11 @@
                 lookAtAll(e.who());
                 budgets.put(e.who(), new double[] {e.number("datagrams_per_s"), e.number("bytes_per_s")});
             }
+            case "told" -> {
+                if (gathered) {
+                    rosters.add(views.get(e.who()).roster);
+                }
+            }
             case "refuted" -> figures.refuted++;
             case "change" -> change(number, e);
             default -> { }
@@ -270,19 +277,16 @@
         if (gone && !e.text("why").startsWith("another life")) {
             if (running.getOrDefault(name, Set.of()).contains(e.text("life"))) {
                 String process = up.stream().filter(p -> e.text("life").equals(lives.get(p))).findFirst().orElseThrow();
-                figures.falseGone(hurts.getOrDefault(process, new Hurt()).why(e.at(), borneS.get(process), names.size() - 1));
-                if (strict) {
+                String why = hurts.getOrDefault(process, new Hurt()).why(e.at(), borneS.get(process), names.size() - 1);
+                figures.falseGone(why);
+                if (strict || why.equals(BORNE)) {
                     found.add(new Finding("members", number, e.who() + " called " + name + " gone, which was running"));
                 }
             } else if (endedAt.containsKey(name) && running.getOrDefault(name, Set.of()).isEmpty()) {
                 figures.noticed.recordValue(Math.round((e.at() - endedAt.get(name)) * 1e3));
             }
         }
-        if (gathered && e.at() - seen.rosterAt > ONE_CHANGE_S) {
-            rosters.add(seen.roster);
-        }
         seen.roster ^= share(name, before) ^ share(name, seen.of.get(name));
-        seen.rosterAt = e.at();
     }
 
     /** A member's share of a roster's sum: rosters are told apart by the sums of those in them. */
@@ -402,7 +406,6 @@
     MemberFigures total() {
         MemberFigures all = new MemberFigures();
         all.add(figures);
-        views.values().forEach(v -> rosters.add(v.roster));
         all.rosters.recordValue(rosters.size());
         return all;
     }
--- a/src/main/java/pepperdock/lab/fleet/Sim.java
+++ b/src/main/java/pepperdock/lab/fleet/Sim.java
@@ -86,7 +86,8 @@
         }
 
         private void carryOut() {
-            for (Output o : machine.taken()) {
+            List<Output> all = machine.taken();
+            for (Output o : all) {
                 if (o instanceof Output.Send s) {
                     datagram(this, s);
                 } else if (o instanceof Output.Exchange e) {
@@ -98,6 +99,7 @@
                     MemberEvents.tell(events, o);
                 }
             }
+            MemberEvents.told(events, all);
         }
 
     }
--- a/src/main/java/pepperdock/members/MemberEvents.java
+++ b/src/main/java/pepperdock/members/MemberEvents.java
@@ -1,5 +1,6 @@
 package pepperdock.members;
 
+import java.util.List;
 import pepperdock.events.Events;
 import pepperdock.membership.Card;
 import pepperdock.membership.Output;
@@ -17,6 +18,13 @@
                 settings.datagramsPerS(), "bytes_per_s", settings.bytesPerS(), "bears_s", settings.pauseS());
     }
 
+    /** All that came at once has been told: what now stands is a view, what stood between two changes of it is none. */
+    public static void told(Events events, List<Output> all) {
+        if (events.on() && all.stream().anyMatch(o -> o instanceof Output.Changed)) {
+            events.tell("told");
+        }
+    }
+
     /** Whatever of an output is an event. */
     public static void tell(Events events, Output o) {
         if (o instanceof Output.Changed c) {
--- a/src/main/java/pepperdock/members/Members.java
+++ b/src/main/java/pepperdock/members/Members.java
@@ -125,7 +125,8 @@
     }
 
     private void carryOut() {
-        for (Output o : machine.taken()) {
+        List<Output> all = machine.taken();
+        for (Output o : all) {
             if (o instanceof Output.Send s) {
                 datagrams.send(reached(s.address()), Codec.bytes(s.message()));
             } else if (o instanceof Output.Exchange e) {
@@ -138,6 +139,7 @@
                 }
             }
         }
+        MemberEvents.told(events, all);
     }
 
     private InetSocketAddress reached(String announced) {
--- a/src/main/java/pepperdock/membership/Judge.java
+++ b/src/main/java/pepperdock/membership/Judge.java
@@ -25,7 +25,7 @@
      * @param sure whether this member reaches a majority of the fleet
      * @param reached by way of members that reach each other, this one included
      * @param fleet those here, and those gone a short while ago
-     * @param gone to be called gone now
+     * @param gone to be called gone, once enough of the others have been heard after this was so
      */
     record Verdicts(boolean sure, int reached, int fleet, List<String> gone) { }
 
@@ -147,7 +147,6 @@
             return List.of();
         }
         gone.sort(null);
-        gone.forEach(pending::remove);
         return gone;
     }
 
--- a/src/main/java/pepperdock/membership/Membership.java
+++ b/src/main/java/pepperdock/membership/Membership.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -65,6 +64,9 @@
     private boolean joined;
     private long number;
     private long errand = ERRANDS;
+    /** Whom the judge wants called gone, and since when just these. */
+    private List<String> due = List.of();
+    private double dueSince;
     private boolean sure = true;
     private int reached = 1;
     private int known = 1;
@@ -301,11 +303,34 @@
         sure = v.sure();
         reached = v.reached();
         known = v.fleet();
-        for (String name : v.gone()) {
-            merged(table.get(name).card().with(Status.GONE), now);
+        if (!v.gone().equals(due)) {
+            due = v.gone();
+            dueSince = now;
+        }
+        if (!due.isEmpty() && othersHeard()) {
+            for (String name : due) {
+                merged(table.get(name).card().with(Status.GONE), now);
+            }
+            due = List.of();
         }
     }
 
+    /**
+     * Whether most of the subjects that are not about to be called gone have been heard since the verdict was due. A member
+     * that has just been cut off does not know it yet, and what it holds of others may have been taken back meanwhile.
+     */
+    private boolean othersHeard() {
+        int others = 0;
+        int heard = 0;
+        for (Map.Entry<String, Probe> p : probes.entrySet()) {
+            if (!due.contains(p.getKey())) {
+                others++;
+                heard += p.getValue().heardAfter(dueSince) ? 1 : 0;
+            }
+        }
+        return others == 0 || 2 * heard > others;
+    }
+
     // ---- A name used twice ------------------------------------------------------------
 
     /** Another process has this member's name, and goes before it: found out whether it lives, and the name claimed if not. */
@@ -482,25 +507,19 @@
 
     /** Takes an item in, and passes on what is new. */
     private void merged(Item i, double now) {
-        Set<String> subjects = new HashSet<>();
-        Table.Merged what;
-        if (i instanceof Card c) {
-            what = table.merge(c, now);
-            subjects.add(c.name());
-        } else {
-            Links l = (Links) i;
-            Table.Entry before = table.get(l.name());
-            if (before != null) {
-                subjects.addAll(before.links().said().keySet());
-            }
-            subjects.addAll(l.said().keySet());
-            what = table.merge(l);
+        Table.Entry entry = table.get(i.name());
+        Links before = entry == null ? null : entry.links();
+        if ((i instanceof Card c ? table.merge(c, now) : table.merge((Links) i)) == Table.Merged.NOTHING) {
+            return;
         }
-        if (what != Table.Merged.NOTHING) {
-            touched.addAll(subjects);
-            gossip.add(i);
-            lastChange = now;
+        if (i instanceof Links l) {
+            touched.addAll(before.said().keySet());
+            touched.addAll(l.said().keySet());
+        } else {
+            touched.add(i.name());
         }
+        gossip.add(i);
+        lastChange = now;
     }
 
     // ---- Full exchange ------------------------------------------------------------
--- a/src/main/java/pepperdock/membership/Probe.java
+++ b/src/main/java/pepperdock/membership/Probe.java
@@ -22,6 +22,8 @@
     private double direct;
     private double indirect = Double.NEGATIVE_INFINITY;
     private double heard;
+    /** The same, whatever pauses of our own there were. */
+    private double spoke = Double.NEGATIVE_INFINITY;
     /** Since when it has been reached directly without a break. */
     private double steadySince;
     private double mean;
@@ -80,7 +82,7 @@
         mean += NEWEST * (took - mean);
         answered |= number == seq;
         direct = now;
-        heard = now;
+        heard(now);
         notThere = false;
         if (Double.isInfinite(steadySince)) {
             steadySince = now;
@@ -95,6 +97,11 @@
     /** A datagram of its own came. */
     void heard(double now) {
         heard = now;
+        spoke = now;
+    }
+
+    boolean heardAfter(double then) {
+        return spoke > then;
     }
 
     /** Someone else answers at its address. */
--- a/src/test/java/pepperdock/lab/fleet/MembersCheckerTest.java
+++ b/src/test/java/pepperdock/lab/fleet/MembersCheckerTest.java
@@ -129,6 +129,8 @@
 
     @Test
     void aRunningMemberCalledGoneIsAFindingOfTheStrictFormOnly() {
+        rig("stop", "members", "b");
+        at += 10;
         change("a", 3, "b", "b1", 0, "HERE", "GONE");
         change("a", 4, "b", "b1", 1, "GONE", "HERE");
         assertEquals(List.of(), found(false));
@@ -146,12 +148,22 @@
         change("a", 5, "b", "b1", 1, "HERE", "GONE");
         rig("cont", "members", "b");
         change("a", 6, "b", "b1", 2, "GONE", "HERE");
-        rig("fault on", "number", 2, "kind", "loss", "amount", 0.3, "links", "a>b b>a");
-        change("a", 7, "b", "b1", 2, "HERE", "GONE");
         Checker checker = new MembersChecker(false);
         history.forEach(e -> checker.see(1, e));
         assertTrue(checker.figures().get(1).endsWith(
-                ": most links out of it cut 1, only what is borne 1, stopped longer than is borne 1"), checker.figures().get(1));
+                ": most links out of it cut 1, stopped longer than is borne 1"), checker.figures().get(1));
+        assertEquals(List.of(), checker.findings(false));
+    }
+
+    @Test
+    void aRunningMemberCalledGoneForWhatIsPromisedToBeBorne() {
+        rig("fault on", "number", 2, "kind", "loss", "amount", 0.3, "links", "a>b b>a");
+        rig("stop", "members", "b");
+        at += 4;
+        rig("cont", "members", "b");
+        change("a", 3, "b", "b1", 0, "HERE", "GONE");
+        change("a", 4, "b", "b1", 1, "GONE", "HERE");
+        assertEquals(List.of("a called b gone, which was running"), found(false));
     }
 
     @Test
--- a/src/test/java/pepperdock/lab/fleet/SimTest.java
+++ b/src/test/java/pepperdock/lab/fleet/SimTest.java
@@ -44,6 +44,8 @@
     @ParameterizedTest(name = "{0}")
     @CsvSource(delimiter = '|', textBlock = """
             a pause under the bound         | {'fault':'stop','members':1,'for':4.5}, {'at':12,'fault':'stop','members':1,'for':0.2}
+            it ends while one is cut off    | {'fault':'stop','members':['g5'],'for':4.9}, {'at':4,'fault':'cut','from':['g2'],'both':true,'for':4}
+            and cut off just before its end | {'fault':'stop','members':['g5'],'for':4.9}, {'at':4.8,'fault':'cut','from':['g2'],'both':true,'for':4}
             five of ten paused in step      | {'fault':'stop','members':5,'for':4.5}
             all paused in step              | {'fault':'stop','for':20}
             everybody late                  | {'fault':'stop','for':0.3,'apart_s':0.05}, {'at':1,'fault':'stop','for':1}, {'at':3,'fault':'stop','for':2}
