Open a silent watch anew before what it missed counts as told

Ruled out: gatherers without any watch (all lists newer than the change), the module's pause (0.3 to 0.7 s, after the 12 s).

A call for news is given up 1 s past its wait, so that the pause and the answer come before the two seconds are over; calls that may not wait keep their 4 s.

--- a/src/main/java/pepperdock/platform/Watch.java
+++ b/src/main/java/pepperdock/platform/Watch.java
@@ -19,15 +19,20 @@
 
     private static final System.Logger LOG = System.getLogger("pepperdock.platform");
     /** The first call brings what changed since the list we hold, so that the start does not wait. */
-    private static final int FIRST_WAIT_MS = 1;
+    static final int FIRST_WAIT_MS = 1;
     /** How long a call may wait for news; what it has not told by two seconds later counts as told. */
-    private static final int WAIT_MS = 8000;
+    static final int WAIT_MS = 8000;
     /**
-     * Beyond that a call is given up here only where nothing comes at all. The list works through calls in turn and ends by
-     * itself those that waited too long, some seconds: overbooked, it answers just before that limit. Given up a little
-     * sooner than there, each call is one that would have been answered next, and asked again it is last in turn.
+     * A call is given up here only where nothing comes at all. The list works through calls in turn and ends by itself those
+     * that waited too long, some seconds: overbooked, it answers just before that limit. Given up a little sooner than
+     * there, each call is one that would have been answered next, and asked again it is last in turn.
      */
     private static final double SILENT_S = 4;
+    /**
+     * So long after its wait a call that waits for news is overdue. Silent, it has to be opened anew, and answered, before two
+     * seconds are over; the module asks again only after a while of its own.
+     */
+    private static final double OVERDUE_S = 1;
     private static final double DIAL_S = 1;
     private static final int LIST_MOST = 1 << 20;
     private static final String WHOLE = "/api/targets";
@@ -77,9 +82,14 @@
         return WHOLE + "?since=" + seq + "&timeout_ms=" + waitMs;
     }
 
+    /** After which a call that may wait so long is given up. */
+    static double patienceS(int waitMs) {
+        return Math.max(SILENT_S, waitMs / 1e3 + OVERDUE_S);
+    }
+
     private void call(String target, int waitMs) {
         byte[] request = HttpWriter.request("GET", target, authority, "", new byte[0]);
-        http.ask(request, waitMs / 1e3 + SILENT_S, new HttpClient.Then() {
+        http.ask(request, patienceS(waitMs), new HttpClient.Then() {
             @Override
             public void response(HttpMessage m) {
                 answered(m);
--- a/src/test/java/pepperdock/platform/WatchTest.java
+++ b/src/test/java/pepperdock/platform/WatchTest.java
@@ -106,6 +106,18 @@
         }
     }
 
+    /**
+     * Seen with 53 watches silent from their first moment while half of the workers were replaced: given up four seconds past
+     * their wait, two after all that they missed counted as told, they had sent 98 calls to workers long gone.
+     */
+    @Test
+    void aWatchThatIsSilentIsGivenUpInTimeToAskAnewBeforeItsNewsCountAsTold() {
+        double told = Watch.WAIT_MS / 1e3 + 2;
+        assertTrue(Watch.patienceS(Watch.WAIT_MS) <= told - 1, "time for the module's pause, and an answer");
+        assertTrue(Watch.patienceS(Watch.WAIT_MS) > Watch.WAIT_MS / 1e3, "an answer at the end of the wait is awaited");
+        assertTrue(Watch.patienceS(Watch.FIRST_WAIT_MS) > 2.2, "an overbooked list's own limit is outlasted");
+    }
+
     /** The old watch must end: what it still told would go over the new list. */
     @Test
     void aMoveAsksTheNewAddressForTheWholeListAndEndsTheOldWatch() throws Exception {
