--- a/src/main/java/pepperdock/members/MemberEvents.java
+++ b/src/main/java/pepperdock/members/MemberEvents.java
@@ -1,5 +1,6 @@
 package pepperdock.members;
 
+import java.util.List;
 import pepperdock.events.Events;
 import pepperdock.membership.Card;
 import pepperdock.membership.Output;
@@ -14,7 +15,14 @@
     /** A process begins, with this budget. */
     public static void begins(Events events, Card self, Settings settings) {
         events.tell("life", "name", self.name(), "life", Long.toHexString(self.life()), "datagrams_per_s",
-                settings.datagramsPerS(), "bytes_per_s", settings.bytesPerS());
+                settings.datagramsPerS(), "bytes_per_s", settings.bytesPerS(), "bears_s", settings.pauseS());
+    }
+
+    /** All that came at once has been told: what now stands is a view, what stood between two changes of it is none. */
+    public static void told(Events events, List<Output> all) {
+        if (events.on() && all.stream().anyMatch(o -> o instanceof Output.Changed)) {
+            events.tell("told");
+        }
     }
 
     /** Whatever of an output is an event. */
--- a/src/main/java/pepperdock/membership/Judge.java
+++ b/src/main/java/pepperdock/membership/Judge.java
@@ -25,7 +25,7 @@
      * @param sure whether this member reaches a majority of the fleet
      * @param reached by way of members that reach each other, this one included
      * @param fleet those here, and those gone a short while ago
-     * @param gone to be called gone now
+     * @param gone to be called gone, once enough of the others have been heard after this was so
      */
     record Verdicts(boolean sure, int reached, int fleet, List<String> gone) { }
 
@@ -58,8 +58,8 @@
             count(self, now);
         }
         int lately = 0;
-        for (Table.Entry e : table.all()) {
-            lately += e.card().status() == Status.GONE && now - e.since() < settings.memoryS() ? 1 : 0;
+        for (String g : table.gone()) {
+            lately += now - table.get(g).since() < settings.memoryS() ? 1 : 0;
         }
         int fleet = table.rings().names().size() + lately;
         boolean sure = !ill && 2 * reached > fleet;
@@ -147,7 +147,6 @@
             return List.of();
         }
         gone.sort(null);
-        gone.forEach(pending::remove);
         return gone;
     }
 
--- a/src/test/java/pepperdock/lab/fleet/SimTest.java
+++ b/src/test/java/pepperdock/lab/fleet/SimTest.java
@@ -44,6 +44,8 @@
     @ParameterizedTest(name = "{0}")
     @CsvSource(delimiter = '|', textBlock = """
             a pause under the bound         | {'fault':'stop','members':1,'for':4.5}, {'at':12,'fault':'stop','members':1,'for':0.2}
+            it ends while one is cut off    | {'fault':'stop','members':['g5'],'for':4.9}, {'at':4,'fault':'cut','from':['g2'],'both':true,'for':4}
+            and cut off just before its end | {'fault':'stop','members':['g5'],'for':4.9}, {'at':4.8,'fault':'cut','from':['g2'],'both':true,'for':4}
             five of ten paused in step      | {'fault':'stop','members':5,'for':4.5}
             all paused in step              | {'fault':'stop','for':20}
             everybody late                  | {'fault':'stop','for':0.3,'apart_s':0.05}, {'at':1,'fault':'stop','for':1}, {'at':3,'fault':'stop','for':2}
@@ -54,6 +56,8 @@
             a flip-flop into one            | {'fault':'cut','to':['g3'],'for':20,'flip_s':1}
             A reaches B only through C      | {'fault':'cut','from':['g1'],'to':['g2'],'both':true,'for':30}
             halves                          | {'fault':'partition','into':2,'for':30}
+            a clock an hour ahead at once   | {'fault':'clock','members':1,'by_s':3600}
+            all clocks an hour ahead        | {'fault':'clock','by_s':3600}
             thirds                          | {'fault':'partition','into':3,'for':30}
             """)
     void nobodyWhoRunsIsCalledGone(String name, String acts) {
