Agree on a log as a pure machine, and explore it through crashes and lost disks

The store has one configured leader; it loses what a majority held when that leader's folder is lost. What replaces it is built from the inside out: the machine first, with nothing of it in service yet.

What speaks of the disk waits for it; a peer is a disk's id; after a failed sync a peer is mute. - lab.keepers and `lab explore`: walks of steps drawn by seeds, eight checks after each step and one at the end, failing walks shortened to scripts.

Design: docs/design/store.md.

--- a/src/main/java/pepperdock/cli/LabCommand.java
+++ b/src/main/java/pepperdock/cli/LabCommand.java
@@ -27,7 +27,8 @@
 /** The laboratory on real processes (docs/rig.md). */
 @Command(name = "lab", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
         description = "Several processes of the program on loopback, and faults between them (docs/rig.md).",
-        subcommands = {LabCommand.FleetCommand.class, LabCommand.SimCommand.class, LabCommand.CheckCommand.class})
+        subcommands = {LabCommand.FleetCommand.class, LabCommand.SimCommand.class, LabCommand.CheckCommand.class,
+            ExploreCommand.class})
 final class LabCommand implements Runnable {
 
     /** What a run's exit status says where it does not count: the machine was late, not the program. */
--- /dev/null
+++ b/src/test/java/pepperdock/lab/keepers/ExplorerTest.java
@@ -0,0 +1,223 @@
+package pepperdock.lab.keepers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.function.LongFunction;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import pepperdock.store.raft.Hard;
+import pepperdock.store.raft.Members;
+import pepperdock.store.raft.Message;
+import pepperdock.store.raft.Raft;
+import pepperdock.store.raft.Saved;
+import pepperdock.store.raft.Settings;
+import pepperdock.store.raft.Standing;
+
+/** Consensus among crashes, lost disks, cuts and changes: nothing is found, but where a fault is planted. */
+class ExplorerTest {
+
+    private static final Settings SETTINGS = new Settings(5, 1, 48, 4, 4096, 1);
+    private static final int STEPS = 3000;
+
+    private static List<Explorer.Walk> walks(LongFunction<World> worlds, Explorer.Mix mix, int seeds, int steps) {
+        Explorer explorer = new Explorer(worlds, mix);
+        return LongStream.rangeClosed(1, seeds).parallel().mapToObj(s -> explorer.walk(s, steps)).toList();
+    }
+
+    @ParameterizedTest(name = "{0}: {1} processes, {2} of them voters at first")
+    @CsvSource({"ALL, 3, 3", "ALL, 5, 3", "ALL, 5, 5", "ALL, 4, 1", "ELECTIONS, 5, 5", "SNAPSHOTS, 3, 3"})
+    void nothingIsFound(Explorer.Mix mix, int processes, int voters) {
+        List<Explorer.Walk> walks = walks(seed -> new World(processes, voters, SETTINGS, seed), mix, 200, STEPS);
+        for (Explorer.Walk w : walks) {
+            assertEquals(List.of(), w.found(), "seed " + w.seed());
+        }
+        long[] sums = new long[3];
+        walks.forEach(w -> {
+            for (int i = 0; i < sums.length; i++) {
+                sums[i] += w.counts()[i];
+            }
+        });
+        assertTrue(sums[0] >= 400 && sums[1] >= 400, "what was played was worth it: " + List.of(sums[0], sums[1], sums[2]));
+    }
+
+    private static int voters(String fault) {
+        return fault.startsWith("commit of an older term") ? 5 : 3;
+    }
+
+    /** A world with one thing wrong in it, or none. */
+    private static World planted(String fault, long seed) {
+        return new World(5, voters(fault), SETTINGS, seed) {
+            private int syncs;
+
+            @Override
+            protected Raft machine(long id, Settings of, Saved saved, long chance) {
+                return new Raft(id, of, saved, chance) {
+                    @Override
+                    protected boolean mayCommit(long index) {
+                        return fault.equals("commit of an older term") || super.mayCommit(index);
+                    }
+
+                    @Override
+                    protected boolean mayChange(Members to) {
+                        return fault.equals("two changes at once") ? !to.voters().isEmpty() : super.mayChange(to);
+                    }
+
+                    @Override
+                    protected boolean stays(long index, long indexTerm) {
+                        return fault.equals("a snapshot over newer entries") ? index <= commit() : super.stays(index, indexTerm);
+                    }
+                };
+            }
+
+            @Override
+            protected Saved found(Saved synced) {
+                return fault.equals("no durable vote") ? new Saved(new Hard(synced.hard().term(), 0), synced.snapshot(),
+                        synced.entries()) : synced;
+            }
+
+            @Override
+            protected long idAfterLoss(long lost, long fresh) {
+                return fault.equals("a vote after a lost disk") ? lost : fresh;
+            }
+
+            @Override
+            protected boolean syncs() {
+                return !fault.equals("a sync failure swallowed") || ++syncs % 50 != 0;
+            }
+
+            @Override
+            protected void read(Raft raft, long token) {
+                if (!fault.equals("a read from a deposed leader")) {
+                    raft.read(token);
+                } else if (raft.standing() == Standing.LEADER) {
+                    answered(token, raft.commit());
+                }
+            }
+        };
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            no durable vote               | ELECTIONS | 1000  | 1000 | has voted for
+            a vote after a lost disk      | ALL       | 1000  | 3000 | has voted for
+            two changes at once           | ALL       | 200   | 3000 | two changes of members at once
+            a read from a deposed leader  | ALL       | 1500  | 3000 | a read at
+            a sync failure swallowed      | ALL       | 200   | 3000 | its disk holds
+            """)
+    void aPlantedFaultIsFound(String fault, Explorer.Mix mix, int seeds, int steps, String as) {
+        List<Explorer.Walk> walks = walks(seed -> planted(fault, seed), mix, seeds, steps);
+        assertTrue(walks.stream().anyMatch(w -> w.found().stream().anyMatch(f -> f.contains(as))),
+                walks.stream().flatMap(w -> w.found().stream()).distinct().limit(20).toList().toString());
+    }
+
+    private static void all(World w, Step.Kind kind, int... slots) {
+        for (int s : slots) {
+            w.take(new Step(kind, s, 0));
+        }
+    }
+
+    /** Has one lead, by these others' votes and whatever it takes. */
+    private static void elect(World w, int candidate, int... voters) {
+        for (int i = 0; i < 12 && w.standing(candidate) != Standing.LEADER; i++) {
+            if (i % 3 == 0) {
+                // Whoever still hears a leader helps nobody to another.
+                all(w, Step.Kind.HASTE, voters);
+                w.loseAll();
+                all(w, Step.Kind.HASTE, candidate);
+            }
+            all(w, Step.Kind.SYNC, candidate);
+            for (int v : voters) {
+                w.pass(Step.Kind.DELIVER, candidate, v, Message.AskVote.class, m -> true);
+                all(w, Step.Kind.SYNC, v, v);
+                w.pass(Step.Kind.DELIVER, v, candidate, Message.Vote.class, m -> true);
+            }
+            all(w, Step.Kind.SYNC, candidate);
+        }
+        assertEquals(Standing.LEADER, w.standing(candidate));
+        all(w, Step.Kind.SYNC, candidate, candidate);
+    }
+
+    /** The thesis, figure 3.7: an entry of an older term on a majority, and a leader after that has never seen it. */
+    @ParameterizedTest
+    @CsvSource({"commit of an older term, 1", "commit of an older term with nothing planted, 0"})
+    void anOlderTermsEntryIsNotCommittedByCountingItsCopies(String fault, int findings) {
+        World w = planted(fault, 1);
+        elect(w, 0, 1, 2);
+        w.pass(Step.Kind.DELIVER, 0, 1, Message.Append.class, m -> true);
+        all(w, Step.Kind.SYNC, 1, 0);
+        all(w, Step.Kind.AGAIN, 0);
+        elect(w, 4, 2, 3);
+        all(w, Step.Kind.AGAIN, 4);
+        elect(w, 0, 1, 2);
+        for (int follower : new int[] {2, 3}) {
+            for (int i = 0; i < 2; i++) {
+                w.pass(Step.Kind.DELIVER, 0, follower, Message.Append.class, m -> m.term() >= 3);
+                all(w, Step.Kind.SYNC, follower, follower);
+                w.pass(Step.Kind.DELIVER, follower, 0, Message.Appended.class, m -> m.term() >= 3);
+            }
+        }
+        all(w, Step.Kind.AGAIN, 0);
+        elect(w, 4, 2, 3);
+        assertEquals(findings, w.found().stream().filter(f -> f.contains("has not what was committed")).count(),
+                w.found().toString());
+        assertTrue(w.counts()[0] >= 3, "leaders: " + w.counts()[0]);
+    }
+
+    /** A snapshot that is late: what the follower has beyond it is promised already. */
+    @ParameterizedTest
+    @CsvSource({"a snapshot over newer entries, 1", "nothing, 0"})
+    void aLateSnapshotDoesNotTakeAwayWhatIsNewer(String fault, int findings) {
+        World w = planted(fault, 1);
+        elect(w, 0, 1, 2);
+        for (int f = 1; f <= 2; f++) {
+            for (int i = 0; i < 3; i++) {
+                w.pass(Step.Kind.DELIVER, 0, f, Message.Append.class, m -> true);
+                all(w, Step.Kind.SYNC, f, f);
+                w.pass(Step.Kind.DELIVER, f, 0, Message.Appended.class, m -> true);
+            }
+        }
+        all(w, Step.Kind.PROPOSE, 0, 0, 0, 0);
+        all(w, Step.Kind.SYNC, 0, 0, 0, 0);
+        // The other one takes all but the last, and the leader lets go of what it has applied.
+        for (int i = 0; i < 3; i++) {
+            w.pass(Step.Kind.DELIVER, 0, 2, Message.Append.class, m -> !((Message.Append) m).entries().isEmpty());
+            all(w, Step.Kind.SYNC, 2);
+            w.pass(Step.Kind.DELIVER, 2, 0, Message.Appended.class, m -> true);
+        }
+        all(w, Step.Kind.COMPACT, 0);
+        // This one gets the third before the first, says so, and then gets them all, up to the fourth.
+        w.take(new Step(Step.Kind.TICK, 2, 0));
+        w.pass(Step.Kind.TWICE, 0, 1, Message.Append.class, m -> ((Message.Append) m).prevIndex() == 3);
+        for (int prev = 1; prev <= 4; prev++) {
+            int at = prev;
+            w.pass(Step.Kind.DELIVER, 0, 1, Message.Append.class, m -> ((Message.Append) m).prevIndex() == at
+                    && !((Message.Append) m).entries().isEmpty());
+        }
+        w.pass(Step.Kind.DELIVER, 1, 0, Message.Appended.class, m -> !((Message.Appended) m).ok());
+        w.pass(Step.Kind.DELIVER, 0, 1, Message.Install.class, m -> true);
+        all(w, Step.Kind.SYNC, 1, 1, 1, 1, 1, 1);
+        for (int i = 0; i < 6; i++) {
+            w.pass(Step.Kind.DELIVER, 1, 0, Message.Appended.class, m -> ((Message.Appended) m).ok());
+        }
+        assertEquals(5, w.counts()[1], "committed, by the leader and this one");
+        all(w, Step.Kind.CRASH, 0);
+        elect(w, 1, 2);
+        assertEquals(findings, w.found().stream().filter(f -> f.contains("has not what was committed")).count(),
+                w.found().toString());
+    }
+
+    @Test
+    void aFailingWalkIsShortenedToAScriptThatPlaysAgain() {
+        Explorer explorer = new Explorer(seed -> planted("a read from a deposed leader", seed), Explorer.Mix.ALL);
+        Explorer.Walk failing = LongStream.rangeClosed(1, 600).mapToObj(s -> explorer.walk(s, STEPS))
+                .filter(w -> !w.found().isEmpty()).findFirst().orElseThrow();
+        Explorer.Walk shorter = explorer.shorter(failing);
+        assertTrue(shorter.steps().size() < failing.steps().size() / 2, shorter.steps().size() + " of " + failing.steps().size());
+        List<Step> read = shorter.steps().stream().map(s -> Step.read(s.toString())).toList();
+        assertEquals(shorter.found(), explorer.play(failing.seed(), read).found());
+    }
+}
