--- a/src/test/java/pepperdock/StartIT.java
+++ b/src/test/java/pepperdock/StartIT.java
@@ -133,7 +133,7 @@
         String loaded = Files.readString(classes);
         assertTrue(loaded.contains("pepperdock.net.Loop"), "the list is what it should be");
         for (String absent : List.of("pepperdock.members.", "pepperdock.membership.", "pepperdock.lab.", "pepperdock.cli.",
-                "com.fasterxml.", "com.dynatrace.", "org.HdrHistogram")) {
+                "pepperdock.store.raft.", "com.fasterxml.", "com.dynatrace.", "org.HdrHistogram")) {
             assertFalse(loaded.contains(absent), absent);
         }
     }
