--- a/src/main/java/pepperdock/lab/keepers/World.java
+++ b/src/main/java/pepperdock/lab/keepers/World.java
@@ -42,7 +42,6 @@
         /** Its own fold over what it applied, and how far that goes. */
         long state;
         long applied;
-        int lives;
 
         Slot(int number, Disk disk, long id) {
             this.number = number;
@@ -250,7 +249,6 @@
     private void start(Slot slot) {
         Saved saved = found(slot.disk.saved());
         slot.raft = machine(slot.id, settings, saved, seeds.nextLong());
-        slot.lives++;
         slot.applied = saved.snapshot().index();
         slot.state = saved.snapshot().state().length == 0 ? 0 : ByteBuffer.wrap(saved.snapshot().state()).getLong();
         after(slot);
--- a/src/main/java/pepperdock/store/raft/Raft.java
+++ b/src/main/java/pepperdock/store/raft/Raft.java
@@ -65,11 +65,6 @@
         become(new Follower(this));
     }
 
-    /** What a disk begins with that is to be the first, and for a while the only one, that votes. */
-    public static Saved first(Peer self) {
-        return new Saved(new Hard(0, 0), new Snapshot(0, 0, Members.NONE.with(self), new byte[0]), List.of());
-    }
-
     // ---- What the caller sees ------------------------------------------------------------
 
     public long id() {
