Notice a client's end behind more than is kept unread, and take no reset for an end

Found by reading: - Connection.read stopped reading at 16 KiB behind a request in hand, so an end behind that was never seen and the query was served for nobody. Now what comes beyond is read and thrown away; the answer in hand then says that it is the last, and whoever sends a MiB so is told 413 and its request ends. - Connection.ended did not say whether it was a reset, and HttpClient took one for the end of an answer without a length: half of a list or of a search answer passed for the whole. Only the peer's own end completes one now. - HttpClient counted the time for an answer from before connecting, so that a call that waits, on a connection that came up late, was given up just as it was due. It counts from when the request is written. - Reading stopped by a full buffer was not resumed when that was written out, only when input was consumed. - The listening socket takes in its queue right before it closes; what stood in it was reset. Tests: each way of going, with and without 2,000 requests behind, by order of events; the first answer after an overrun; 413; a reset and an end of an answer without a length; TCP_NODELAY on both kinds of connections.

--- a/src/main/java/pepperdock/net/Connection.java
+++ b/src/main/java/pepperdock/net/Connection.java
@@ -20,6 +20,12 @@
 
         /** The connection has ended, from the other side or by an error; not called after {@link #close}. */
         void ended(Connection c);
+
+        /** All that was given to {@link #write} is with the kernel. */
+        default void flushed(Connection c) { }
+
+        /** The peer has sent far more than {@link #limitUnread} lets stand here; told once, before what follows is thrown away. */
+        default void flooded(Connection c) { }
     }
 
     /** Reads at one turn of the loop: a peer that sends at full speed must leave the others theirs. */
@@ -34,7 +40,10 @@
     private final Buffer buffer;
     private Handler handler;
     private boolean closed;
+    private boolean broken;
     private boolean lingers;
+    private boolean overrun;
+    private boolean flooded;
     private int thrownAway;
     private int unreadMost = Integer.MAX_VALUE;
     private long queued;
@@ -57,8 +66,10 @@
     }
 
     /**
-     * Reads no further while about so many bytes stand here that the handler has not used. Guards against clients that send
-     * on and on behind a request in hand: what is held for all of them together must fit the smallest memory given.
+     * Keeps no more while about so many bytes stand here that the handler has not used: what comes beyond is thrown away,
+     * and the connection is {@link #overrun}. Guards against clients that send on and on behind a request in hand, as what
+     * is held for all of them together must fit the smallest memory given. Read on all the same: of a client that sent
+     * more than this and went, nobody would learn the end otherwise, and its request be served for nobody.
      */
     public void limitUnread(int most) {
         unreadMost = most;
@@ -83,6 +94,16 @@
         }
     }
 
+    /** Whether bytes that came were thrown away: what follows can't be told from the middle of it. */
+    public boolean overrun() {
+        return overrun;
+    }
+
+    /** Whether it ended by an error, a reset for one, and not by the peer's own end. */
+    public boolean broken() {
+        return broken;
+    }
+
     /** Bytes given to {@link #write} so far. */
     public long queued() {
         return queued;
@@ -179,9 +200,15 @@
                 throwAway();
                 return;
             }
-            ByteBuffer room = buffer.inTo() - buffer.inFrom() < unreadMost ? buffer.forRead() : null;
+            if (buffer.inTo() - buffer.inFrom() >= unreadMost) {
+                if (!passOver()) {
+                    return;
+                }
+                continue;
+            }
+            ByteBuffer room = buffer.forRead();
             if (room == null) {
-                // Full of what the handler won't take yet: reading goes on when it consumes.
+                // Full of what is to go out: reading goes on when some of it has gone.
                 source.suspendReads();
                 return;
             }
@@ -198,6 +225,23 @@
         }
     }
 
+    /** Beyond the limit of what may stand here: only its end is still of interest. */
+    private boolean passOver() throws IOException {
+        int count = source.read(loop.scratch());
+        if (count < 0) {
+            end(null);
+            return false;
+        }
+        overrun |= count > 0;
+        thrownAway += count;
+        if (thrownAway > LINGER_MOST && !flooded) {
+            flooded = true;
+            thrownAway = 0;
+            handler.flooded(this);
+        }
+        return count > 0;
+    }
+
     private void throwAway() throws IOException {
         ByteBuffer room = loop.scratch();
         int count = source.read(room);
@@ -215,17 +259,21 @@
             }
             written += count;
             buffer.didWrite(count);
+            source.resumeReads();
         }
         if (!closed) {
             sink.suspendWrites();
             if (lingers) {
                 halfClose();
+            } else {
+                handler.flushed(this);
             }
         }
     }
 
     private void end(IOException why) {
         if (!closed) {
+            broken = why != null;
             LOG.log(System.Logger.Level.DEBUG, () -> "connection with " + peer() + " ended: " + why);
             close();
             if (!lingers) {
--- a/src/main/java/pepperdock/net/HttpClient.java
+++ b/src/main/java/pepperdock/net/HttpClient.java
@@ -45,16 +45,17 @@
         return connection != null;
     }
 
+    /** Whether its request waits for a connection that is still coming up: nothing of it has been written. */
+    public boolean dialling() {
+        return then != null && connection == null;
+    }
+
+    /** {@code timeoutS} is for the answer, from when the request is written; connecting has its own limit, at most as long. */
     public void ask(byte[] request, double timeoutS, Then then) {
         this.then = then;
         long no = ++asked;
-        limit = loop.after(timeoutS, () -> {
-            if (no == asked) {
-                fail(Failure.TIMED_OUT);
-            }
-        });
         if (connection != null) {
-            write(request);
+            write(request, timeoutS);
             return;
         }
         loop.dial(to, Math.min(dialS, timeoutS), new Loop.Dialled() {
@@ -67,7 +68,7 @@
                 connection = c;
                 parser = HttpParser.ofResponses(bodyMost);
                 c.start(HttpClient.this);
-                write(request);
+                write(request, timeoutS);
             }
 
             @Override
@@ -79,7 +80,14 @@
         });
     }
 
-    private void write(byte[] request) {
+    /** The time for an answer counts from here: a server that lets a call wait counts from when it has it. */
+    private void write(byte[] request, double timeoutS) {
+        long no = asked;
+        limit = loop.after(timeoutS, () -> {
+            if (no == asked) {
+                fail(Failure.TIMED_OUT);
+            }
+        });
         connection.write(request);
         wanted = connection.queued();
     }
@@ -141,7 +149,10 @@
         if (then == null) {
             return;
         }
-        parser.end();
+        if (!c.broken()) {
+            // A reset ends nothing: taken for the end of an answer without a length, half of one would pass for the whole.
+            parser.end();
+        }
         if (parser.done()) {
             done(parser.take());
         } else {
--- a/src/main/java/pepperdock/net/HttpServer.java
+++ b/src/main/java/pepperdock/net/HttpServer.java
@@ -107,6 +107,11 @@
         }
     }
 
+    /** Takes what has come on all connections by now: for whoever is about to end, and must answer it first. */
+    public void poll() {
+        List.copyOf(all).forEach(s -> s.connection.poll());
+    }
+
     /** Connections that stand, idle ones included. */
     public int connections() {
         all.removeIf(s -> s.connection.closed());
@@ -268,7 +273,8 @@
                 return;
             }
             inHand = null;
-            boolean keep = keepAlive && !draining;
+            // Requests that were thrown away can't be answered: their client sees that this was the last.
+            boolean keep = keepAlive && !draining && !connection.overrun();
             byte[] whole = HttpWriter.response(status, type, extra, body, keep);
             // A HEAD is answered without the body: its bytes would be taken for the next response.
             connection.write(head ? Arrays.copyOf(whole, whole.length - body.length) : whole);
@@ -283,9 +289,20 @@
             }
         }
 
+        /** Whoever sends on and on behind a request that is in hand does not wait for its answer. */
+        @Override
+        public void flooded(Connection c) {
+            leave();
+            malformed(new HttpException(413, "too much sent behind a request in hand"));
+        }
+
         @Override
         public void ended(Connection c) {
             all.remove(this);
+            leave();
+        }
+
+        private void leave() {
             if (inHand != null) {
                 Runnable gone = inHand;
                 inHand = null;
--- a/src/main/java/pepperdock/net/Loop.java
+++ b/src/main/java/pepperdock/net/Loop.java
@@ -145,9 +145,15 @@
                 return server.getLocalAddress(InetSocketAddress.class);
             }
 
+            /** Takes in whoever stands in the system's queue first: closed with it, each would be reset. */
             @Override
             public void close() {
-                IoUtils.safeClose(server);
+                execute(() -> {
+                    if (server.isOpen()) {
+                        accept.handleEvent(server);
+                        IoUtils.safeClose(server);
+                    }
+                });
             }
         };
     }
--- /dev/null
+++ b/src/test/java/pepperdock/net/ClientGoneTest.java
@@ -0,0 +1,206 @@
+package pepperdock.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import pepperdock.http.HttpMessage;
+
+/** Clients that go while their request is in hand, by each way of going, also with more behind it than is kept unread. */
+@Timeout(60)
+class ClientGoneTest {
+
+    private static final String REQUEST = "POST /hold HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}";
+
+    /** What the front was told, in order: each request taken, and each client gone. */
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private final BlockingQueue<HttpServer.Reply> held = new LinkedBlockingQueue<>();
+    private final Loop loop = new Loop(100, 1 << 18);
+    private final HttpServer server = new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1024,
+            () -> 10, new HttpServer.Service() {
+                private int taken;
+
+                @Override
+                public Runnable serve(HttpMessage request, HttpServer.Reply reply) {
+                    int no = ++taken;
+                    told.add("taken " + no);
+                    held.add(reply);
+                    return () -> told.add("gone " + no);
+                }
+
+                @Override
+                public void malformed(int status, String why, HttpServer.Reply reply) {
+                    reply.send(status, "text/plain", "", new byte[0]);
+                }
+            });
+
+    ClientGoneTest() throws IOException { }
+
+    @AfterEach
+    void close() {
+        loop.close();
+    }
+
+    private Socket ask(String text) throws IOException {
+        Socket s = new Socket(server.address().getAddress(), server.address().getPort());
+        s.setSoTimeout(30_000);
+        s.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        return s;
+    }
+
+    private String next() throws InterruptedException {
+        return told.poll(30, TimeUnit.SECONDS);
+    }
+
+    private enum Way {
+        CLOSE, HALF_CLOSE, RESET;
+
+        void go(Socket s) throws IOException {
+            switch (this) {
+                case CLOSE -> s.close();
+                case HALF_CLOSE -> s.shutdownOutput();
+                default -> {
+                    s.setSoLinger(true, 0);
+                    s.close();
+                }
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Way.class)
+    void aClientThatGoesIsNoticed(Way way) throws Exception {
+        Socket s = ask(REQUEST);
+        assertEquals("taken 1", next());
+        way.go(s);
+        assertEquals("gone 1", next());
+        s.close();
+    }
+
+    /** Found by reading: reading stopped at 16 KiB behind a request in hand, and an end behind that was never seen. */
+    @ParameterizedTest
+    @EnumSource(Way.class)
+    void anEndBehindMoreThanIsKeptUnreadIsNoticedAndNothingBehindItServed(Way way) throws Exception {
+        Socket s = ask(REQUEST);
+        assertEquals("taken 1", next());
+        s.getOutputStream().write(REQUEST.repeat(2000).getBytes(StandardCharsets.US_ASCII));
+        way.go(s);
+        assertEquals("gone 1", next());
+        s.close();
+        // Another client's turn is behind all that the first could have caused.
+        Socket other = ask(REQUEST);
+        assertEquals("taken 2", next());
+        other.close();
+        assertEquals("gone 2", next());
+        assertTrue(told.isEmpty(), told::toString);
+    }
+
+    /** All that is behind the request in hand at once with its end: read in one go, the second must not be taken. */
+    @Test
+    void aRequestThatComesWithItsClientsEndIsNotLeftInHand() throws Exception {
+        Socket s = ask(REQUEST + REQUEST);
+        s.shutdownOutput();
+        assertEquals("taken 1", next());
+        assertEquals("gone 1", next());
+        s.close();
+        assertTrue(told.isEmpty(), told::toString);
+    }
+
+    /** The first line of an answer, and whether it says that its connection closes. */
+    private static String head(Socket s) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (!head.toString().endsWith("\r\n\r\n")) {
+            int next = s.getInputStream().read();
+            assertTrue(next >= 0, head.toString());
+            head.append((char) next);
+        }
+        return head.substring(9, 12) + (head.toString().contains("Connection: close") ? " close" : "");
+    }
+
+    /** Read by order, then answered: what was thrown away behind it can't be, so its client must see that it was the last. */
+    @ParameterizedTest
+    @ValueSource(ints = {100, 1500})
+    void theAnswerSaysItIsTheLastWhereWhatCameBehindItWasThrownAway(int more) throws Exception {
+        try (Socket s = ask(REQUEST)) {
+            assertEquals("taken 1", next());
+            s.getOutputStream().write(REQUEST.repeat(more).getBytes(StandardCharsets.US_ASCII));
+            HttpServer.Reply first = held.take();
+            loop.execute(() -> {
+                server.poll();
+                first.send(200, "text/plain", "", new byte[0]);
+            });
+            assertEquals(more > 1000 ? "200 close" : "200", head(s));
+            if (more > 1000) {
+                assertEquals(-1, s.getInputStream().read());
+                assertTrue(told.isEmpty(), told::toString);
+            } else {
+                assertEquals("taken 2", next());
+            }
+        }
+    }
+
+    /** Owed an error; and its request in hand is over, as it does not wait for an answer. */
+    @Test
+    void whoSendsOnAndOnBehindARequestInHandIsToldSoAndItsRequestEnds() throws Exception {
+        try (Socket s = ask(REQUEST)) {
+            assertEquals("taken 1", next());
+            s.getOutputStream().write(REQUEST.repeat((5 << 18) / REQUEST.length()).getBytes(StandardCharsets.US_ASCII));
+            assertEquals("gone 1", next());
+            assertEquals("413 close", head(s));
+            assertTrue(told.isEmpty(), told::toString);
+        }
+    }
+
+    private static boolean noDelay(Connection c) {
+        try {
+            java.lang.reflect.Field channel = Connection.class.getDeclaredField("channel");
+            channel.setAccessible(true);
+            return ((org.xnio.StreamConnection) channel.get(c)).getOption(org.xnio.Options.TCP_NODELAY);
+        } catch (ReflectiveOperationException | IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** Small writes that the system holds back go with a reset. */
+    @Test
+    void bothKindsOfConnectionsWriteAtOnce() throws Exception {
+        BlockingQueue<Boolean> noDelay = new LinkedBlockingQueue<>();
+        Connection.Handler none = new Connection.Handler() {
+            @Override
+            public void received(Connection c) { }
+
+            @Override
+            public void ended(Connection c) { }
+        };
+        Loop.Listening at = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), () -> true, c -> {
+            c.start(none);
+            noDelay.add(noDelay(c));
+        });
+        loop.execute(() -> loop.dial(at.address(), 10, new Loop.Dialled() {
+            @Override
+            public void up(Connection c) {
+                noDelay.add(noDelay(c));
+            }
+
+            @Override
+            public void failed() {
+                noDelay.add(false);
+            }
+        }));
+        assertEquals(Boolean.TRUE, noDelay.poll(30, TimeUnit.SECONDS));
+        assertEquals(Boolean.TRUE, noDelay.poll(30, TimeUnit.SECONDS));
+    }
+}
