Open a silent list call anew beside the old one, in time for its news to count as told

All six gatherers log "node list watch failed: TIMED_OUT" 9 s after their first call; then came the module's own pause, 0.25 to 0.75 s, and the new call's own way, while the news counted as told at 10 s. Ruled out: parts waiting at a worker (that ends with word, at once), and the wait's length: what is missed counts as told six seconds after the silence began, so that the time left is the same for all waits from four seconds up. At fault: Watch.failed, which left a silent call to the module as though the list had failed. Now a call that is overdue (0.5 s past its wait; 3 s for one that need not wait, 2.3 s after the address has moved, when news count after 4 s) gets another beside it, on a new connection, at once; whichever is answered first ends the other, so that in a list that is merely overbooked no place in its queue is lost. Besides: where the settings say that lists come unasked the module never asks, and no watch was ever opened; it opens itself. The module's pause after failures grew to 15 s with AskWithinS of 10: at most 7.5 s now, so that the call comes before changes since the list's return count as told.

--- a/src/main/java/pepperdock/aggregator/Decide.java
+++ b/src/main/java/pepperdock/aggregator/Decide.java
@@ -76,8 +76,12 @@
     private static final double SPARE_PARTS = 0.25;
     /** Part of the stated budget left unused against rounding at the window's edge. */
     private static final double BUDGET_SLACK = 1;
-    /** Pause before asking for the list again, in seconds of AskWithinS shares; doubles up to the whole. */
+    /**
+     * Pause before asking for the list again, in shares of AskWithinS; doubles up to the most, which with
+     * its random half more leaves time for the answer: later, changes since its return would count as told.
+     */
     private static final double ASK_AGAIN_SHARE = 0.05;
+    private static final double ASK_MOST_SHARE = 0.5;
     /** The first call comes within so many seconds for each instance there is, and within the first pause. */
     private static final double FIRST_ASK_S = 0.005;
     /** An attempt out for this share of its class's aim counts as a time-out for the ceiling. */
@@ -999,8 +1003,9 @@
             if (subscribed) {
                 askPause = 0;
             } else {
-                askPause = Math.min(settings.rules().askWithinS(),
-                        Math.max(2 * askPause, ASK_AGAIN_SHARE * settings.rules().askWithinS()));
+                double within = settings.rules().askWithinS();
+                askPause = Math.max(2 * askPause, ASK_AGAIN_SHARE * within);
+                askPause = Math.min(ASK_MOST_SHARE * within, askPause);
                 askAt = now + askPause * (0.5 + asking.nextDouble());
                 return;
             }
--- a/src/main/java/pepperdock/platform/Watch.java
+++ b/src/main/java/pepperdock/platform/Watch.java
@@ -3,10 +3,12 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.SplittableRandom;
 import pepperdock.aggregator.Aggregator.ListKind;
 import pepperdock.config.ConfigException;
 import pepperdock.config.HostList;
 import pepperdock.config.Site;
+import pepperdock.core.Clock;
 import pepperdock.core.Discovery;
 import pepperdock.core.Gatherer;
 import pepperdock.http.HttpMessage;
@@ -14,7 +16,12 @@
 import pepperdock.net.HttpClient;
 import pepperdock.net.Loop;
 
-/** Watches the platform's node list: one call after another, each armed as soon as the last is answered. */
+/**
+ * Watches the platform's node list: one call after another, each armed as soon as the last is answered. A call that falls
+ * silent is opened anew at once, as its news count as told soon whether they came or not; when to ask after a call that
+ * failed is the module's to say, as the list is one service for all. Where the settings say that lists come unasked, an
+ * agent has them, and the watch keeps itself open.
+ */
 public final class Watch implements Discovery {
 
     private static final System.Logger LOG = System.getLogger("pepperdock.platform");
@@ -23,104 +30,185 @@
     /** How long a call may wait for news; what it has not told by two seconds later counts as told. */
     static final int WAIT_MS = 8000;
     /**
-     * A call is given up here only where nothing comes at all. The list works through calls in turn and ends by itself those
-     * that waited too long, some seconds: overbooked, it answers just before that limit. Given up a little sooner than
-     * there, each call is one that would have been answered next, and asked again it is last in turn.
+     * A call that need not wait is overdue after so long. The list works through calls in turn and ends by itself those that
+     * waited too long, some seconds: overbooked, it answers just before that limit.
      */
-    private static final double SILENT_S = 4;
+    private static final double SILENT_S = 3;
+    /** The same where the news count as told four seconds after the address has changed: there is time for two calls. */
+    static final double MOVED_S = 2.3;
     /**
-     * So long after its wait a call that waits for news is overdue. Silent, it has to be opened anew, and answered, before two
-     * seconds are over; the module asks again only after a while of its own.
+     * So long after its wait a call that waits for news is overdue: what it misses counts as told two seconds after the wait,
+     * or six after it fell silent, if that is later. A shorter wait would gain nothing down to four seconds, and would
+     * cost more calls of the one list.
      */
-    private static final double OVERDUE_S = 1;
+    private static final double OVERDUE_S = 0.5;
+    /** An overdue call is waited for beside the one in its place; not for longer than the list itself would let it wait. */
+    private static final double BESIDE_S = 3;
     private static final double DIAL_S = 1;
+    /** Of a call in place of a silent one: a way that is lost must leave time for one more. */
+    private static final double DIAL_ANEW_S = 0.5;
+    /** Where lists come unasked: from one try at the agent to the next, doubled up to the most. */
+    private static final double AGENT_LEAST_S = 0.1;
+    private static final double AGENT_MOST_S = 1;
     private static final int LIST_MOST = 1 << 20;
     private static final String WHOLE = "/api/targets";
 
     private final Loop loop;
     private final Site site;
+    private final SplittableRandom random = new SplittableRandom();
+    private InetSocketAddress at;
     private HttpClient http;
+    /** A call that is overdue, and still waited for; null where there is none. */
+    private HttpClient overdue;
+    private boolean retried;
+    private Clock.Timer limit;
     private String authority;
     private Gatherer core;
     private long seq;
     private boolean first = true;
+    /** No list has come from the address that this was moved to. */
+    private boolean moved;
+    private double agentPause = AGENT_LEAST_S;
 
     public Watch(Loop loop, InetSocketAddress at, Site site, long knownSeq) {
         this.loop = loop;
         this.site = site;
         seq = knownSeq;
-        dialAt(at);
+        dialAt(at, DIAL_S);
     }
 
-    private void dialAt(InetSocketAddress at) {
-        authority = at.getHostString() + ':' + at.getPort();
-        http = new HttpClient(loop, at, DIAL_S, LIST_MOST);
+    private void dialAt(InetSocketAddress to, double dialS) {
+        at = to;
+        authority = to.getHostString() + ':' + to.getPort();
+        http = new HttpClient(loop, to, dialS, LIST_MOST);
     }
 
     /**
      * The list is told elsewhere from now on: the old watch ends and the new address is asked at once. It is asked for
      * the whole list, as its versions need not be those of the old one; until it answers the list in hand stands.
      */
-    public void move(InetSocketAddress at) {
-        http.close();
-        dialAt(at);
-        call(WHOLE, FIRST_WAIT_MS);
+    public void move(InetSocketAddress to) {
+        closeAll();
+        dialAt(to, DIAL_S);
+        moved = true;
+        call(FIRST_WAIT_MS);
     }
 
     public void start(Gatherer core) {
         this.core = core;
+        if (!site.module().mustAsk()) {
+            loop.execute(this::subscribe);
+        }
     }
 
     @Override
     public void subscribe() {
         if (!http.busy()) {
-            call(changes(first ? FIRST_WAIT_MS : WAIT_MS), first ? FIRST_WAIT_MS : WAIT_MS);
+            call(first ? FIRST_WAIT_MS : WAIT_MS);
         }
     }
 
-    private String changes(int waitMs) {
-        return WHOLE + "?since=" + seq + "&timeout_ms=" + waitMs;
-    }
-
-    /** After which a call that may wait so long is given up. */
+    /** How long a call that may wait so long is waited for alone. */
     static double patienceS(int waitMs) {
-        return Math.max(SILENT_S, waitMs / 1e3 + OVERDUE_S);
+        return waitMs <= FIRST_WAIT_MS ? SILENT_S : waitMs / 1e3 + OVERDUE_S;
     }
 
-    private void call(String target, int waitMs) {
-        byte[] request = HttpWriter.request("GET", target, authority, "", new byte[0]);
-        http.ask(request, patienceS(waitMs), new HttpClient.Then() {
+    /** Asks what is new, or for the whole list where no version of it is known. */
+    private void call(int waitMs) {
+        String target = moved ? WHOLE : WHOLE + "?since=" + seq + "&timeout_ms=" + waitMs;
+        HttpClient by = http;
+        double patience = moved ? MOVED_S : patienceS(waitMs);
+        limit = loop.after(patience, this::openAnew);
+        by.ask(HttpWriter.request("GET", target, authority, "", new byte[0]), patience + BESIDE_S, new HttpClient.Then() {
             @Override
             public void response(HttpMessage m) {
-                answered(m);
+                if (by == http || by == overdue) {
+                    answered(by, m);
+                }
             }
 
             @Override
             public void failed(HttpClient.Failure why) {
-                Watch.this.failed(why.toString());
+                if (by == overdue) {
+                    overdue = null;
+                } else if (by == http && why == HttpClient.Failure.UNSENT && overdue != null && !retried) {
+                    // The way to the list may be what is lost: one more connection is tried while the first is waited for.
+                    retried = true;
+                    callAnew();
+                } else if (by == http) {
+                    Watch.this.failed(why.toString());
+                }
             }
         });
     }
 
-    private void answered(HttpMessage m) {
-        if (m.status() != 200) {
-            failed("status " + m.status());
-            return;
+    /** The call in hand is overdue: silent, or late. It is waited for on, beside one on a new connection. */
+    private void openAnew() {
+        LOG.log(System.Logger.Level.WARNING, "node list watch silent, opened anew");
+        if (overdue != null) {
+            overdue.close();
+        }
+        overdue = http;
+        retried = false;
+        callAnew();
+    }
+
+    private void callAnew() {
+        limit.cancel();
+        dialAt(at, DIAL_ANEW_S);
+        call(FIRST_WAIT_MS);
+    }
+
+    private void closeAll() {
+        if (limit != null) {
+            limit.cancel();
         }
+        http.close();
+        if (overdue != null) {
+            overdue.close();
+            overdue = null;
+        }
+    }
+
+    private void answered(HttpClient by, HttpMessage m) {
         try {
+            if (m.status() != 200) {
+                throw new ConfigException("answer", "status " + m.status());
+            }
             HostList list = HostList.parse(new String(m.body(), StandardCharsets.UTF_8), site);
+            limit.cancel();
+            HttpClient other = by == http ? overdue : http;
+            if (other != null) {
+                other.close();
+            }
+            http = by;
+            overdue = null;
             seq = list.seq();
             first = false;
-            call(changes(WAIT_MS), WAIT_MS);
+            moved = false;
+            agentPause = AGENT_LEAST_S;
+            call(WAIT_MS);
             core.listed(list.whole() ? ListKind.COMPLETE : ListKind.CHANGES, list.hosts());
         } catch (ConfigException e) {
-            failed(e.getMessage());
+            if (by == overdue) {
+                overdue.close();
+                overdue = null;
+            } else {
+                failed(e.getMessage());
+            }
         }
     }
 
-    /** The module decides when to ask again; until then there is no watch. */
+    /** Where the list has to be asked for the module decides when to ask again; until then there is no watch. */
     private void failed(String why) {
         LOG.log(System.Logger.Level.WARNING, "node list watch failed: {0}", why);
-        core.listed(ListKind.FAILED, List.of());
+        closeAll();
+        dialAt(at, DIAL_S);
+        if (site.module().mustAsk()) {
+            core.listed(ListKind.FAILED, List.of());
+        } else {
+            loop.after(agentPause * (0.5 + random.nextDouble()), this::subscribe);
+            agentPause = Math.min(AGENT_MOST_S, 2 * agentPause);
+        }
     }
 }
--- a/src/test/java/pepperdock/platform/WatchTest.java
+++ b/src/test/java/pepperdock/platform/WatchTest.java
@@ -17,6 +17,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import pepperdock.aggregator.Aggregator.ListKind;
 import pepperdock.config.Site;
 import pepperdock.config.Sites;
@@ -106,6 +108,65 @@
         }
     }
 
+    private Watch other(String settings, ServerSocket at) {
+        Site its = Sites.with(settings);
+        Watch w = new Watch(loop, (InetSocketAddress) at.getLocalSocketAddress(), its, 41);
+        w.start(new Gatherer(its.module(), 3, loop, new WorkerPool(loop, its), w));
+        return w;
+    }
+
+    /**
+     * Silent in the middle of its answer, and from its first moment: opened anew on a new connection, asking for what is new
+     * at once, and not after a pause of the module's.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "HTTP/1.1 200 X\r\nContent-Length: 90\r\n\r\n{\"seq\":42,"})
+    void aCallThatFallsSilentIsOpenedAnewAtOnceAndMayNotWait(String said) throws Exception {
+        try (Socket s = server.accept()) {
+            BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
+            assertEquals("/api/targets?since=41", asked(in));
+            s.getOutputStream().write(said.getBytes(StandardCharsets.US_ASCII));
+            try (Socket anew = server.accept()) {
+                in = new BufferedReader(new InputStreamReader(anew.getInputStream(), StandardCharsets.US_ASCII));
+                assertEquals("GET /api/targets?since=41&timeout_ms=1 HTTP/1.1", in.readLine());
+                assertTrue(lists.isEmpty());
+            }
+        }
+    }
+
+    /** Was: given up at the very moment at which its news count as told, and then asked for the changes of another list. */
+    @Test
+    void aFirstCallAfterAMoveThatIsSilentIsOpenedAnewWhileItsNewsDoNotCountYet() throws Exception {
+        assertTrue(Watch.MOVED_S + 1 < 4, "two calls, and a connection that is lost, within the four seconds");
+        assertTrue(Watch.MOVED_S > 2.2, "an overbooked list's own limit is outlasted");
+        try (ServerSocket other = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            loop.execute(() -> watch.move((InetSocketAddress) other.getLocalSocketAddress()));
+            Socket silent = other.accept();
+            try (silent; Socket anew = other.accept()) {
+                BufferedReader in = new BufferedReader(new InputStreamReader(anew.getInputStream(), StandardCharsets.US_ASCII));
+                assertEquals("/api/targets", asked(in));
+                answer(anew, 200, "{\"seq\":7,\"whole\":true,\"hosts\":[" + HOST.formatted("c") + "]}");
+                assertEquals("c", list().iterator().next().id());
+                assertEquals("/api/targets?since=7", asked(in));
+            }
+        }
+    }
+
+    /** Where the settings say that lists come unasked the module never asks: found by reading, no watch was ever opened. */
+    @Test
+    void whereListsComeUnaskedTheWatchOpensItselfAndAgainAfterAFailure() throws Exception {
+        try (ServerSocket agent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            agent.setSoTimeout(30_000);
+            other(Sites.SETTINGS.replace("\"Discovery\":\"subscribe\"", "\"Discovery\":\"automatic\""), agent);
+            for (int i = 0; i < 3; i++) {
+                try (Socket s = agent.accept()) {
+                    assertEquals("/api/targets?since=41", asked(new BufferedReader(new InputStreamReader(s.getInputStream(),
+                            StandardCharsets.US_ASCII))));
+                }
+            }
+        }
+    }
+
     /**
      * Seen with 53 watches silent from their first moment while half of the workers were replaced: given up four seconds past
      * their wait, two after all that they missed counted as told, they had sent 98 calls to workers long gone.
