Name the faulty setting by the platform's own key, and tell of each that is assumed

Need: other customers run this, and no default may stand in for a missing setting without a word. The module's own checks spoke of "aimS" or "floor and need" where the file says GoalTimeS or FloorByClass[1]; a class without a name was called class-1; a keyed class without WindowS had a window of nothing; two classes could share a name; 1e999 was taken for a number. Now each is checked by its key before the module sees it; Name, and WindowS where repeats are recognised by a key, are needed; what is assumed for absent keys is logged in one line at the start. Tests: twenty faulty settings and the message of each; what is told of assumed ones.

--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -148,6 +148,10 @@
         Map<String, String> env = base.env();
         Loop loop = base.loop();
         Config config = Config.read(file, env);
+        if (!config.site().assumed().isEmpty()) {
+            LOG.log(System.Logger.Level.WARNING, "configuration: not given, so taken as: {0}",
+                    String.join(", ", config.site().assumed()));
+        }
         Warmup warmup = new Warmup(config.site());
         warmup.play(Warmup.BEFORE);
         boolean searches = config.openSearch() != null && config.openSearch().backend();
--- a/src/main/java/pepperdock/config/Keys.java
+++ b/src/main/java/pepperdock/config/Keys.java
@@ -8,16 +8,33 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 
 /** A JSON object and where it stands, so that every complaint names the whole key. */
 public final class Keys {
 
     private final String path;
     private final JsonObject object;
+    private final Consumer<String> assumed;
 
     public Keys(String path, JsonObject object) {
+        this(path, object, said -> { });
+    }
+
+    private Keys(String path, JsonObject object, Consumer<String> assumed) {
         this.path = path;
         this.object = object;
+        this.assumed = assumed;
+    }
+
+    /** The same object; from here and from within it, each value that stands in for an absent one is told as KEY=VALUE. */
+    public Keys assuming(Consumer<String> assumed) {
+        return new Keys(path, object, assumed);
+    }
+
+    private <T> T instead(String name, T otherwise) {
+        assumed.accept(key(name) + '=' + otherwise);
+        return otherwise;
     }
 
     public static Keys of(String path, JsonElement element) {
@@ -84,11 +101,12 @@
 
     /** An object within; empty where absent. */
     public Keys within(String name) {
-        return has(name) ? of(key(name), object.get(name)) : new Keys(key(name), new JsonObject());
+        return has(name) ? of(key(name), object.get(name)).assuming(assumed)
+                : new Keys(key(name), new JsonObject(), assumed);
     }
 
     public Keys needed(String name) {
-        return of(key(name), need(name));
+        return of(key(name), need(name)).assuming(assumed);
     }
 
     public String text(String name) {
@@ -100,7 +118,7 @@
     }
 
     public String text(String name, String otherwise) {
-        return has(name) ? text(name) : otherwise;
+        return has(name) ? text(name) : instead(name, otherwise);
     }
 
     public double number(String name) {
@@ -108,7 +126,7 @@
     }
 
     public double number(String name, double otherwise) {
-        return has(name) ? number(name) : otherwise;
+        return has(name) ? number(name) : instead(name, otherwise);
     }
 
     /** A whole number within bounds. */
@@ -121,12 +139,12 @@
     }
 
     public int whole(String name, int least, int most, int otherwise) {
-        return has(name) ? whole(name, least, most) : otherwise;
+        return has(name) ? whole(name, least, most) : instead(name, otherwise);
     }
 
     public boolean flag(String name, boolean otherwise) {
         if (!has(name)) {
-            return otherwise;
+            return instead(name, otherwise);
         }
         JsonElement e = object.get(name);
         if (!e.isJsonPrimitive() || !e.getAsJsonPrimitive().isBoolean()) {
@@ -138,7 +156,7 @@
     public List<Keys> objects(String name) {
         List<Keys> all = new ArrayList<>();
         for (JsonElement e : array(name)) {
-            all.add(of(key(name) + '[' + all.size() + ']', e));
+            all.add(of(key(name) + '[' + all.size() + ']', e).assuming(assumed));
         }
         return all;
     }
@@ -157,7 +175,7 @@
     /** A figure of a list, or the other where the list is absent or short. */
     public double numberAt(String name, int at, double otherwise) {
         JsonArray all = array(name);
-        return at < all.size() ? number(key(name) + '[' + at + ']', all.get(at)) : otherwise;
+        return at < all.size() ? number(key(name) + '[' + at + ']', all.get(at)) : instead(name + '[' + at + ']', otherwise);
     }
 
     private JsonArray array(String name) {
@@ -175,7 +193,11 @@
             throw new ConfigException(key, "not a number");
         }
         try {
-            return e.getAsDouble();
+            double value = e.getAsDouble();
+            if (!Double.isFinite(value)) {
+                throw new ConfigException(key, "out of range");
+            }
+            return value;
         } catch (NumberFormatException wrong) {
             throw new ConfigException(key, "not a number");
         }
--- a/src/main/java/pepperdock/config/Site.java
+++ b/src/main/java/pepperdock/config/Site.java
@@ -1,30 +1,37 @@
 package pepperdock.config;
 
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import pepperdock.aggregator.Aggregator;
 
 /**
  * A site's settings: those of the module, and those that the sockets go by. The names are of the list in their order;
- * {@code idleS} is when a worker's machine closes an idle connection, {@code multiplex} how many parts one carries.
+ * {@code idleS} is when a worker's machine closes an idle connection, {@code multiplex} how many parts one carries,
+ * {@code assumed} names each key that is absent and what was taken in its place, for the log.
  */
 public record Site(Aggregator.Settings module, List<String> classes, List<String> zones, List<String> kinds,
-                   double dialS, double idleS, int multiplex) {
+                   double dialS, double idleS, int multiplex, List<String> assumed) {
 
     private static final Map<String, Aggregator.Effect> EFFECTS = Map.of("read_like", Aggregator.Effect.SAFE,
             "idempotency_key", Aggregator.Effect.KEYED, "non_idempotent", Aggregator.Effect.UNSAFE);
 
     /** Reads and checks the settings, under the names that the platform gives them. */
-    public static Site read(Keys env) {
+    public static Site read(Keys settings) {
+        Set<String> assumed = new LinkedHashSet<>();
+        Keys env = settings.assuming(assumed::add);
         Keys limits = env.needed("Limits");
         List<String> classes = new ArrayList<>();
         for (Keys c : env.objects("RequestClasses")) {
-            classes.add(c.text("Name", "class-" + classes.size()));
+            check(c, "Name", !classes.contains(c.text("Name")) && !c.text("Name").isEmpty(), "empty, or of another class");
+            classes.add(c.text("Name"));
         }
+        check(env, "RequestClasses", !classes.isEmpty(), "none");
         return new Site(module(env), List.copyOf(classes), env.texts("FailureDomains"), env.texts("Kinds"),
                 positive(limits, "DialTimeoutS", 0.25), positive(limits, "ConnIdleS", 15),
-                limits.whole("Multiplex", 1, Integer.MAX_VALUE, 100));
+                limits.whole("Multiplex", 1, Integer.MAX_VALUE, 100), List.copyOf(assumed));
     }
 
     /**
@@ -38,32 +45,63 @@
                         c.windowS(), c.floor(), c.need(), c.partialWorth(), c.secondStep())).toList();
         return new Site(new Aggregator.Settings(m.instances(), m.zone(), m.tickS(), m.mustAsk(), strict,
                 m.tenantRates(), m.overShareWorth(), m.reportNames(), m.layout(), m.limits(), m.rules()), classes, zones,
-                kinds, dialS, idleS, multiplex);
+                kinds, dialS, idleS, multiplex, assumed);
     }
 
     private static double positive(Keys keys, String name, double otherwise) {
         double value = keys.number(name, otherwise);
-        if (value <= 0) {
-            throw new ConfigException(keys.key(name), "not above 0");
-        }
+        check(keys, name, value > 0, "not above 0");
         return value;
     }
 
+    private static void check(Keys keys, String name, boolean ok, String otherwise) {
+        if (!ok) {
+            throw new ConfigException(keys.key(name), otherwise);
+        }
+    }
+
+    /** One class; checked here by the platform's names, as the module's own checks know other ones. */
+    private static Aggregator.QueryClass queryClass(Keys c, Keys family, int i) {
+        Aggregator.Effect effect = EFFECTS.get(c.text("Effect"));
+        check(c, "Effect", effect != null, "unknown effect " + c.text("Effect"));
+        double aimS = c.number("GoalTimeS");
+        double deadlineS = c.number("DeadlineS");
+        check(c, "DeadlineS", deadlineS > 0, "not above 0");
+        check(c, "GoalTimeS", aimS > 0 && aimS <= deadlineS, "not above 0, or past DeadlineS");
+        // Where repeats are recognised by a key, for how long is what decides whether one may be sent: nothing stands in.
+        double windowS = effect == Aggregator.Effect.KEYED ? c.number("WindowS") : 0;
+        check(c, "WindowS", windowS >= 0, "below 0");
+        double worth = c.number("Worth", 1);
+        double lateWorth = c.number("LateWorth", 0);
+        check(c, "Worth", worth >= 0, "below 0");
+        check(c, "LateWorth", lateWorth >= 0, "below 0");
+        double need = family.numberAt("NeedByClass", i, 1);
+        double floor = family.numberAt("FloorByClass", i, 1);
+        double partialWorth = family.numberAt("ShortWorth", i, 1);
+        double secondStep = family.numberAt("SecondStep", i, 0);
+        check(family, "NeedByClass[" + i + ']', need > 0 && need <= 1, "not above 0 and up to 1");
+        check(family, "FloorByClass[" + i + ']', floor > 0 && floor <= need, "not above 0 and up to what is needed");
+        check(family, "ShortWorth[" + i + ']', partialWorth >= 0, "below 0");
+        check(family, "SecondStep[" + i + ']', secondStep >= 0 && secondStep == Math.rint(secondStep), "not a whole number from 0");
+        return new Aggregator.QueryClass(aimS, deadlineS, worth, lateWorth, effect, windowS, floor, need, partialWorth,
+                (int) secondStep);
+    }
+
     private static Aggregator.Settings module(Keys env) {
         Keys family = env.needed("FamilyInfo");
         Keys limits = env.needed("Limits");
         Keys rules = env.needed("Rules");
         List<Aggregator.QueryClass> classes = new ArrayList<>();
         for (Keys c : env.objects("RequestClasses")) {
-            int i = classes.size();
-            Aggregator.Effect effect = EFFECTS.get(c.text("Effect"));
-            if (effect == null) {
-                throw new ConfigException(c.key("Effect"), "unknown effect " + c.text("Effect"));
-            }
-            classes.add(new Aggregator.QueryClass(c.number("GoalTimeS"), c.number("DeadlineS"), c.number("Worth", 1),
-                    c.number("LateWorth", 0), effect, c.number("WindowS", 0), family.numberAt("FloorByClass", i, 1),
-                    family.numberAt("NeedByClass", i, 1), family.numberAt("ShortWorth", i, 1),
-                    (int) family.numberAt("SecondStep", i, 0)));
+            classes.add(queryClass(c, family, classes.size()));
+        }
+        int cells = family.whole("Cells", 1, 1 << 24);
+        check(env, "TickS", env.number("TickS") > 0, "not above 0");
+        check(rules, "ColdFrom", rules.number("ColdFrom", 1) > 0 && rules.number("ColdFrom", 1) <= 1, "not above 0 and up to 1");
+        check(rules, "FallMultiple", rules.number("FallMultiple", 1) > 0, "not above 0");
+        for (String period : List.of("AnswerSlackS", "StopSendingWithinS", "WarmUpS", "FallS", "FreeResends", "ExtraPerRequest",
+                "BudgetSpanS", "AskWithinS")) {
+            check(rules, period, rules.number(period, 0) >= 0, "below 0");
         }
         List<Double> tenants = env.objects("Tenants").stream().map(t -> t.number("AllowancePerS", 0)).toList();
         List<String> reports = env.within("Report").texts("Names");
@@ -71,8 +109,8 @@
         try {
             return new Aggregator.Settings(env.whole("Instances", 1, 1 << 20, 1), env.whole("Zone", 0, 1 << 20, 0),
                     env.number("TickS"), asks, classes, tenants, env.number("OverShareWorth", 1), reports,
-                    new Aggregator.Layout(family.whole("Slices", 1, 1 << 24), family.whole("Cells", 1, 1 << 24),
-                            family.whole("Span", 1, 1 << 24), family.whole("Batch", 1, 1 << 16, 1)),
+                    new Aggregator.Layout(family.whole("Slices", 1, 1 << 24), cells,
+                            family.whole("Span", 1, cells), family.whole("Batch", 1, 1 << 16, 1)),
                     new Aggregator.Limits(limits.flag("Cancel", false), limits.flag("MayDuplicate", false),
                             limits.flag("MayProbe", false), limits.whole("MaxAttempts", 1, 1 << 16),
                             limits.whole("MostHeld", 1, Integer.MAX_VALUE, Integer.MAX_VALUE),
--- a/src/test/java/pepperdock/config/ConfigTest.java
+++ b/src/test/java/pepperdock/config/ConfigTest.java
@@ -62,6 +62,47 @@
         assertTrue(e.getMessage().startsWith(named + ":"), e.getMessage());
     }
 
+    /** Each line: a setting's place, the value put there (none: taken out), and the message. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"RequestClasses.0.GoalTimeS|4|GoalTimeS: not above 0, or past DeadlineS",
+        "RequestClasses.0.GoalTimeS|1e999|GoalTimeS: out of range", "RequestClasses.1.DeadlineS|0|DeadlineS: not above 0",
+        "RequestClasses.2.WindowS||WindowS: missing", "RequestClasses.2.WindowS|-1|WindowS: below 0",
+        "RequestClasses.1.Name||Name: missing", "RequestClasses.2.Name|\"payout-report\"|Name: empty, or of another class",
+        "RequestClasses.0.Effect|\"safe\"|Effect: unknown effect safe", "RequestClasses.0.Worth|-1|Worth: below 0",
+        "FamilyInfo.FloorByClass|[0.6,1.5,1]|FloorByClass[1]: not above 0 and up to what is needed",
+        "FamilyInfo.SecondStep|[0,0.5,0]|SecondStep[1]: not a whole number from 0",
+        "FamilyInfo.Span|5|Span: not a whole number from 1 to 4", "FamilyInfo.Slices||Slices: missing",
+        "Limits.MaxAttempts|0|MaxAttempts: not a whole number from 1 to 65536", "Limits.Multiplex|0.5|Multiplex: not a whole number",
+        "Rules.ColdFrom|0|ColdFrom: not above 0 and up to 1", "Rules.WarmUpS|-1|WarmUpS: below 0", "TickS|0|TickS: not above 0",
+        "RequestClasses|[]|RequestClasses: none", "Limits.Cancel|1|Cancel: neither true nor false"})
+    void aFaultySettingIsNamed(String place, String value, String message) {
+        JsonObject file = file();
+        String[] way = place.split("\\.");
+        com.google.gson.JsonElement at = file.get("settings");
+        for (int i = 0; i < way.length - 1; i++) {
+            at = at.isJsonArray() ? at.getAsJsonArray().get(Integer.parseInt(way[i])) : at.getAsJsonObject().get(way[i]);
+        }
+        if (value == null) {
+            at.getAsJsonObject().remove(way[way.length - 1]);
+        } else {
+            at.getAsJsonObject().add(way[way.length - 1], JsonParser.parseString(value));
+        }
+        String said = assertThrows(ConfigException.class, () -> read(file)).getMessage();
+        String where = ("settings." + place).replaceAll("\\.([0-9])", "[$1]");
+        assertTrue(said.startsWith(where.substring(0, where.lastIndexOf('.') + 1) + message), said);
+    }
+
+    @Test
+    void whatStandsInForAnAbsentSettingIsTold() {
+        JsonObject file = file();
+        file.getAsJsonObject("settings").getAsJsonObject("Limits").remove("DialTimeoutS");
+        file.getAsJsonObject("settings").getAsJsonArray("RequestClasses").get(1).getAsJsonObject().remove("LateWorth");
+        List<String> told = read(file).site().assumed();
+        assertTrue(told.containsAll(List.of("settings.Limits.DialTimeoutS=0.25", "settings.RequestClasses[1].LateWorth=0.0")),
+                told::toString);
+        assertTrue(told.stream().noneMatch(t -> t.contains("Multiplex")), "given, so not told");
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"TickS", "FamilyInfo", "Limits", "Rules"})
     void aMissingSettingIsNamed(String name) {
