Check a call again right before its first byte, and answer all that comes at the end

Its window is 0.8 s, connections to a third of the workers come up late, and a repeat that was decided on within the window waited up to DialTimeoutS for its connection. At fault: Worker.sendQueued, which looked only at whether an attempt was over. An attempt now knows until when it may start, and is asked again when it is written: after a dial and after waiting for room on a connection. Found by reading, each with its test: - a call behind bytes that the worker's machine does not take stood in the connection's buffer and went out whatever came: word of draining, the end of its query. It waits outside the buffer now and is taken back; - a client that uses an id again could be served a late answer to the old query: such a call goes on a connection that owes nothing to that id, three for a worker at most; - a frame that goes on by single bytes reset its own time limit, and its connection never counted as silent; - on the second front a request whose connection was coming up was written after word that its worker drains; - after the last answers of a drain a request that completed was sent on and lost with the program: it is refused at once, what is in hand and can't have run is refused too, and connections are read once more before the end; - the handlers of SIGTERM and SIGHUP stood only after the program had said that it is ready. Settings at their edge (one class, one shard, batch of one, no cancel, no copies, windows and deadlines near nothing) have a test.

--- a/src/main/java/pepperdock/Drain.java
+++ b/src/main/java/pepperdock/Drain.java
@@ -68,8 +68,12 @@
         LOG.log(System.Logger.Level.INFO, "draining, {0} in hand", core.inHand());
         loop.after(killS - SEND_AWAY_S, () -> servers.forEach(HttpServer::drain));
         loop.after(killS - CLOSE_S, () -> servers.forEach(HttpServer::stopListening));
-        loop.after(killS - FAIL_S, core::failAll);
-        loop.after(killS - END_S, () -> end("with {0} in hand"));
+        loop.after(killS - FAIL_S, core::endAll);
+        loop.after(killS - END_S, () -> {
+            servers.forEach(HttpServer::poll);
+            // A turn of the loop later: what was read just now has been refused and written.
+            loop.after(LOOK_S, () -> end("with {0} in hand"));
+        });
         loop.after(STILL_COMING_S, () -> whenDone(now + killS - CLOSE_S));
     }
 
@@ -87,15 +91,25 @@
             quietSince = loop.now();
         } else if (loop.now() - quietSince > QUIET_S) {
             if (stopped) {
-                end("with nothing in hand");
+                endUnlessAsked();
+            } else {
+                stopped = true;
+                quietSince = loop.now();
+                servers.forEach(HttpServer::stopListening);
             }
-            stopped = true;
-            quietSince = loop.now();
-            servers.forEach(HttpServer::stopListening);
         }
         loop.after(LOOK_S, () -> whenDone(closedAt));
     }
 
+    /** What has come in this very moment is read before the end, and answered. */
+    private void endUnlessAsked() {
+        servers.forEach(HttpServer::poll);
+        if (core.inHand() == 0 && servers.stream().mapToInt(HttpServer::busy).sum() == 0) {
+            end("with nothing in hand");
+        }
+        quietSince = Double.NaN;
+    }
+
     private void end(String how) {
         LOG.log(System.Logger.Level.INFO, "drained, " + how, core.inHand());
         System.exit(0);
--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -190,6 +190,10 @@
             servers.add(new HttpServer(loop, config.openSearch().listen(), SEARCH_BODY_MOST, clients,
                     new SearchFront(config.site(), config.openSearch(), core, loop, search)));
         }
+        new Reload(env, file, loop::execute, new Reload.Live(watch == null ? null : watch::move,
+                fixed == null ? null : fixed::replace, n -> loop.capSockets(n - OTHER_DESCRIPTORS))).onSignal();
+        new Drain(loop, servers, core, config.site(), base.members() == null ? () -> { } : base.members()::leave).onSignal();
+        // After the signals' handlers: told that it is ready, whoever starts it may send one at once, which else ends it.
         loop.execute(() -> {
             core.listed(ListKind.HELD, config.known().hosts());
             ready[0] = true;
@@ -197,9 +201,6 @@
             servers.forEach(s -> LOG.log(System.Logger.Level.INFO, "{0} serves on {1}", config.name(), s.address()));
             warmup.spread(loop, () -> core.inHand() == 0);
         });
-        new Reload(env, file, loop::execute, new Reload.Live(watch == null ? null : watch::move,
-                fixed == null ? null : fixed::replace, n -> loop.capSockets(n - OTHER_DESCRIPTORS))).onSignal();
-        new Drain(loop, servers, core, config.site(), base.members() == null ? () -> { } : base.members()::leave).onSignal();
         return servers;
     }
 
--- a/src/main/java/pepperdock/core/Attempt.java
+++ b/src/main/java/pepperdock/core/Attempt.java
@@ -13,13 +13,15 @@
     Outcome outcome;
     private final Part part;
     private final double until;
+    private final double startBy;
 
-    Attempt(Part part, int no, String worker, double sentAt, double until) {
+    Attempt(Part part, int no, String worker, double sentAt, double until, double startBy) {
         this.part = part;
         this.no = no;
         this.worker = worker;
         this.sentAt = sentAt;
         this.until = until;
+        this.startBy = startBy;
     }
 
     public Part part() {
@@ -35,6 +37,20 @@
         return until;
     }
 
+    /**
+     * Whether it may still go out now: not over, and, where an earlier attempt of its part may have run, still within the
+     * time in which a repeat is recognised. Asked again right before its first byte is written, as it may have waited
+     * since it was decided on: for a connection, or for room on one.
+     */
+    public boolean mayStart(double now) {
+        return outcome == null && now <= startBy;
+    }
+
+    /** Whether it is proven that it has not run and won't. */
+    boolean neverRan() {
+        return outcome != null && outcome.neverRan();
+    }
+
     public boolean over() {
         return outcome != null;
     }
--- a/src/main/java/pepperdock/core/Gatherer.java
+++ b/src/main/java/pepperdock/core/Gatherer.java
@@ -40,6 +40,7 @@
     private final Map<String, List<Attempt>> sends = new LinkedHashMap<>();
     private List<Runnable> inbox = new ArrayList<>();
     private boolean closing;
+    private boolean ending;
     private boolean scheduled;
     private double lastClose = Double.NEGATIVE_INFINITY;
     private long nextId = 1;
@@ -72,10 +73,11 @@
         int size = 1 + ask.pieces().size();
         // Full is when the count is reached, not when this query would pass it: counted so, a quarter of the room of
         // a calm day stood empty while queries of all shards were refused.
-        if (held >= settings.limits().mostHeld()) {
+        if (ending || held >= settings.limits().mostHeld()) {
             q.ended = true;
             refusals.note(System.Logger.Level.INFO, () -> "query " + ask.id() + " of " + ask.pieces().size()
-                    + " parts refused at the door: " + held + " of " + settings.limits().mostHeld() + " held");
+                    + " parts refused at the door: " + (ending ? "the program ends"
+                    : held + " of " + settings.limits().mostHeld() + " held"));
             clock.after(0, () -> client.refused(q, settings.limits().maxPauseS()));
             return q;
         }
@@ -119,13 +121,23 @@
         }
     }
 
-    /** The program must end: what is still in hand fails now rather than being lost. */
-    public void failAll() {
+    /**
+     * The program must end: what is still in hand is refused where none of it can have run, else fails, rather than being
+     * lost; and what comes from now on, on a connection that had half a request, is refused at once. Sent on, it would be
+     * lost with the program.
+     */
+    public void endAll() {
+        ending = true;
         for (Query q : List.copyOf(queries.values())) {
+            boolean harmless = effect(q) == Aggregator.Effect.SAFE || q.parts.stream().flatMap(p -> p.attempts.stream()).allMatch(Attempt::neverRan);
             finish(q);
-            note("failed at the program's end", q);
+            note("ended at the program's end", q);
             tell(() -> module.aborted(q.id));
-            q.client.failed(q, false);
+            if (harmless) {
+                q.client.refused(q, settings.limits().maxPauseS());
+            } else {
+                q.client.failed(q, false);
+            }
         }
     }
 
@@ -269,11 +281,11 @@
         Query q = p.query();
         double now = clock.now();
         double end = until > 0 ? Math.min(until, q.endAt) : q.endAt;
-        Attempt a = new Attempt(p, p.attempts.size(), worker, now, end);
+        Attempt a = new Attempt(p, p.attempts.size(), worker, now, end, startBy(p));
         p.attempts.add(a);
         Host host = hosts.get(worker);
         boolean open = host != null && host.readiness() == Readiness.HEALTHY;
-        if (q.ended || end <= now || !open || p.attempts.size() > settings.limits().maxAttempts()) {
+        if (q.ended || end <= now || !open || !a.mayStart(now) || p.attempts.size() > settings.limits().maxAttempts()) {
             ended(a, Outcome.MOOT, null, null);
             return;
         }
@@ -281,6 +293,23 @@
         sends.computeIfAbsent(worker, w -> new ArrayList<>()).add(a);
     }
 
+    /**
+     * Until when a further attempt of a part may begin: where one may have run, as long as a repeat of it is recognised,
+     * counted from when the first such was decided on, which is never after it was sent.
+     */
+    private double startBy(Part p) {
+        Aggregator.Effect effect = effect(p.query());
+        double windowS = settings.classes().get(p.query().ask().queryClass()).windowS();
+        return effect == Aggregator.Effect.SAFE ? Double.POSITIVE_INFINITY
+                : p.attempts.stream().filter(a -> !a.neverRan()).findFirst()
+                        .map(a -> effect == Aggregator.Effect.KEYED ? a.sentAt + windowS : Double.NEGATIVE_INFINITY)
+                        .orElse(Double.POSITIVE_INFINITY);
+    }
+
+    private Aggregator.Effect effect(Query q) {
+        return settings.classes().get(q.ask().queryClass()).effect();
+    }
+
     private void giveUp(Attempt a, Outcome outcome) {
         if (!a.over()) {
             ended(a, outcome, null, null);
--- a/src/main/java/pepperdock/core/Query.java
+++ b/src/main/java/pepperdock/core/Query.java
@@ -21,6 +21,11 @@
         this.endAt = endAt;
     }
 
+    /** One for each query taken, never used again; the client's own id may be. */
+    public long no() {
+        return id;
+    }
+
     public Ask ask() {
         return ask;
     }
--- a/src/main/java/pepperdock/opensearch/SearchWorker.java
+++ b/src/main/java/pepperdock/opensearch/SearchWorker.java
@@ -41,6 +41,9 @@
     private static final class Line {
         final HttpClient http;
         Attempt attempt;
+        boolean needsOpen;
+        /** Tells whose request it has that this was never sent. */
+        Runnable refused;
         double usedAt;
 
         Line(HttpClient http) {
@@ -88,6 +91,11 @@
             List<Waiting> left = waiting.stream().filter(Waiting::needsOpen).toList();
             waiting.removeAll(left);
             left.forEach(w -> w.then().failed(null));
+            // Written when the connection is up, which may be after the time to stop.
+            List.copyOf(lines).stream().filter(l -> l.http.dialling() && l.needsOpen).forEach(l -> {
+                l.http.close();
+                l.refused.run();
+            });
             dropIdle();
         }
     }
@@ -321,6 +329,11 @@
 
     private void start(Line line, Waiting w, Attempt attempt) {
         line.attempt = attempt;
+        line.needsOpen = w.needsOpen();
+        line.refused = () -> {
+            done(line);
+            w.then().failed(null);
+        };
         boolean scroll = attempt != null && attempt.part().query().ask().context() instanceof SearchRequest r
                 && r.scroll();
         double most = Math.max(0.001, w.until() - loop.now()) + (scroll ? FREE_S : 0);
--- a/src/main/java/pepperdock/platform/Worker.java
+++ b/src/main/java/pepperdock/platform/Worker.java
@@ -55,7 +55,10 @@
         open = now;
         if (!open) {
             endQueued(Outcome.MOOT);
-            List.copyOf(connections).forEach(WorkerConnection::closeIfIdle);
+            List.copyOf(connections).forEach(c -> {
+                c.endWaiting(Outcome.MOOT);
+                c.closeIfIdle();
+            });
         }
     }
 
@@ -85,8 +88,11 @@
             return;
         }
         WorkerConnection last = null;
+        boolean confused = false;
         for (WorkerConnection c : connections) {
-            if (c.out() + call.size() <= site.multiplex()) {
+            if (c.confuses(call)) {
+                confused = true;
+            } else if (c.out() + call.size() <= site.multiplex()) {
                 if (!c.silent()) {
                     c.send(call);
                     return;
@@ -94,8 +100,13 @@
                 last = c;
             }
         }
-        if (last != null && connections.size() >= CONNECTIONS_MOST) {
-            last.send(call);
+        if (connections.size() >= CONNECTIONS_MOST && (last != null || confused)) {
+            if (last != null) {
+                last.send(call);
+            } else {
+                // Ids that all of them may still bring an answer for: whose it is could not be told.
+                call.forEach(a -> core.ended(a, Outcome.MOOT, null, null));
+            }
             return;
         }
         queued.add(List.copyOf(call));
@@ -136,13 +147,26 @@
         List<List<Attempt>> calls = List.copyOf(queued);
         queued.clear();
         for (List<Attempt> call : calls) {
-            List<Attempt> live = call.stream().filter(a -> !a.over()).toList();
+            List<Attempt> live = startable(call);
             if (!live.isEmpty()) {
                 send(live);
             }
         }
     }
 
+    /** Those of a call that may still begin; the others end without having run. */
+    List<Attempt> startable(List<Attempt> call) {
+        List<Attempt> live = new ArrayList<>();
+        for (Attempt a : call) {
+            if (open && a.mayStart(loop.now())) {
+                live.add(a);
+            } else {
+                core.ended(a, Outcome.MOOT, null, null);
+            }
+        }
+        return live;
+    }
+
     private void endQueued(Outcome outcome) {
         List<List<Attempt>> calls = List.copyOf(queued);
         queued.clear();
--- a/src/main/java/pepperdock/platform/WorkerConnection.java
+++ b/src/main/java/pepperdock/platform/WorkerConnection.java
@@ -5,12 +5,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import pepperdock.aggregator.Aggregator.Outcome;
 import pepperdock.core.Attempt;
 import pepperdock.core.Clock;
@@ -30,7 +28,7 @@
     /** Closed after this share of the worker's idle limit, so that no call crosses the worker's own closing. */
     private static final double IDLE_SHARE = 0.8;
     private static final double PROBE_S = 0.25;
-    /** A frame that is begun goes on within so many times the time a connection may take to come up. */
+    /** A frame that is begun is whole within so many times the time a connection may take to come up. */
     private static final int UNFINISHED_DIALS = 4;
 
     /** An attempt that is out, and where its frame ends in what was written to the connection. */
@@ -43,14 +41,17 @@
     private final Connection connection;
     private final FrameParser parser = new FrameParser(FRAME_MOST, Frames.FROM_WORKERS);
     private final Map<String, Out> out = new HashMap<>();
-    private final Set<String> past = Collections.newSetFromMap(new LinkedHashMap<>() {
+    /** Whose query each was, by the core's own number. */
+    private final Map<String, Long> past = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
             return size() > PAST_MOST;
         }
-    });
+    };
+    /** Calls that wait until what was written before them is with the kernel; each is looked at again before it goes. */
+    private final ArrayDeque<List<Attempt>> waiting = new ArrayDeque<>();
     private final ArrayDeque<Probe> probes = new ArrayDeque<>();
     private int lateProbes;
     private Clock.Timer unfinished;
@@ -75,11 +76,58 @@
         return !out.isEmpty() && worker.loop.now() - awaitedSince > worker.site.dialS();
     }
 
+    /** Parts that are out on it, or wait to be. */
     int out() {
-        return out.size();
+        return out.size() + waiting.stream().mapToInt(List::size).sum();
     }
 
+    /**
+     * Whether an answer that comes on it could be for one of these parts or for another query's of the same id. Guards
+     * against a client that uses an id again once its query is over: a late answer to the old one, or its second copy,
+     * would be served to the new one as though it had been made for it.
+     */
+    boolean confuses(List<Attempt> call) {
+        for (Attempt a : call) {
+            String id = wireId(a);
+            Out o = out.get(id);
+            long query = o != null ? o.attempt().part().query().no() : past.getOrDefault(id, a.part().query().no());
+            if (query != a.part().query().no()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Sends a call, or keeps it while the kernel has no room for what went before. Kept here it can still be taken back:
+     * in the connection's buffer it would go out whatever had come meanwhile, word of draining or the end of its query.
+     */
     void send(List<Attempt> call) {
+        if (connection.unwritten()) {
+            waiting.add(new ArrayList<>(call));
+        } else {
+            write(call);
+        }
+    }
+
+    @Override
+    public void flushed(Connection c) {
+        while (!waiting.isEmpty() && !connection.unwritten() && !connection.closed()) {
+            List<Attempt> live = worker.startable(waiting.removeFirst());
+            if (!live.isEmpty()) {
+                write(live);
+            }
+        }
+    }
+
+    /** What waits for room on it never ran, and won't. */
+    void endWaiting(Outcome outcome) {
+        List<List<Attempt>> calls = List.copyOf(waiting);
+        waiting.clear();
+        calls.forEach(call -> call.forEach(a -> worker.core.ended(a, outcome, null, null)));
+    }
+
+    private void write(List<Attempt> call) {
         List<Frames.PartCall> parts = new ArrayList<>();
         for (Attempt a : call) {
             long wait = Math.max(1, (long) Math.floor((a.until() - worker.loop.now()) * 1e3));
@@ -105,10 +153,12 @@
         String id = wireId(a);
         Out o = out.get(id);
         if (o == null || o.attempt() != a) {
-            return false;
+            boolean waited = waiting.stream().anyMatch(call -> call.remove(a));
+            waiting.removeIf(List::isEmpty);
+            return waited;
         }
         out.remove(id);
-        past.add(id);
+        past.put(id, a.part().query().no());
         used();
         connection.write(Frames.giveUp(id));
         closeIfUnwanted();
@@ -129,7 +179,7 @@
     }
 
     void closeIfIdle() {
-        if (out.isEmpty() && probes.isEmpty()) {
+        if (out.isEmpty() && probes.isEmpty() && waiting.isEmpty()) {
             connection.close();
             release();
         }
@@ -175,7 +225,6 @@
 
     @Override
     public void received(Connection c) {
-        awaitedSince = worker.loop.now();
         try {
             while (!c.closed()) {
                 int used = parser.feed(c.bytes(), c.from(), c.to());
@@ -189,6 +238,7 @@
                 }
                 c.consume(used);
                 used();
+                awaitedSince = worker.loop.now();
                 frame(parser.take());
             }
         } catch (FrameException e) {
@@ -208,11 +258,8 @@
                 known(line.id());
             }
         }
-        if (unfinished != null) {
-            unfinished.cancel();
-            unfinished = null;
-        }
-        if (there > 0) {
+        // From its first byte: counted anew with each that comes, a frame that never ends would hold up all behind it.
+        if (there > 0 && unfinished == null) {
             unfinished = worker.loop.after(UNFINISHED_DIALS * worker.site.dialS(), () -> {
                 if (!c.closed()) {
                     spoilt("frame not finished");
@@ -222,7 +269,7 @@
     }
 
     private void known(String id) throws FrameException {
-        if (!out.containsKey(id) && !past.contains(id)) {
+        if (!out.containsKey(id) && !past.containsKey(id)) {
             throw new FrameException("unknown id");
         }
     }
@@ -269,7 +316,7 @@
         }
         Out o = out.remove(r.id());
         if (o != null) {
-            past.add(r.id());
+            past.put(r.id(), o.attempt().part().query().no());
             double[] report = Reports.row(r.report(), worker.site.module().reportNames());
             worker.core.ended(o.attempt(), outcome, report, r.value());
             closeIfUnwanted();
@@ -297,6 +344,7 @@
             worker.core.probed(worker.id, Outcome.RESET, worker.loop.now() - p.sentAt(), null);
         });
         probes.clear();
+        endWaiting(Outcome.CONNECT_FAILED);
         for (Out o : broken) {
             boolean whole = c.written() >= o.frameEnd();
             worker.core.ended(o.attempt(), whole ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
--- a/src/test/java/pepperdock/core/GathererTest.java
+++ b/src/test/java/pepperdock/core/GathererTest.java
@@ -1,6 +1,7 @@
 package pepperdock.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -90,6 +91,48 @@
         assertEquals(1, bench.answers.size());
     }
 
+    /** A call may wait for a connection after it was decided on: past the window a repeat would run a second time. */
+    @Test
+    void aRepeatOfAKeyedPartMayStartOnlyWithinItsWindow() {
+        bench.ask(2, 3, 1);
+        bench.clock.advance(0.1);
+        double sent = bench.clock.now();
+        bench.end(bench.calls.get(0).get(0), Outcome.ERROR);
+        bench.clock.advance(0.1);
+        Attempt repeat = bench.calls.get(1).get(0);
+        assertTrue(repeat.mayStart(sent + 1.3));
+        assertFalse(repeat.mayStart(sent + 1.51), "1.5 s after the first was sent");
+        bench.end(repeat, Outcome.OK);
+        assertFalse(repeat.mayStart(sent + 0.3), "over");
+    }
+
+    /** Sent on, a request that comes while the program ends would be lost with it. */
+    @Test
+    void atTheEndWhatIsInHandIsAnsweredAndWhatStillComesIsRefusedAtOnce() {
+        bench.ask(0, 3, 6);
+        bench.ask(2, 3, 1);
+        bench.core.gone(bench.ask(2, 3, 2));
+        bench.clock.advance(0.01);
+        bench.core.endAll();
+        assertEquals(List.of("refused 1.0", "failed false"), bench.answers);
+        int calls = bench.calls.size();
+        bench.ask(0, 3, 6);
+        bench.clock.advance(0.1);
+        assertEquals("refused 1.0", bench.answers.get(2));
+        assertEquals(calls, bench.calls.size());
+    }
+
+    /** Held to a list for as long as it may go unasked, counted from its return: asked later, news would count before. */
+    @Test
+    void howeverOftenAskingFailsTheNextCallComesWithinTheTimeForAsking() {
+        for (int i = 0; i < 40; i++) {
+            bench.core.listed(ListKind.FAILED, List.of());
+            int before = bench.subscribed;
+            bench.clock.advance(7.6);
+            assertEquals(before + 1, bench.subscribed, "10 s less the list's own time, after failure " + i);
+        }
+    }
+
     @Test
     void theListIsAskedForAgainAfterAFailure() {
         int before = bench.subscribed;
--- a/src/test/java/pepperdock/platform/WorkerPoolTest.java
+++ b/src/test/java/pepperdock/platform/WorkerPoolTest.java
@@ -213,6 +213,127 @@
         assertEquals("refused " + Outcome.MOOT, ending());
     }
 
+    private static final int BIG = 24 << 20;
+
+    /** The letter and the id of each frame up to and including the next answer-me of a probe. */
+    private static List<String> framesToProbe(java.io.DataInputStream in) throws IOException {
+        List<String> got = new java.util.ArrayList<>();
+        do {
+            byte[] frame = in.readNBytes(in.readInt());
+            got.add(new String(frame, 0, Math.min(frame.length, 16), java.nio.charset.StandardCharsets.US_ASCII).split(" ")[0]);
+        } while (!got.get(got.size() - 1).equals("o"));
+        return got;
+    }
+
+    /**
+     * A call behind one that the worker's machine does not take: decided on, and not begun. What comes meanwhile decides
+     * whether it goes. Found by reading: in the connection's buffer it would have gone whatever came.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"drains", "gone", "left"})
+    void aCallThatWaitsForRoomOnAConnectionIsTakenBack(String what) throws Exception {
+        server.setSoTimeout(30_000);
+        try (Loop own = new Loop(100, BIG + (1 << 20))) {
+            WorkerPool workers = new WorkerPool(own, site);
+            Gatherer gatherer = new Gatherer(site.module(), 3, own, workers, () -> { });
+            workers.start(gatherer);
+            java.util.function.BiFunction<String, byte[], Ask> ask = (id, text) -> new Ask(id, 2, "k", 30,
+                    List.of(new Ask.Piece(0, 1)), text, null);
+            own.execute(() -> {
+                gatherer.listed(ListKind.COMPLETE, List.of(host(Readiness.HEALTHY)));
+                gatherer.take(ask.apply("big", new byte[BIG]), NOBODY);
+            });
+            try (Socket s = server.accept()) {
+                java.io.DataInputStream in = new java.io.DataInputStream(new java.io.BufferedInputStream(s.getInputStream()));
+                in.mark(8);
+                in.readInt();
+                in.reset();
+                BlockingQueue<Integer> sent = new LinkedBlockingQueue<>();
+                own.execute(() -> {
+                    Query small = gatherer.take(ask.apply("small", new byte[] {'t'}), NOBODY);
+                    // Behind the batch that sends it.
+                    own.after(0.02, () -> {
+                        sent.add(small.parts().get(0).sent() ? 1 : 0);
+                        switch (what) {
+                            case "drains" -> gatherer.listed(ListKind.CHANGES, List.of(host(Readiness.DRAINING)));
+                            case "gone" -> gatherer.listed(ListKind.COMPLETE, List.of());
+                            default -> gatherer.gone(small);
+                        }
+                        workers.probe("w");
+                    });
+                });
+                assertEquals(1, sent.take(), "it was decided on");
+                List<String> got = framesToProbe(in);
+                // Once more: what waited for room would have come with all before it gone.
+                own.execute(() -> workers.probe("w"));
+                got.addAll(framesToProbe(in));
+                assertEquals(List.of("mbig.0", "o", "o"), got);
+            }
+        }
+    }
+
+    /** Its answer could be the old one's: found by reading, one client would have been served what was made for the other. */
+    @Test
+    void anIdThatIsUsedAgainGoesOnAConnectionThatOwesItNothing() throws Exception {
+        server.setSoTimeout(30_000);
+        BlockingQueue<Query> taken = new LinkedBlockingQueue<>();
+        java.util.function.Consumer<byte[]> take = text -> loop.execute(() -> taken.add(core.take(new Ask("q", 0, "", 30,
+                List.of(new Ask.Piece(0, 1)), text, null), NOBODY)));
+        loop.execute(() -> core.listed(ListKind.COMPLETE, List.of(host(Readiness.HEALTHY))));
+        take.accept(new byte[] {'a'});
+        try (Socket old = server.accept()) {
+            old.getInputStream().readNBytes(5);
+            Query first = taken.take();
+            loop.execute(() -> core.gone(first));
+            take.accept(new byte[] {'b'});
+            try (Socket anew = server.accept()) {
+                byte[] head = anew.getInputStream().readNBytes(5);
+                assertEquals('b', anew.getInputStream().readNBytes(head[3] - 1)[head[3] - 2]);
+                // The late answer, first seen to be read: a probe of ours that follows it on that connection is no matter.
+                old.getOutputStream().write(result("q.0 good 1 -\nold"));
+                anew.getOutputStream().write(result("q.0 good 1 -\nnew"));
+                Query second = taken.take();
+                byte[] value = null;
+                while (value == null) {
+                    BlockingQueue<java.util.Optional<byte[]>> is = new LinkedBlockingQueue<>();
+                    loop.execute(() -> is.add(java.util.Optional.ofNullable(second.parts().get(0).value())));
+                    value = is.take().orElse(null);
+                }
+                assertEquals("new", new String(value, java.nio.charset.StandardCharsets.US_ASCII));
+            }
+        }
+    }
+
+    /** A byte now and then: as long as that counted as going on, a frame that never ends held up all behind it. */
+    @Test
+    void aFrameThatGoesOnByBytesAndNeverEndsIsGivenUp() throws Exception {
+        Site quick = Sites.with(Sites.SETTINGS.replace("\"DialTimeoutS\":0.25", "\"DialTimeoutS\":0.1"));
+        server.setSoTimeout(30_000);
+        try (Loop own = new Loop(100, 1 << 18)) {
+            WorkerPool workers = new WorkerPool(own, quick);
+            Gatherer gatherer = new Gatherer(quick.module(), 3, own, workers, () -> { });
+            workers.start(gatherer);
+            own.execute(() -> {
+                gatherer.listed(ListKind.COMPLETE, List.of(host(Readiness.HEALTHY)));
+                gatherer.take(new Ask("q", 0, "", 600, List.of(new Ask.Piece(0, 1)), new byte[] {'t'}, null), NOBODY);
+            });
+            try (Socket s = server.accept()) {
+                s.getInputStream().readNBytes(5);
+                s.getOutputStream().write(java.util.Arrays.copyOf(result("q.0 good 1 -\n" + "x".repeat(60_000)), 40));
+                boolean given = false;
+                for (int i = 0; i < 3000 && !given; i++) {
+                    Thread.sleep(10);
+                    try {
+                        s.getOutputStream().write('x');
+                    } catch (IOException e) {
+                        given = true;
+                    }
+                }
+                assertTrue(given, "still waited for after 3,000 bytes one by one");
+            }
+        }
+    }
+
     /** Seen on days of releases: the give-up closed the draining worker's connection while the list of them was walked. */
     @Test
     void aClientThatLeavesADrainingWorkersLastPartHarmsNothing() throws Exception {
