--- a/src/main/java/pepperdock/config/Site.java
+++ b/src/main/java/pepperdock/config/Site.java
@@ -25,8 +25,10 @@
         Keys limits = env.needed("Limits");
         List<String> classes = new ArrayList<>();
         for (Keys c : env.objects("RequestClasses")) {
-            check(c, "Name", !classes.contains(c.text("Name")) && !c.text("Name").isEmpty(), "empty, or of another class");
-            classes.add(c.text("Name"));
+            // The simulator speaks of classes by their number alone; a front's clients by name.
+            String name = c.text("Name", "class-" + classes.size());
+            check(c, "Name", !classes.contains(name) && !name.isEmpty(), "empty, or of another class");
+            classes.add(name);
         }
         check(env, "RequestClasses", !classes.isEmpty(), "none");
         return new Site(module(env), List.copyOf(classes), env.texts("FailureDomains"), env.texts("Kinds"),
