--- a/src/test/java/pepperdock/SignalsIT.java
+++ b/src/test/java/pepperdock/SignalsIT.java
@@ -58,6 +58,45 @@
         }
     }
 
+    /** A worker that takes calls and answers none, listed in the file itself. */
+    private static String hangs(ServerSocket worker) {
+        StringBuilder hosts = new StringBuilder();
+        for (int cell = 0; cell < 4; cell++) {
+            hosts.append(cell == 0 ? "" : ",").append("{\"host\":\"w" + cell + "\",\"dial\":\"127.0.0.1:" + worker.getLocalPort()
+                    + "\",\"block\":" + cell + ",\"health\":\"in_service\",\"born_ms\":0}");
+        }
+        return "\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]},";
+    }
+
+    /** In flight at a worker that hangs; a second signal and a reload come on top of the first. */
+    @Test
+    void whatIsInHandAtSigtermIsAnsweredWhateverElseComes() throws Exception {
+        try (ServerSocket worker = discovery(); BuiltJar jar = new BuiltJar(Path.of("."), folder, BuiltJar.PLAIN, hangs(worker), null)) {
+            try (Socket client = jar.connect(); Socket resting = jar.connect()) {
+                String body = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"x\"}";
+                client.getOutputStream().write(("POST /api HTTP/1.1\r\nRequest-Id: a\r\nRequest-Class: payout-report\r\n"
+                        + "Request-Timeout-Ms: 900\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                        .getBytes(StandardCharsets.US_ASCII));
+                try (Socket taken = worker.accept()) {
+                    taken.getInputStream().readNBytes(5);
+                    signal("TERM", jar.process);
+                    jar.awaited("draining, 1 in hand");
+                    signal("HUP", jar.process);
+                    signal("TERM", jar.process);
+                    jar.awaited("configuration reloaded");
+                    String said = new String(client.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
+                    assertTrue(said.matches("HTTP/1.1 50[34]"), said);
+                    // A connection that rested all the while is served on.
+                    BuiltJar.ready(resting);
+                }
+            }
+            assertTrue(jar.process.waitFor(30, java.util.concurrent.TimeUnit.SECONDS));
+            assertEquals(0, jar.process.exitValue());
+            assertEquals(1, jar.log().lines().filter(l -> l.contains("draining, ")).count(), jar::log);
+            assertTrue(jar.log().contains("drained, with nothing in hand"), jar::log);
+        }
+    }
+
     /** Found on a day of restarts: closed at once, a client has nowhere to go while the next gatherer is starting. */
     @Test
     void afterSigtermAKeptConnectionIsServedOnAndTheEndIsLogged() throws Exception {
