Force five more crossings: frames half written, idle closes, half requests at the end, starts

Added: a worker's close against a frame half written and a call queued behind it (neither ran), our idle close over half a late line, half a request at SIGTERM with its rest after it, a reply that is read once the program has ended, a start that is interrupted at its first moment and right as it says that it is ready, an indented list.

--- a/src/test/java/pepperdock/SignalsIT.java
+++ b/src/test/java/pepperdock/SignalsIT.java
@@ -97,6 +97,52 @@
         }
     }
 
+    private static String request(String id) {
+        String body = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"x\"}";
+        return "POST /api HTTP/1.1\r\nRequest-Id: " + id + "\r\nRequest-Class: payout-report\r\nRequest-Timeout-Ms: 400\r\n"
+                + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** Half a request at the signal, its rest after; and a reply that is read only once the program has ended. */
+    @Test
+    void halfARequestAtSigtermIsServedAndAReplyOutlivesTheProgram() throws Exception {
+        try (ServerSocket worker = discovery(); BuiltJar jar = new BuiltJar(Path.of("."), folder, BuiltJar.PLAIN, hangs(worker), null);
+             Socket half = jar.connect(); Socket unread = jar.connect()) {
+            byte[] whole = request("half").getBytes(StandardCharsets.US_ASCII);
+            half.getOutputStream().write(whole, 0, 30);
+            unread.getOutputStream().write(request("unread").getBytes(StandardCharsets.US_ASCII));
+            try (Socket taken = worker.accept()) {
+                taken.getInputStream().readNBytes(5);
+                signal("TERM", jar.process);
+                jar.awaited("draining, 1 in hand");
+                half.getOutputStream().write(whole, 30, whole.length - 30);
+                String said = new String(half.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
+                assertTrue(said.matches("HTTP/1.1 50[34]"), said);
+                assertTrue(jar.process.waitFor(30, java.util.concurrent.TimeUnit.SECONDS));
+            }
+            assertEquals(0, jar.process.exitValue());
+            String kept = new String(unread.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(kept.matches("(?s)HTTP/1.1 50[34].*\"}"), kept);
+        }
+    }
+
+    /** At any moment of the start it ends: by the JVM's own handling at first, by ours from before it says that it is ready. */
+    @Test
+    void aStartThatIsInterruptedEnds() throws Exception {
+        try (ServerSocket discovery = discovery(); BuiltJar jar = start(discovery)) {
+            signal("TERM", jar.process);
+            assertTrue(jar.process.waitFor(30, java.util.concurrent.TimeUnit.SECONDS), jar::log);
+            assertTrue(jar.process.exitValue() == 143 || jar.process.exitValue() == 0, () -> "status " + jar.process.exitValue());
+        }
+        try (ServerSocket discovery = discovery(); BuiltJar jar = start(discovery)) {
+            jar.awaited(" serves on ");
+            signal("TERM", jar.process);
+            assertTrue(jar.process.waitFor(30, java.util.concurrent.TimeUnit.SECONDS), jar::log);
+            assertEquals(0, jar.process.exitValue());
+            assertTrue(jar.log().contains("drained, with nothing in hand"), jar::log);
+        }
+    }
+
     /** Found on a day of restarts: closed at once, a client has nowhere to go while the next gatherer is starting. */
     @Test
     void afterSigtermAKeptConnectionIsServedOnAndTheEndIsLogged() throws Exception {
--- a/src/test/java/pepperdock/platform/WatchTest.java
+++ b/src/test/java/pepperdock/platform/WatchTest.java
@@ -75,7 +75,9 @@
         try (Socket s = server.accept()) {
             BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
             assertEquals("/api/targets?since=41", asked(in));
-            answer(s, 200, "{\"seq\":42,\"whole\":false,\"hosts\":[" + HOST.formatted("a") + ',' + HOST.formatted("b") + "]}");
+            // Lists may come indented.
+            answer(s, 200, ("{\"seq\":42,\"whole\":false,\"hosts\":[" + HOST.formatted("a") + ',' + HOST.formatted("b") + "]}")
+                    .replace(",", ",\r\n\t  ").replace("{", "{\n    ").replace("]", "\n]"));
             assertEquals(2, list().size());
             assertEquals("/api/targets?since=42", asked(in));
             answer(s, 200, "{\"seq\":43,\"whole\":true,\"hosts\":[" + HOST.formatted("b") + "]}");
--- a/src/test/java/pepperdock/platform/WorkerPoolTest.java
+++ b/src/test/java/pepperdock/platform/WorkerPoolTest.java
@@ -304,6 +304,92 @@
         }
     }
 
+    /** The worker's close against our frame: half of it written, and a call queued behind it; neither ever ran. */
+    @Test
+    void aCloseBeforeTheFramesLastByteNeverRanNorDidWhatWasQueuedBehindIt() throws Exception {
+        server.setSoTimeout(30_000);
+        try (Loop own = new Loop(100, BIG + (1 << 20))) {
+            WorkerPool workers = new WorkerPool(own, site);
+            Gatherer gatherer = new Gatherer(site.module(), 3, own, workers, () -> { });
+            workers.start(gatherer);
+            BlockingQueue<Query> taken = new LinkedBlockingQueue<>();
+            java.util.function.Consumer<byte[]> take = text -> own.execute(() -> taken.add(gatherer.take(
+                    new Ask("q" + text.length, 2, "k", 30, List.of(new Ask.Piece(0, 1)), text, null), NOBODY)));
+            own.execute(() -> gatherer.listed(ListKind.COMPLETE, List.of(host(Readiness.HEALTHY))));
+            take.accept(new byte[BIG]);
+            Query big = taken.take();
+            Query small;
+            try (Socket s = server.accept()) {
+                s.getInputStream().readNBytes(5);
+                take.accept(new byte[] {'t'});
+                small = taken.take();
+                while (!sent(own, small)) {
+                    Thread.onSpinWait();
+                }
+            }
+            assertEquals(Outcome.CONNECT_FAILED, outcome(own, big));
+            assertEquals(Outcome.CONNECT_FAILED, outcome(own, small));
+        }
+    }
+
+    private static <T> T on(Loop loop, java.util.function.Supplier<T> look) throws InterruptedException {
+        BlockingQueue<java.util.Optional<T>> seen = new LinkedBlockingQueue<>();
+        loop.execute(() -> seen.add(java.util.Optional.ofNullable(look.get())));
+        return seen.take().orElse(null);
+    }
+
+    private static boolean sent(Loop loop, Query q) throws InterruptedException {
+        return on(loop, q.parts().get(0)::sent);
+    }
+
+    private static Outcome outcome(Loop loop, Query q) throws InterruptedException {
+        Outcome last = null;
+        while (last == null) {
+            last = on(loop, q.parts().get(0)::lastOutcome);
+        }
+        return last;
+    }
+
+    /** Our idle close against half a late line: it ends nothing that is in hand, and the next call goes on a new connection. */
+    @Test
+    void anIdleCloseOverHalfALateLineHarmsNothing() throws Exception {
+        Site quick = Sites.with(Sites.SETTINGS.replace("\"DialTimeoutS\":0.25", "\"DialTimeoutS\":20,\"ConnIdleS\":0.2"));
+        server.setSoTimeout(30_000);
+        try (Loop own = new Loop(100, 1 << 18)) {
+            WorkerPool workers = new WorkerPool(own, quick);
+            Gatherer gatherer = new Gatherer(quick.module(), 3, own, workers, () -> { });
+            workers.start(gatherer);
+            BlockingQueue<Query> taken = new LinkedBlockingQueue<>();
+            java.util.function.Consumer<String> take = id -> own.execute(() -> taken.add(gatherer.take(
+                    new Ask(id, 0, "", 600, List.of(new Ask.Piece(0, 1)), new byte[] {'t'}, null), NOBODY)));
+            own.execute(() -> gatherer.listed(ListKind.COMPLETE, List.of(host(Readiness.HEALTHY))));
+            take.accept("left");
+            try (Socket s = server.accept()) {
+                byte[] head = s.getInputStream().readNBytes(4);
+                s.getInputStream().readNBytes(head[3]);
+                Query left = taken.take();
+                own.execute(() -> gatherer.gone(left));
+                byte[] give = s.getInputStream().readNBytes(4);
+                assertEquals("nleft.0", new String(s.getInputStream().readNBytes(give[3]), java.nio.charset.StandardCharsets.US_ASCII));
+                s.getOutputStream().write(java.util.Arrays.copyOf(result("left.0 good 1 -\nvalue"), 12));
+                s.setSoTimeout(30_000);
+                try {
+                    assertEquals(-1, s.getInputStream().read());
+                } catch (java.net.SocketException e) {
+                    // A close over bytes that were not read yet is a reset; what it could take with it has been read above.
+                    assertTrue(e.getMessage().contains("reset"), e::toString);
+                }
+                take.accept("next");
+                try (Socket next = server.accept()) {
+                    byte[] frame = next.getInputStream().readNBytes(13);
+                    assertEquals("mnext.0 0", new String(frame, 4, 9, java.nio.charset.StandardCharsets.US_ASCII));
+                    next.getOutputStream().write(result("next.0 good 1 -\nvalue"));
+                    assertEquals(Outcome.OK, outcome(own, taken.take()));
+                }
+            }
+        }
+    }
+
     /** A byte now and then: as long as that counted as going on, a frame that never ends held up all behind it. */
     @Test
     void aFrameThatGoesOnByBytesAndNeverEndsIsGivenUp() throws Exception {
