Listen on an address that another process shares, and on one beside the cap of sockets

Need: an upgrade's two processes have one clients' address (SO_REUSEPORT), and operators must not take sockets from clients. A server on such an address takes in whoever waits before it stops. Connections apart do not count under the cap, and each reply closes them. Test: forty clients on two servers of one address, one of which hands over with the loop held up meanwhile; all are answered.

--- a/src/main/java/pepperdock/net/HttpServer.java
+++ b/src/main/java/pepperdock/net/HttpServer.java
@@ -22,7 +22,7 @@
 
     private static final System.Logger LOG = System.getLogger("pepperdock.net");
     /** From connecting, or from the first byte of a later request, to its last byte. */
-    private static final double REQUEST_S = 2.5;
+    public static final double REQUEST_S = 2.5;
     /** For a client to read what it was sent, and to close after an error. */
     private static final double FLUSH_S = 2.5;
     private static final double LINGER_S = 1;
@@ -55,21 +55,33 @@
     private final Service service;
     private final int bodyMost;
     private final IntSupplier most;
+    private final double requestS;
+    private final Loop.Kind kind;
     private final Loop.Listening listening;
     /** In the order in which they came to the state they are in, so that the longest waiting is found first. */
     private final Set<Serving> all = new LinkedHashSet<>();
     private boolean draining;
+    private boolean stopped;
     private final LogBudget notes;
 
     /** {@code most} is how many connections clients may hold here, {@code bodyMost} what a request may bring. */
     public HttpServer(Loop loop, InetSocketAddress at, int bodyMost, IntSupplier most, Service service)
             throws IOException {
+        this(loop, at, Loop.Kind.OWN, REQUEST_S, bodyMost, most, service);
+    }
+
+    /** {@code requestS} is how long a request may take to come; on an address apart each reply closes its connection. */
+    public HttpServer(Loop loop, InetSocketAddress at, Loop.Kind kind, double requestS, int bodyMost, IntSupplier most,
+                      Service service) throws IOException {
         this.loop = loop;
+        this.kind = kind;
+        this.requestS = requestS;
+        draining = kind == Loop.Kind.APART;
         notes = new LogBudget(LOG, loop, "malformed or not taken");
         this.service = service;
         this.bodyMost = bodyMost;
         this.most = most;
-        listening = loop.listen(at, this::room, c -> {
+        listening = loop.listen(at, kind, this::room, c -> {
             Serving s = new Serving(c);
             all.add(s);
             c.limitUnread(UNREAD_MOST);
@@ -87,11 +99,23 @@
         draining = true;
     }
 
+    /** Whether clients can still connect here. */
+    public boolean listens() {
+        return !stopped;
+    }
+
+    /** Takes in whoever waits and stops listening at once, where another process listens on the same address. */
+    public void handOver() {
+        stopped = true;
+        listening.close();
+    }
+
     /**
      * Closes what stands idle, as {@link #closeIfIdle} does, and stops listening some turns of the loop later: whoever
      * stands in the queue then was accepted by the machine, and closed with it its request would be lost.
      */
     public void stopListening() {
+        stopped = true;
         List.copyOf(all).forEach(HttpServer::closeIfIdle);
         loop.after(LAST_ACCEPT_S, listening::close);
     }
@@ -129,7 +153,7 @@
      * whoever never asked, the longest waiting first; those with a request in hand stay.
      */
     private boolean room() {
-        if (connections() < most.getAsInt() && loop.spare() > 0) {
+        if (connections() < most.getAsInt() && (kind == Loop.Kind.APART || loop.spare() > 0)) {
             return true;
         }
         double now = loop.now();
@@ -203,9 +227,9 @@
                     || at == At.IDLE && stood > IDLE_S && connection.unwritten()) {
                 connection.close();
                 ended(connection);
-            } else if (at == At.FRESH && stood > REQUEST_S || at == At.IDLE && stood > IDLE_S) {
+            } else if (at == At.FRESH && stood > requestS || at == At.IDLE && stood > IDLE_S) {
                 closeIfIdle(this);
-            } else if (at == At.READING && stood > REQUEST_S) {
+            } else if (at == At.READING && stood > requestS) {
                 malformed(new HttpException(408, "request not finished in time"));
             }
         }
--- a/src/main/java/pepperdock/net/Loop.java
+++ b/src/main/java/pepperdock/net/Loop.java
@@ -34,6 +34,8 @@
     private final XnioIoThread thread;
     private final int bufferCap;
     private int socketCap;
+    /** The cap when no other process has a part of it. */
+    private int wholeCap;
     private final Set<Connection> open = new HashSet<>();
     private final double startedAt = System.currentTimeMillis() / 1e3;
     private final long startedNanos = System.nanoTime();
@@ -44,6 +46,7 @@
     /** {@code socketCap} bounds connections of all kinds together; {@code bufferCap} the buffer of each. */
     public Loop(int socketCap, int bufferCap) throws IOException {
         this.socketCap = socketCap;
+        wholeCap = socketCap;
         this.bufferCap = bufferCap;
         NoManagement.install();
         worker = Xnio.getInstance("nio", Loop.class.getClassLoader()).createWorker(OptionMap.builder()
@@ -94,17 +97,43 @@
 
     /** Sets the cap anew; what stands open beyond it is left to end by itself. */
     public void capSockets(int most) {
+        wholeCap = most;
         socketCap = most;
     }
 
+    /** What {@link #capSockets} allows, whether or not another process has a part of it now. */
+    public int wholeCap() {
+        return wholeCap;
+    }
+
+    /** Another process takes a part of what is allowed to both: this one opens no more than {@code most}, or than it has. */
+    public void shareSockets(boolean with, int most) {
+        socketCap = with ? Math.max(inUse(), Math.min(most, wholeCap)) : wholeCap;
+    }
+
     /** Room for bytes that nobody wants, one for all connections. */
     ByteBuffer scratch() {
         return scratch.clear();
     }
 
+    /** Sockets that count under the cap now. */
+    public int inUse() {
+        return open.size() + dialling;
+    }
+
     /** Sockets still free under the cap. */
     public int spare() {
-        return socketCap - open.size() - dialling;
+        return socketCap - inUse();
+    }
+
+    /** Whose an address is, and whose its connections. */
+    public enum Kind {
+        /** This process's alone; what comes counts under the cap. */
+        OWN,
+        /** Another process may listen on it beside this one, and is dealt a part of those who connect. */
+        SHARED,
+        /** This process's alone; bounded by who listens, and beside the cap: clients must not lose sockets to it. */
+        APART
     }
 
     /** A listening socket that can be closed. */
@@ -121,23 +150,30 @@
      * hundreds that come at once must not all be held before the first is looked at.
      */
     public Listening listen(InetSocketAddress at, BooleanSupplier room, Consumer<Connection> opened) throws IOException {
+        return listen(at, Kind.OWN, room, opened);
+    }
+
+    public Listening listen(InetSocketAddress at, Kind kind, BooleanSupplier room, Consumer<Connection> opened)
+            throws IOException {
         ChannelListener<AcceptingChannel<StreamConnection>> accept = server -> {
             try {
                 for (StreamConnection c = server.accept(); c != null; c = server.accept()) {
                     StreamConnection taken = c;
                     if (Thread.currentThread() == thread) {
-                        guarded(() -> accepted(taken, room, opened));
+                        guarded(() -> accepted(taken, kind, room, opened));
                     } else {
-                        execute(() -> accepted(taken, room, opened));
+                        execute(() -> accepted(taken, kind, room, opened));
                     }
                 }
             } catch (IOException e) {
                 away.note(System.Logger.Level.WARNING, () -> "accept failed: " + e.getMessage());
             }
         };
-        AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(at, accept,
-                OptionMap.builder().set(Options.BACKLOG, BACKLOG).set(Options.REUSE_ADDRESSES, true)
-                        .set(Options.TCP_NODELAY, true).getMap());
+        OptionMap options = OptionMap.builder().set(Options.BACKLOG, BACKLOG).set(Options.REUSE_ADDRESSES, true)
+                .set(Options.TCP_NODELAY, true).getMap();
+        AcceptingChannel<StreamConnection> server = kind != Kind.SHARED
+                ? worker.createStreamConnectionServer(at, accept, options)
+                : SharedAddress.listen(worker, at, BACKLOG, options, accept);
         server.resumeAccepts();
         return new Listening() {
             @Override
@@ -164,12 +200,12 @@
                 guarded(() -> to.received(bytes, length)));
     }
 
-    private void accepted(StreamConnection taken, BooleanSupplier room, Consumer<Connection> opened) {
-        if (!room.getAsBoolean() || spare() <= 0) {
+    private void accepted(StreamConnection taken, Kind kind, BooleanSupplier room, Consumer<Connection> opened) {
+        if (!room.getAsBoolean() || kind != Kind.APART && spare() <= 0) {
             away.note(System.Logger.Level.WARNING, () -> "client turned away: no socket to spare");
             IoUtils.safeClose(taken);
         } else {
-            opened.accept(adopt(taken));
+            opened.accept(adopt(taken, kind != Kind.APART));
         }
     }
 
@@ -212,7 +248,7 @@
             if (made == null) {
                 then.failed();
             } else {
-                then.up(adopt(made));
+                then.up(adopt(made, true));
             }
         }), null);
     }
@@ -225,9 +261,11 @@
         }
     }
 
-    private Connection adopt(StreamConnection channel) {
+    private Connection adopt(StreamConnection channel, boolean counted) {
         Connection c = new Connection(this, channel, bufferCap);
-        open.add(c);
+        if (counted) {
+            open.add(c);
+        }
         return c;
     }
 
--- a/src/test/java/pepperdock/net/HttpServerTest.java
+++ b/src/test/java/pepperdock/net/HttpServerTest.java
@@ -8,6 +8,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -111,6 +113,57 @@
         }
     }
 
+    /** Two processes of one gatherer: who waits at the one that stops is taken in, and whoever comes next is the other's. */
+    @Test
+    void anAddressIsSharedAndHandedOverWithAllWhoWait() throws Exception {
+        HttpServer.Service service = new HttpServer.Service() {
+            @Override
+            public Runnable serve(HttpMessage request, HttpServer.Reply reply) {
+                reply.send(200, "text/plain", "", new byte[0]);
+                return () -> { };
+            }
+
+            @Override
+            public void malformed(int status, String why, HttpServer.Reply reply) { }
+        };
+        HttpServer old = new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), Loop.Kind.SHARED, 2.5, 1024,
+                () -> 50, service);
+        try (Loop second = new Loop(100, 1 << 16)) {
+            List<Socket> clients = new ArrayList<>();
+            CountDownLatch heldUp = new CountDownLatch(1);
+            CountDownLatch done = new CountDownLatch(1);
+            loop.execute(() -> {
+                heldUp.countDown();
+                try {
+                    assertTrue(done.await(30, TimeUnit.SECONDS));
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                old.handOver();
+            });
+            assertTrue(heldUp.await(30, TimeUnit.SECONDS));
+            for (int i = 0; i < 20; i++) {
+                clients.add(new Socket(old.address().getAddress(), old.address().getPort()));
+            }
+            HttpServer other = new HttpServer(second, old.address(), Loop.Kind.SHARED, 2.5, 1024, () -> 50, service);
+            for (int i = 0; i < 20; i++) {
+                clients.add(new Socket(old.address().getAddress(), old.address().getPort()));
+            }
+            assertEquals(old.address(), other.address());
+            done.countDown();
+            for (Socket c : clients) {
+                c.setSoTimeout(30_000);
+                c.getOutputStream().write(REQUEST);
+                assertEquals("HTTP/1.1 200 OK", status(c));
+                c.close();
+            }
+            try (Socket next = new Socket(old.address().getAddress(), old.address().getPort())) {
+                next.getOutputStream().write(REQUEST);
+                assertEquals("HTTP/1.1 200 OK", status(next));
+            }
+        }
+    }
+
     /** An answer that its client does not read must not hold the room that another could have. */
     @Test
     void whoDoesNotReadItsAnswerGivesWay() throws Exception {
