Count what ends, take workers out by hand, and change classes under open queries

Each query is counted where it is taken and where its one answer is settled, by its class's name; attempts when their last byte is with the system. A worker that is taken out drains to the backend and is gone to the module; it comes back as new. A query keeps its class and its attempts from when it was taken, in the core and in the module. Beside another process the module reckons with twice as many instances. Tests: taken = ended + in hand at each step of the 162 crossings; a ban over lists that say otherwise; a class that changes its effect under a query in hand; less for a cold worker beside another process.

--- a/src/main/java/pepperdock/aggregator/Aggregator.java
+++ b/src/main/java/pepperdock/aggregator/Aggregator.java
@@ -96,6 +96,12 @@
             reportNames = List.copyOf(reportNames);
         }
 
+        /** The same with another number of instances. */
+        public Settings with(int instances) {
+            return new Settings(instances, zone, tickS, mustAsk, classes, tenantRates, overShareWorth, reportNames, layout, limits,
+                    rules);
+        }
+
         private static void check(boolean ok, String what) {
             if (!ok) {
                 throw new IllegalArgumentException("settings: " + what + " out of range");
@@ -136,6 +142,12 @@
         /** Shares reckoned ahead, in use from now on; without them all holders of a shard are alike. */
         void shares(Shares planned);
 
+        /** Other classes and limits, in use for queries from now on; the layout and the rules stay. */
+        void settings(Settings now);
+
+        /** Whether a searcher is taken for bad, and has not even been tried for as long as trials may be apart. */
+        boolean avoids(String searcher);
+
         /** A timer set by this instance fell due. */
         void timer(String token);
 
--- a/src/main/java/pepperdock/aggregator/Decide.java
+++ b/src/main/java/pepperdock/aggregator/Decide.java
@@ -112,11 +112,11 @@
     private static final double REAPED_AIMS = 20;
     private static final double EPS = 1e-6;
 
-    private final Settings settings;
+    private Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
     private final SplittableRandom asking;
-    private final double shortestAim;
+    private double shortestAim;
     private final Map<String, Searcher> searchers = new LinkedHashMap<>();
     private final List<List<Searcher>> cells = new ArrayList<>();
     private final Map<Long, Query> queries = new LinkedHashMap<>();
@@ -124,7 +124,7 @@
     private final Map<Long, Part> parts = new HashMap<>();
     private final List<Query> arrived = new ArrayList<>();
     private final ArrayDeque<Query> waiting = new ArrayDeque<>();
-    private final double[] usualTry;
+    private double[] usualTry;
     private final double[] tokens;
     private final double[] tokensAt;
     private double now;
@@ -163,17 +163,15 @@
     private Shares planned = (shard, searcher) -> 1;
 
     Decide(Settings settings, long seed, Actions actions) {
-        this.settings = settings;
         this.actions = actions;
         random = new SplittableRandom(seed);
         asking = new SplittableRandom(~seed);
-        shortestAim = settings.classes().stream().mapToDouble(QueryClass::aimS).min().orElseThrow();
+        settings(settings);
         pace = shortestAim * FIRST_PACE_SHARE;
         deviation = pace / 2;
         quick = pace;
         subscribed = !settings.mustAsk();
         quarter = pace;
-        usualTry = new double[settings.classes().size()];
         tokens = new double[settings.tenantRates().size()];
         tokensAt = new double[tokens.length];
         for (int i = 0; i < settings.layout().cells(); i++) {
@@ -194,7 +192,7 @@
     public void query(long id, int queryClass, int tenant, String key, double remainingS, long queryNo,
                       int count) {
         QueryClass c = settings.classes().get(queryClass);
-        Query q = new Query(id, queryNo, queryClass, tenant);
+        Query q = new Query(id, queryNo, c, settings.limits().maxAttempts());
         q.endAt = now + remainingS;
         q.aimAt = now + Math.min(c.aimS(), remainingS);
         q.halfAt = now + remainingS / 2;
@@ -264,6 +262,22 @@
         this.planned = planned;
     }
 
+    /** Queries in hand keep their class and attempts; how long clients of others wait is learnt anew. */
+    @Override
+    public void settings(Settings now) {
+        boolean otherClasses = settings == null || !now.classes().equals(settings.classes());
+        settings = now;
+        shortestAim = now.classes().stream().mapToDouble(QueryClass::aimS).min().orElseThrow();
+        usualTry = otherClasses ? new double[now.classes().size()] : usualTry;
+    }
+
+    @Override
+    public boolean avoids(String searcher) {
+        Searcher s = searchers.get(searcher);
+        return s != null && suspect(s)
+                && (s.call == null || now - s.call.sentAt > TRIAL_MOST_AIMS * shortestAim);
+    }
+
     @Override
     public void timer(String token) {
         sweepSet = false;
@@ -556,14 +570,14 @@
     private boolean allowed(Part p, Searcher s) {
         Query q = p.query;
         return !q.ended && !p.in && p.wanted && s.usable && now < worthUntil(q)
-                && p.attempts.size() < settings.limits().maxAttempts()
+                && p.attempts.size() < p.query.maxAttempts
                 && (p.out == 0 || copies(p) && s.open.stream().noneMatch(a -> a.part == p))
                 && repeatable(p) && coldRoom(s)
                 && (p.attempts.isEmpty() || withinBudget(p) && !(suspect(s) && now < s.trialAt));
     }
 
     private QueryClass kind(Query q) {
-        return settings.classes().get(q.queryClass);
+        return q.kind;
     }
 
     /** Rule 2: unsafe parts only when no attempt can have run, keyed ones while repeats are recognised. */
@@ -883,7 +897,7 @@
                 && now < p.query.aimAt && now - last.sentAt > LAST_CALL_QUARTERS * quarter;
         boolean lost = last.lost || last.overdue && suspect(last.searcher) || cutOff || lastCall;
         if (last.outcome != null || !lost || last.calledOff || !withinBudget(p)
-                || p.attempts.size() >= settings.limits().maxAttempts()) {
+                || p.attempts.size() >= p.query.maxAttempts) {
             return;
         }
         if (copies(p) && !cutOff) {
@@ -898,7 +912,7 @@
     /** Weight that is in or can still come from the wanted parts. */
     private double reachable(Query q) {
         return q.parts.stream().filter(p -> p.in || p.wanted && (p.out > 0
-                || p.attempts.size() < settings.limits().maxAttempts() && repeatable(p)
+                || p.attempts.size() < p.query.maxAttempts && repeatable(p)
                 && !holders(p.shard).isEmpty())).mapToDouble(p -> p.weight).sum();
     }
 
@@ -928,7 +942,7 @@
         boolean enough = q.in >= floor - EPS;
         double secondStep = q.step == 1 && c.secondStep() > 0 ? pace + 2 * deviation : 0;
         boolean pending = q.parts.stream().anyMatch(p -> p.wanted && !p.in
-                && (p.out > 0 || p.attempts.size() < settings.limits().maxAttempts()));
+                && (p.out > 0 || p.attempts.size() < p.query.maxAttempts));
         if (enough && (now >= Math.min(q.aimAt, q.endAt) - margin() - secondStep || !pending)) {
             answer(q, false);
         } else if (now >= worthUntil(q) || reachable(q) < floor - EPS || unreached(q)) {
--- a/src/main/java/pepperdock/aggregator/State.java
+++ b/src/main/java/pepperdock/aggregator/State.java
@@ -13,8 +13,8 @@
     static final class Query {
         final long id;
         final long no;
-        final int queryClass;
-        final int tenant;
+        final Aggregator.QueryClass kind;
+        final int maxAttempts;
         double aimAt;
         double halfAt;
         double freshUntil;
@@ -27,11 +27,11 @@
         boolean firstWhole;
         List<Part> parts = new ArrayList<>();
 
-        Query(long id, long no, int queryClass, int tenant) {
+        Query(long id, long no, Aggregator.QueryClass kind, int maxAttempts) {
             this.id = id;
             this.no = no;
-            this.queryClass = queryClass;
-            this.tenant = tenant;
+            this.kind = kind;
+            this.maxAttempts = maxAttempts;
         }
     }
 
--- a/src/main/java/pepperdock/core/Attempt.java
+++ b/src/main/java/pepperdock/core/Attempt.java
@@ -10,6 +10,8 @@
     final double sentAt;
     Clock.Timer timeout;
     boolean passedOn;
+    /** Its last byte was given to the system. */
+    boolean written;
     Outcome outcome;
     private final Part part;
     private final double until;
--- a/src/main/java/pepperdock/core/Gatherer.java
+++ b/src/main/java/pepperdock/core/Gatherer.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -25,8 +28,14 @@
     private static final System.Logger LOG = System.getLogger("pepperdock.core");
     /** Past a query's time by so much the core answers for the module: within the rules' slack, after its own sweep. */
     private static final double GUARD_S = 0.005;
-
-    private final Aggregator.Settings settings;
+    /** Ids of workers are remembered so long once the list has them no more, and so many; on long days they are always new. */
+    private static final double GONE_S = 3600;
+    private static final int GONE_MOST = 4096;
+
+    private Aggregator.Settings settings;
+    private int processes = 1;
+    /** In the order of the settings; a class beyond them goes by its number. */
+    private List<String> classNames = List.of();
     private final Clock clock;
     private final Backend backend;
     private final Discovery discovery;
@@ -37,6 +46,11 @@
     private final Map<Long, Part> parts = new HashMap<>();
     private final Set<String> openIds = new HashSet<>();
     private final Map<String, Host> hosts = new LinkedHashMap<>();
+    /** Workers taken out by hand, whatever the list says of them. */
+    private final Set<String> banned = new LinkedHashSet<>();
+    /** Ids that have stood in the list, and when they left it, in that order. */
+    private final Map<String, Double> gone = new LinkedHashMap<>();
+    private final Figures figures = new Figures();
     private final Map<String, List<Attempt>> sends = new LinkedHashMap<>();
     private List<Runnable> inbox = new ArrayList<>();
     private boolean closing;
@@ -55,10 +69,65 @@
         this.backend = backend;
         this.discovery = discovery;
         module = Aggregator.create(settings, seed, this);
+        name(List.of());
         endings = new LogBudget(LOG, clock, "queries refused, failed or left");
         refusals = new LogBudget(LOG, clock, "queries refused at the door");
     }
 
+    // ---- Settings and figures ------------------------------------------------------------
+
+    /** Names the classes of the settings in force, in their order, for the figures. */
+    public void name(List<String> names) {
+        classNames = List.copyOf(names);
+        for (int i = 0; i < settings.classes().size(); i++) {
+            figures.inForce(className(i));
+        }
+    }
+
+    /**
+     * Other classes, and other attempts a part, from the next query on; those in hand go on by the rules that they were taken
+     * under. Told in the order of events: a class's number means to the module what it meant when the query came.
+     */
+    public void settings(Aggregator.Settings now, List<String> names) {
+        settings = now;
+        name(names);
+        tellSettings();
+    }
+
+    /**
+     * Whether another process of this gatherer serves beside this one. Both together must do no more than one: each reckons
+     * with twice as many instances, and so with half its part of what a cold worker is allowed.
+     */
+    public void beside(boolean another) {
+        processes = another ? 2 : 1;
+        tellSettings();
+    }
+
+    private void tellSettings() {
+        Aggregator.Settings now = settings.with(settings.instances() * processes);
+        tell(() -> module.settings(now));
+    }
+
+    public Aggregator.Settings settings() {
+        return settings;
+    }
+
+    private String className(int queryClass) {
+        return queryClass < classNames.size() ? classNames.get(queryClass) : "class-" + queryClass;
+    }
+
+    public Figures figures() {
+        return figures;
+    }
+
+    /** The last byte of an attempt's call is with the system; told by the backend, once for each. */
+    public void written(Attempt a) {
+        if (!a.written) {
+            a.written = true;
+            figures.attempted();
+        }
+    }
+
     // ---- From the front ------------------------------------------------------------
 
     /** Whether a query of that id is in hand; another must not be taken, as both would bear one id at the workers. */
@@ -69,12 +138,15 @@
     /** Takes a query; {@code client} gets its one final answer, at the earliest after this returns. */
     public Query take(Ask ask, Client client) {
         double now = clock.now();
-        Query q = new Query(nextId++, ask, client, now + ask.timeoutS());
+        Query q = new Query(nextId++, ask, client, now + ask.timeoutS(), settings.classes().get(ask.queryClass()),
+                className(ask.queryClass()), settings.limits().maxAttempts());
+        figures.taken();
         int size = 1 + ask.pieces().size();
         // Full is when the count is reached, not when this query would pass it: counted so, a quarter of the room of
         // a calm day stood empty while queries of all shards were refused.
         if (ending || held >= settings.limits().mostHeld()) {
             q.ended = true;
+            figures.end(q.className, Figures.End.REFUSED);
             refusals.note(System.Logger.Level.INFO, () -> "query " + ask.id() + " of " + ask.pieces().size()
                     + " parts refused at the door: " + (ending ? "the program ends"
                     : held + " of " + settings.limits().mostHeld() + " held"));
@@ -105,7 +177,7 @@
     /** The client of a query has left; harmless when the query is over. */
     public void gone(Query q) {
         if (!q.ended) {
-            finish(q);
+            finish(q, Figures.End.LEFT);
             note("left by its client", q);
             tell(() -> module.aborted(q.id));
         }
@@ -115,7 +187,7 @@
     private void overdue(Query q) {
         if (!q.ended) {
             LOG.log(System.Logger.Level.WARNING, "query {0} reached its deadline undecided", q.ask().id());
-            finish(q);
+            finish(q, Figures.End.FAILED);
             tell(() -> module.aborted(q.id));
             q.client.failed(q, true);
         }
@@ -129,8 +201,9 @@
     public void endAll() {
         ending = true;
         for (Query q : List.copyOf(queries.values())) {
-            boolean harmless = effect(q) == Aggregator.Effect.SAFE || q.parts.stream().flatMap(p -> p.attempts.stream()).allMatch(Attempt::neverRan);
-            finish(q);
+            boolean harmless = q.kind.effect() == Aggregator.Effect.SAFE
+                    || q.parts.stream().flatMap(p -> p.attempts.stream()).allMatch(Attempt::neverRan);
+            finish(q, harmless ? Figures.End.REFUSED : Figures.End.FAILED);
             note("ended at the program's end", q);
             tell(() -> module.aborted(q.id));
             if (harmless) {
@@ -184,26 +257,88 @@
     /** A list, its changes, or word that asking failed. */
     public void listed(ListKind kind, List<Host> entries) {
         if (kind == ListKind.HELD || kind == ListKind.COMPLETE) {
+            hosts.keySet().forEach(this::left);
             hosts.clear();
         }
         for (Host h : entries) {
             if (h.readiness() == Readiness.REMOVED) {
-                hosts.remove(h.id());
+                if (hosts.remove(h.id()) != null) {
+                    left(h.id());
+                }
             } else {
                 hosts.put(h.id(), h);
+                gone.remove(h.id());
             }
         }
+        Iterator<Double> eldest = gone.values().iterator();
+        while (eldest.hasNext() && (eldest.next() < clock.now() - GONE_S || gone.size() > GONE_MOST)) {
+            eldest.remove();
+        }
         if (kind != ListKind.FAILED) {
-            backend.listed(Map.copyOf(hosts));
+            tellBackend();
             if (kind != ListKind.HELD) {
                 whenListed.accept(List.copyOf(hosts.values()));
             }
         }
-        List<Aggregator.Listed> told = entries.stream().map(h -> new Aggregator.Listed(h.id(), h.zone(), h.kind(),
-                h.cell(), h.readiness(), h.weight(), h.bornAt())).toList();
+        List<Aggregator.Listed> told = entries.stream().map(this::forModule).toList();
         tell(() -> module.targets(kind, told));
     }
 
+    private void left(String worker) {
+        gone.remove(worker);
+        gone.put(worker, clock.now());
+    }
+
+    /** To the module a worker that is taken out by hand is gone: what it knew of it must not outlive the ban. */
+    private Aggregator.Listed forModule(Host h) {
+        return new Aggregator.Listed(h.id(), h.zone(), h.kind(), h.cell(),
+                banned.contains(h.id()) ? Readiness.REMOVED : h.readiness(), h.weight(), h.bornAt());
+    }
+
+    /** To the backend it drains: what is out there may still be answered, what waits ends. */
+    private void tellBackend() {
+        Map<String, Host> now = new HashMap<>();
+        hosts.forEach((id, h) -> now.put(id, !banned.contains(id) ? h
+                : new Host(id, h.dial(), h.zone(), h.kind(), h.cell(), Readiness.DRAINING, h.weight(), h.bornAt())));
+        backend.listed(Map.copyOf(now));
+    }
+
+    // ---- Workers taken out by hand ------------------------------------------------------------
+
+    /** Whether an id stands in the list, or has left it within the hour. */
+    public boolean everListed(String worker) {
+        return hosts.containsKey(worker) || gone.containsKey(worker) || banned.contains(worker);
+    }
+
+    public Set<String> banned() {
+        return Collections.unmodifiableSet(banned);
+    }
+
+    /**
+     * These workers, and no others, get nothing from now on, whatever the list says of them: what is queued or dialling ends
+     * unsent, what is out may be answered. Those no longer among them may be used again, by what the list says.
+     */
+    public void ban(Set<String> workers) {
+        if (!banned.equals(workers)) {
+            banned.clear();
+            banned.addAll(workers);
+            tellBackend();
+            // Not a list that has come: whether there is a watch is as before.
+            List<Aggregator.Listed> told = hosts.values().stream().map(this::forModule).toList();
+            tell(() -> module.targets(ListKind.HELD, told));
+        }
+    }
+
+    /** Workers in the list, whatever their state. */
+    public int listed() {
+        return hosts.size();
+    }
+
+    /** Listed workers that get nothing now, by hand or since the module avoids them. */
+    public int avoided() {
+        return (int) hosts.keySet().stream().filter(id -> banned.contains(id) || module.avoids(id)).count();
+    }
+
     /** Tells of the workers now known whenever a list has come; each of those who ask, in order. */
     public void whenListed(Consumer<Collection<Host>> then) {
         whenListed = whenListed.andThen(then);
@@ -284,8 +419,8 @@
         Attempt a = new Attempt(p, p.attempts.size(), worker, now, end, startBy(p));
         p.attempts.add(a);
         Host host = hosts.get(worker);
-        boolean open = host != null && host.readiness() == Readiness.HEALTHY;
-        if (q.ended || end <= now || !open || !a.mayStart(now) || p.attempts.size() > settings.limits().maxAttempts()) {
+        boolean open = host != null && host.readiness() == Readiness.HEALTHY && !banned.contains(worker);
+        if (q.ended || end <= now || !open || !a.mayStart(now) || p.attempts.size() > q.maxAttempts) {
             ended(a, Outcome.MOOT, null, null);
             return;
         }
@@ -298,18 +433,14 @@
      * counted from when the first such was decided on, which is never after it was sent.
      */
     private double startBy(Part p) {
-        Aggregator.Effect effect = effect(p.query());
-        double windowS = settings.classes().get(p.query().ask().queryClass()).windowS();
+        Aggregator.Effect effect = p.query().kind.effect();
+        double windowS = p.query().kind.windowS();
         return effect == Aggregator.Effect.SAFE ? Double.POSITIVE_INFINITY
                 : p.attempts.stream().filter(a -> !a.neverRan()).findFirst()
                         .map(a -> effect == Aggregator.Effect.KEYED ? a.sentAt + windowS : Double.NEGATIVE_INFINITY)
                         .orElse(Double.POSITIVE_INFINITY);
     }
 
-    private Aggregator.Effect effect(Query q) {
-        return settings.classes().get(q.ask().queryClass()).effect();
-    }
-
     private void giveUp(Attempt a, Outcome outcome) {
         if (!a.over()) {
             ended(a, outcome, null, null);
@@ -331,7 +462,7 @@
     public void answer(long query, boolean whole) {
         Query q = queries.get(query);
         if (q != null) {
-            finish(q);
+            finish(q, Figures.End.SERVED);
             q.client.answered(q, whole);
         }
     }
@@ -340,7 +471,7 @@
     public void refuse(long query, double pauseS) {
         Query q = queries.get(query);
         if (q != null) {
-            finish(q);
+            finish(q, Figures.End.REFUSED);
             note("refused", q);
             q.client.refused(q, pauseS);
         }
@@ -350,7 +481,7 @@
     public void fail(long query) {
         Query q = queries.get(query);
         if (q != null) {
-            finish(q);
+            finish(q, Figures.End.FAILED);
             note("failed", q);
             q.client.failed(q, clock.now() >= q.endAt - settings.rules().answerSlackS());
         }
@@ -366,8 +497,9 @@
     }
 
     /** Takes a query out of hand. Its parts stay known until the module has called them off in this batch. */
-    private void finish(Query q) {
+    private void finish(Query q, Figures.End how) {
         q.ended = true;
+        figures.end(q.className, how);
         q.guard.cancel();
         queries.remove(q.id);
         openIds.remove(q.ask().id());
--- a/src/main/java/pepperdock/opensearch/Scrolls.java
+++ b/src/main/java/pepperdock/opensearch/Scrolls.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import pepperdock.aggregator.Aggregator.QueryClass;
 import pepperdock.core.Clock;
 import pepperdock.opensearch.Replies.Missing;
 
@@ -41,7 +42,8 @@
     final class Scroll {
         final String id = UUID.randomUUID().toString();
         final SearchRequest request;
-        final int queryClass;
+        /** The class whose rules its pages go by, as the settings were when it was opened. */
+        final QueryClass kind;
         final List<Shard> shards;
         final List<Missing> missing;
         final long total;
@@ -49,9 +51,9 @@
         boolean reading;
         private Clock.Timer expiry;
 
-        private Scroll(SearchRequest request, int queryClass, List<Shard> shards, List<Missing> missing, long total) {
+        private Scroll(SearchRequest request, QueryClass kind, List<Shard> shards, List<Missing> missing, long total) {
             this.request = request;
-            this.queryClass = queryClass;
+            this.kind = kind;
             this.shards = shards;
             this.missing = new ArrayList<>(missing);
             this.total = total;
@@ -105,8 +107,8 @@
         return open.size();
     }
 
-    Scroll open(SearchRequest request, int queryClass, List<Shard> shards, List<Missing> missing, long total) {
-        Scroll s = new Scroll(request, queryClass, shards, missing, total);
+    Scroll open(SearchRequest request, QueryClass kind, List<Shard> shards, List<Missing> missing, long total) {
+        Scroll s = new Scroll(request, kind, shards, missing, total);
         open.put(s.id, s);
         s.touch();
         return s;
--- a/src/main/java/pepperdock/opensearch/SearchFront.java
+++ b/src/main/java/pepperdock/opensearch/SearchFront.java
@@ -24,18 +24,16 @@
 
     private static final double EPS = 1e-4;
 
-    private final Site site;
     private final Gatherer core;
     private final Clock clock;
     private final SearchBackend backend;
-    private final RequestReader reader;
+    private RequestReader reader;
     private final Scrolls scrolls;
     private int opening;
     private final int scrollsMost;
 
     /** {@code backend} is null where workers speak another protocol; there are no scrolls then. */
     public SearchFront(Site site, OpenSearchConfig config, Gatherer core, Clock clock, SearchBackend backend) {
-        this.site = site;
         this.core = core;
         this.clock = clock;
         this.backend = backend;
@@ -44,6 +42,11 @@
         scrolls = new Scrolls(clock, (worker, id) -> backend.free(worker, id), scrollsMost);
     }
 
+    /** Other settings, and classes of the indices, for searches from now on. */
+    public void use(Site site, OpenSearchConfig config) {
+        reader = new RequestReader(site, config);
+    }
+
     /** How many scrolls are open. */
     public int openScrolls() {
         return scrolls.size();
@@ -184,7 +187,7 @@
             Scrolls.Scroll s;
             if (request.scroll()) {
                 end();
-                s = scrolls.open(request, q.ask().queryClass(), shards, missing, total);
+                s = scrolls.open(request, q.kind(), shards, missing, total);
                 List<Hit> page = s.page();
                 Replies.ok(reply, Replies.search(request.index(), tookMs(since), timedOut, q.parts().size(), missing,
                         total, page, s.id));
@@ -320,7 +323,7 @@
         s.touch();
         s.reading = true;
         double since = clock.now();
-        QueryClass kind = site.module().classes().get(s.queryClass);
+        QueryClass kind = s.kind;
         List<Scrolls.Shard> wanting = s.shards.stream()
                 .filter(x -> x.context != null && x.buffer.size() < s.request.size()).toList();
         int[] left = {wanting.size()};
--- a/src/main/java/pepperdock/opensearch/SearchWorker.java
+++ b/src/main/java/pepperdock/opensearch/SearchWorker.java
@@ -125,6 +125,7 @@
         ask(request, a.until(), true, () -> !a.over(), a, new HttpClient.Then() {
             @Override
             public void response(HttpMessage m) {
+                core.written(a);
                 answered(a, m);
             }
 
@@ -136,6 +137,9 @@
                     case BROKEN -> Outcome.RESET;
                     case TIMED_OUT -> Outcome.TIMEOUT;
                 };
+                if (why == HttpClient.Failure.BROKEN || why == HttpClient.Failure.TIMED_OUT) {
+                    core.written(a);
+                }
                 core.ended(a, outcome, null, null);
             }
         });
@@ -184,7 +188,7 @@
             query.add("query_string", words);
             JsonObject body = new JsonObject();
             body.add("query", query);
-            return post("/" + encode(site.classes().get(ask.queryClass())) + "/_search?preference=_shards:" + shard
+            return post("/" + encode(a.part().query().className()) + "/_search?preference=_shards:" + shard
                     + "&timeout=" + ms + "ms", mark, body);
         }
         if (r.update()) {
--- a/src/main/java/pepperdock/platform/Front.java
+++ b/src/main/java/pepperdock/platform/Front.java
@@ -26,7 +26,7 @@
     private static final Pattern ID = Pattern.compile("[!-~]{1,128}");
     private static final Pattern KEY = Pattern.compile("[!-+\\--~]{0,256}");
 
-    private final Site site;
+    private Site site;
     private final Gatherer core;
     private final BooleanSupplier ready;
 
@@ -36,6 +36,11 @@
         this.ready = ready;
     }
 
+    /** Other settings, for queries from now on. */
+    public void use(Site now) {
+        site = now;
+    }
+
     @Override
     public Runnable serve(HttpMessage m, HttpServer.Reply reply) throws HttpException {
         switch (m.path()) {
--- a/src/main/java/pepperdock/platform/WorkerConnection.java
+++ b/src/main/java/pepperdock/platform/WorkerConnection.java
@@ -52,6 +52,8 @@
     };
     /** Calls that wait until what was written before them is with the kernel; each is looked at again before it goes. */
     private final ArrayDeque<List<Attempt>> waiting = new ArrayDeque<>();
+    /** Of the calls written here, those whose last byte the kernel has not taken yet, in order. */
+    private final ArrayDeque<Out> unwritten = new ArrayDeque<>();
     private final ArrayDeque<Probe> probes = new ArrayDeque<>();
     private int lateProbes;
     private Clock.Timer unfinished;
@@ -112,6 +114,7 @@
 
     @Override
     public void flushed(Connection c) {
+        tellWritten();
         while (!waiting.isEmpty() && !connection.unwritten() && !connection.closed()) {
             List<Attempt> live = worker.startable(waiting.removeFirst());
             if (!live.isEmpty()) {
@@ -139,9 +142,20 @@
         }
         byte[] frame = Frames.call(parts);
         long end = connection.queued() + frame.length;
-        call.forEach(a -> out.put(wireId(a), new Out(a, end)));
+        for (Attempt a : call) {
+            Out o = new Out(a, end);
+            out.put(wireId(a), o);
+            unwritten.add(o);
+        }
         used();
         connection.write(frame);
+        tellWritten();
+    }
+
+    private void tellWritten() {
+        while (!unwritten.isEmpty() && unwritten.peekFirst().frameEnd() <= connection.written()) {
+            worker.core.written(unwritten.removeFirst().attempt());
+        }
     }
 
     static String wireId(Attempt a) {
@@ -337,6 +351,7 @@
     @Override
     public void ended(Connection c) {
         release();
+        tellWritten();
         List<Out> broken = List.copyOf(out.values());
         out.clear();
         probes.forEach(p -> {
--- a/src/test/java/pepperdock/core/CrossingsTest.java
+++ b/src/test/java/pepperdock/core/CrossingsTest.java
@@ -81,6 +81,9 @@
         assertTrue(bench.answers.size() <= 1, bench.answers::toString);
         bench.calls.stream().flatMap(List::stream).forEach(a -> assertTrue(a.over(), "an attempt without its outcome"));
         assertEquals(0, bench.core.inHand());
+        Figures f = bench.core.figures();
+        assertEquals(left ? 1 : 0, f.ended("class-0", Figures.End.LEFT));
+        assertEquals(f.allTaken(), f.allEnded(), "each counted once");
         assertEquals(Map.of(), sentAfter, "sent once it was over");
         assertTrue(first.part().attempts.size() <= 4);
         assertEquals(first.no + 1, copy.no);
@@ -91,6 +94,7 @@
         boolean over = query.ended;
         int before = bench.calls.size();
         bench.clock.advance(seconds);
+        assertEquals(bench.core.figures().allTaken(), bench.core.figures().allEnded() + bench.core.inHand());
         if (over && bench.calls.size() > before) {
             bench.calls.get(before).forEach(a -> sentAfter.merge(a, 1, Integer::sum));
         }
--- a/src/test/java/pepperdock/core/GathererTest.java
+++ b/src/test/java/pepperdock/core/GathererTest.java
@@ -5,10 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import pepperdock.aggregator.Aggregator.ListKind;
 import pepperdock.aggregator.Aggregator.Outcome;
 import pepperdock.aggregator.Aggregator.Readiness;
+import pepperdock.config.Sites;
+import pepperdock.config.Site;
 
 class GathererTest {
 
@@ -71,6 +74,72 @@
         assertTrue(bench.cancelled.containsAll(bench.calls.stream().flatMap(List::stream).toList()));
     }
 
+    /** In the batch, over lists that say otherwise, and until the call back; then it is used again. */
+    @Test
+    void aWorkerTakenOutByHandGetsNothingWhateverTheListSays() {
+        bench.ask(0, 3, 12);
+        bench.core.ban(Set.of("w1"));
+        bench.clock.advance(0.01);
+        assertTrue(!bench.out().isEmpty() && bench.out().stream().noneMatch(a -> a.worker().equals("w1")));
+        assertEquals(4, bench.core.listed());
+        assertEquals(1, bench.core.avoided());
+        bench.core.listed(ListKind.CHANGES, List.of(new Host("w1", "127.0.0.1:1", 0, 0, 1, Readiness.HEALTHY, 1, bench.clock.now())));
+        bench.core.listed(ListKind.COMPLETE, List.of(Bench.host(0, Readiness.HEALTHY), Bench.host(1, Readiness.HEALTHY),
+                Bench.host(2, Readiness.HEALTHY), Bench.host(3, Readiness.HEALTHY)));
+        List.copyOf(bench.out()).forEach(a -> bench.end(a, Outcome.ERROR));
+        bench.clock.advance(0.2);
+        bench.ask(0, 3, 12);
+        bench.clock.advance(0.2);
+        assertTrue(bench.calls.stream().flatMap(List::stream).noneMatch(a -> a.worker().equals("w1")));
+        bench.core.ban(Set.of("w1"));
+        bench.core.ban(Set.of());
+        bench.ask(0, 3, 12);
+        bench.clock.advance(0.01);
+        assertTrue(bench.out().stream().anyMatch(a -> a.worker().equals("w1")));
+        assertEquals(0, bench.core.banned().size());
+    }
+
+    /** Neither the class's number nor its rules nor its attempts shift under a query that is in hand. */
+    @Test
+    void aQueryInHandGoesOnByTheRulesThatItWasTakenUnder() {
+        Query old = bench.ask(0, 3, 1);
+        bench.clock.advance(0.01);
+        Site other = Sites.with(Sites.SETTINGS.replace("\"Name\":\"history-search\"", "\"Name\":\"new\"")
+                .replace("\"DeadlineS\":3,\"Effect\":\"read_like\"", "\"DeadlineS\":3,\"Effect\":\"non_idempotent\"")
+                .replace("\"MaxAttempts\":4", "\"MaxAttempts\":1"));
+        bench.core.settings(other.module(), other.classes());
+        Query now = bench.ask(0, 3, 1);
+        bench.clock.advance(0.01);
+        assertEquals(2, bench.out().size());
+        List.copyOf(bench.out()).forEach(a -> bench.end(a, Outcome.ERROR));
+        bench.clock.advance(0.1);
+        assertEquals(List.of("failed false"), bench.answers, "unsafe, and one attempt");
+        assertEquals(List.of(old), bench.out().stream().map(a -> a.part().query()).toList(), "safe, and four");
+        bench.end(bench.out().get(0), Outcome.OK);
+        bench.clock.advance(0.1);
+        assertEquals(List.of("failed false", "answered true 1"), bench.answers);
+        assertEquals(1, now.parts().get(0).attempts.size());
+        assertEquals(1, bench.core.figures().ended("class-0", Figures.End.SERVED));
+        assertEquals(1, bench.core.figures().ended("new", Figures.End.FAILED));
+    }
+
+    /** Half of what a cold worker is allowed, while two processes send to it. */
+    @Test
+    void besideAnotherProcessAColdWorkerGetsLess() {
+        double[] sent = new double[2];
+        for (int i = 0; i < 2; i++) {
+            Bench b = new Bench();
+            b.core.beside(i == 1);
+            b.core.listed(ListKind.COMPLETE, java.util.stream.IntStream.range(0, 4).mapToObj(cell -> new Host("w" + cell, "127.0.0.1:1",
+                    0, 0, cell, Readiness.HEALTHY, 1, b.clock.now())).toList());
+            b.clock.advance(0.1);
+            b.ask(0, 3, 12);
+            b.clock.advance(0.01);
+            sent[i] = b.out().size();
+        }
+        assertTrue(sent[1] <= sent[0] / 2 && sent[0] > 0, sent[0] + " alone, " + sent[1] + " beside another");
+    }
+
     @Test
     void aDrainingWorkerGetsNothingNew() {
         bench.core.listed(ListKind.CHANGES, List.of(Bench.host(1, Readiness.DRAINING)));
