Open an operators' address: ready, figures, bans; reload settings; upgrade beside the old

At SIGHUP the settings are taken or turned down whole, with the key named; a file that lacks what the one in use has is turned down. Two processes share the clients' address; the new one binds when the list has come, the old one stops taking when told to end, and ends when its connections are gone. Tests: every call and every wrong one, callers that hold the door, a damaged and a half-written state, and with real processes two upgrades in a row with a request in flight, bans at either process, a new process that is killed or has a faulty file.

--- a/src/main/java/pepperdock/Drain.java
+++ b/src/main/java/pepperdock/Drain.java
@@ -1,7 +1,7 @@
 package pepperdock;
 
 import java.util.List;
-import pepperdock.config.Site;
+import java.util.function.BooleanSupplier;
 import pepperdock.core.Gatherer;
 import pepperdock.net.HttpServer;
 import pepperdock.net.Loop;
@@ -38,19 +38,18 @@
     private final List<HttpServer> servers;
     private final Gatherer core;
     private final Runnable leave;
-    private final double killS;
+    private final BooleanSupplier beside;
     private boolean begun;
     private boolean stopped;
     private double quietSince = Double.NaN;
 
-    /** {@code leave} tells others that this one goes, before all else. */
-    Drain(Loop loop, List<HttpServer> servers, Gatherer core, Site site, Runnable leave) {
+    /** {@code leave} tells others that this one goes, before all else; {@code beside} is whether another process serves on. */
+    Drain(Loop loop, List<HttpServer> servers, Gatherer core, BooleanSupplier beside, Runnable leave) {
+        this.beside = beside;
         this.leave = leave;
         this.loop = loop;
         this.servers = servers;
         this.core = core;
-        killS = SPARE_S + Math.min(DEADLINE_MOST_S, site.module().classes().stream()
-                .mapToDouble(c -> c.deadlineS()).max().orElse(DEADLINE_MOST_S));
     }
 
     void onSignal() {
@@ -65,6 +64,8 @@
         begun = true;
         leave.run();
         double now = loop.now();
+        double killS = SPARE_S + Math.min(DEADLINE_MOST_S, core.settings().classes().stream()
+                .mapToDouble(c -> c.deadlineS()).max().orElse(DEADLINE_MOST_S));
         LOG.log(System.Logger.Level.INFO, "draining, {0} in hand", core.inHand());
         loop.after(killS - SEND_AWAY_S, () -> servers.forEach(HttpServer::drain));
         loop.after(killS - CLOSE_S, () -> servers.forEach(HttpServer::stopListening));
@@ -74,7 +75,13 @@
             // A turn of the loop later: what was read just now has been refused and written.
             loop.after(LOOK_S, () -> end("with {0} in hand"));
         });
-        loop.after(STILL_COMING_S, () -> whenDone(now + killS - CLOSE_S));
+        if (beside.getAsBoolean()) {
+            // Whoever connects from now on is the other's; whoever is here is sent there with its next reply.
+            LOG.log(System.Logger.Level.INFO, "another process serves on, no new connections here");
+            servers.forEach(HttpServer::drain);
+            servers.forEach(HttpServer::handOver);
+        }
+        loop.after(beside.getAsBoolean() ? LOOK_S : STILL_COMING_S, () -> whenDone(now + killS - CLOSE_S));
     }
 
     /**
--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import pepperdock.config.ConfigException;
 import pepperdock.config.HostList;
 import pepperdock.config.Keys;
+import pepperdock.config.Site;
 import pepperdock.config.StoreConfig;
 import pepperdock.core.Discovery;
 import pepperdock.core.FixedList;
@@ -24,6 +26,7 @@
 import pepperdock.members.Members;
 import pepperdock.net.HttpServer;
 import pepperdock.net.Loop;
+import pepperdock.operator.Operator;
 import pepperdock.opensearch.SearchBackend;
 import pepperdock.opensearch.SearchFront;
 import pepperdock.platform.Front;
@@ -46,6 +49,8 @@
     private static final int OTHER_DESCRIPTORS = 40;
     /** Of all descriptors, clients may hold one in so many: connections to workers and discovery need theirs. */
     private static final int CLIENTS_SHARE = 3;
+    /** Beside another process of the same gatherer, ready when the list has been asked for, or after so long. */
+    private static final double LIST_S = 3;
     private static final int BODY_MOST = 64 << 10;
     private static final int SEARCH_BODY_MOST = 1 << 20;
     private static final int BUFFER_MOST = 256 << 10;
@@ -103,7 +108,7 @@
         Members fleet = file.has("members") ? Members.open(file, loop, events) : null;
         Base base = new Base(env, loop, store, events, fleet);
         if (file.has("settings")) {
-            serve(known(file, store), base);
+            serve(known(file, store), false, base);
             loop.execute(() -> {
                 if (store.leads() && !file.json("settings").equals(store.get("settings"))) {
                     store.put("settings", file.json("settings"), held -> { });
@@ -126,7 +131,7 @@
     private static void serveStored(Keys file, Base base) {
         try {
             Keys whole = file.with("settings", Config.parse(base.store().get("settings"), "settings"));
-            serve(known(whole, base.store()), base);
+            serve(known(whole, base.store()), true, base);
         } catch (ConfigException e) {
             stop("configuration: " + e.getMessage(), 2);
         } catch (IOException e) {
@@ -143,8 +148,8 @@
     /** What stands before there are settings; {@code members} is null where the file has none. */
     record Base(Map<String, String> env, Loop loop, Store store, Events events, Members members) { }
 
-    /** Returns the servers that listen; they say that they are ready a moment later, on the loop. */
-    static List<HttpServer> serve(Keys file, Base base) throws IOException {
+    /** Returns the servers that listen, or will; {@code stored} says that the settings are the store's, not the file's. */
+    static List<HttpServer> serve(Keys file, boolean stored, Base base) throws IOException {
         Map<String, String> env = base.env();
         Loop loop = base.loop();
         Config config = Config.read(file, env);
@@ -164,6 +169,7 @@
         PooledBackend<?> backend = searches ? search : pool;
         Discovery discovery = watch != null ? watch : dnsSd != null ? dnsSd : fixed;
         Gatherer core = new Gatherer(config.site().module(), config.seed(), loop, backend, discovery);
+        core.name(config.site().classes());
         backend.start(core);
         if (watch != null) {
             watch.start(core);
@@ -180,30 +186,102 @@
         }
         boolean[] ready = {false};
         List<HttpServer> servers = new ArrayList<>();
-        IntSupplier clients = () -> (loop.sockets() + OTHER_DESCRIPTORS) / CLIENTS_SHARE
-                / (config.listen() != null && config.openSearch() != null ? 2 : 1);
-        if (config.listen() != null) {
-            servers.add(new HttpServer(loop, config.listen(), BODY_MOST, clients,
-                    new Front(config.site(), core, () -> ready[0])));
-        }
-        if (config.openSearch() != null) {
-            servers.add(new HttpServer(loop, config.openSearch().listen(), SEARCH_BODY_MOST, clients,
-                    new SearchFront(config.site(), config.openSearch(), core, loop, search)));
+        Operator operator = config.operator() == null ? null : new Operator(folder(env), loop, core,
+                () -> ready[0] && servers.stream().allMatch(HttpServer::listens));
+        Front front = config.listen() == null ? null : new Front(config.site(), core, () -> ready[0]);
+        SearchFront searchFront = config.openSearch() == null ? null
+                : new SearchFront(config.site(), config.openSearch(), core, loop, search);
+        Runnable fronts = () -> servers.addAll(listen(config, loop, front, searchFront));
+        if (operator == null || !operator.beside()) {
+            fronts.run();
         }
-        new Reload(env, file, loop::execute, new Reload.Live(watch == null ? null : watch::move,
-                fixed == null ? null : fixed::replace, n -> loop.capSockets(n - OTHER_DESCRIPTORS))).onSignal();
-        new Drain(loop, servers, core, config.site(), base.members() == null ? () -> { } : base.members()::leave).onSignal();
-        // After the signals' handlers: told that it is ready, whoever starts it may send one at once, which else ends it.
-        loop.execute(() -> {
-            core.listed(ListKind.HELD, config.known().hosts());
+        Site[] site = {config.site()};
+        new Reload(env, file, stored, loop::execute, new Reload.Live(watch == null ? null : watch::move,
+                fixed == null ? null : fixed::replace, n -> loop.capSockets(n - OTHER_DESCRIPTORS), to -> {
+            site[0] = site[0].changed(to.site());
+            core.settings(site[0].module(), site[0].classes());
+            if (front != null) {
+                front.use(site[0]);
+            }
+            if (searchFront != null) {
+                searchFront.use(site[0], to.openSearch());
+            }
+        }), operator == null ? taken -> { } : operator::read).onSignal();
+        new Drain(loop, servers, core, operator == null ? () -> false : operator::beside,
+                base.members() == null ? () -> { } : base.members()::leave).onSignal();
+        Runnable begin = () -> {
             ready[0] = true;
             base.events().tell("ready");
             servers.forEach(s -> LOG.log(System.Logger.Level.INFO, "{0} serves on {1}", config.name(), s.address()));
             warmup.spread(loop, () -> core.inHand() == 0);
+        };
+        // After the signals' handlers: told that it is ready, whoever starts it may send one at once, which else ends it.
+        loop.execute(() -> {
+            if (operator != null) {
+                operate(operator, config, loop, core);
+            }
+            core.listed(ListKind.HELD, config.known().hosts());
+            if (operator == null || !operator.beside()) {
+                begin.run();
+            } else {
+                whenAsked(core, loop, () -> {
+                    fronts.run();
+                    begin.run();
+                });
+            }
         });
         return servers;
     }
 
+    /** Where clients connect; shared with another process where operators may upgrade this one. */
+    private static List<HttpServer> listen(Config config, Loop loop, Front front, SearchFront searchFront) {
+        IntSupplier clients = () -> (loop.sockets() + OTHER_DESCRIPTORS) / CLIENTS_SHARE
+                / (front != null && searchFront != null ? 2 : 1);
+        Loop.Kind kind = config.operator() == null ? Loop.Kind.OWN : Loop.Kind.SHARED;
+        List<HttpServer> made = new ArrayList<>();
+        try {
+            if (front != null) {
+                made.add(new HttpServer(loop, config.listen(), kind, HttpServer.REQUEST_S, BODY_MOST, clients, front));
+            }
+            if (searchFront != null) {
+                made.add(new HttpServer(loop, config.openSearch().listen(), kind, HttpServer.REQUEST_S, SEARCH_BODY_MOST, clients,
+                        searchFront));
+            }
+        } catch (IOException e) {
+            stop("can't start: " + e.getMessage(), 1);
+        }
+        return made;
+    }
+
+    /** What two processes of one gatherer share between them, and the operators' address. */
+    private static void operate(Operator operator, Config config, Loop loop, Gatherer core) {
+        operator.whenBeside(core::beside);
+        operator.whenBeside(another -> loop.shareSockets(another, (loop.wholeCap() - OTHER_DESCRIPTORS) / 2));
+        try {
+            operator.start(config.operator());
+        } catch (IOException e) {
+            stop("can't start: operators' address: " + e.getMessage(), 1);
+        }
+    }
+
+    /** Once the list has been asked for and has come; else after a while, as what is known serves too. */
+    private static void whenAsked(Gatherer core, Loop loop, Runnable then) {
+        boolean[] done = {false};
+        Runnable once = () -> {
+            if (!done[0]) {
+                done[0] = true;
+                then.run();
+            }
+        };
+        core.whenListed(hosts -> once.run());
+        loop.after(LIST_S, once);
+    }
+
+    private static Path folder(Map<String, String> env) {
+        String folder = env.get("TMPDIR");
+        return folder == null || folder.isEmpty() ? null : Path.of(folder);
+    }
+
     /** The leader keeps the last node list in the store: what a gatherer that starts anew knows before it has asked. */
     private static void keepNodes(Gatherer core, Config config, Store store) {
         if (store.leads()) {
--- a/src/main/java/pepperdock/Rehearsal.java
+++ b/src/main/java/pepperdock/Rehearsal.java
@@ -66,7 +66,7 @@
         Keys served = whole.with("discovery", Config.parse("\"127.0.0.1:" + discovery + '"', "discovery"))
                 .with("known", Config.parse(list, "known"));
         Loop loop = new Loop(200, 1 << 18);
-        InetSocketAddress at = Main.serve(served, new Main.Base(Map.of(), loop, new Store(null, loop), Events.of(false), null)).get(0).address();
+        InetSocketAddress at = Main.serve(served, false, new Main.Base(Map.of(), loop, new Store(null, loop), Events.of(false), null)).get(0).address();
         ask(at);
     }
 
--- a/src/main/java/pepperdock/config/Config.java
+++ b/src/main/java/pepperdock/config/Config.java
@@ -12,10 +12,10 @@
 /**
  * All that a gatherer is told at its start, checked and with defaults. {@code listen} is null where only
  * the OpenSearch-style front serves, {@code discovery} where the list is fixed or comes from DNS; {@code openSearch},
- * {@code dnsSd} and {@code plan} are null where the operator's file has none.
+ * {@code dnsSd}, {@code plan} and {@code operator} are null where the operator's file has none.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, HostList known,
-                     Site site, OpenSearchConfig openSearch, DnsSdConfig dnsSd, PlanConfig plan) {
+                     Site site, OpenSearchConfig openSearch, DnsSdConfig dnsSd, PlanConfig plan, InetSocketAddress operator) {
 
     private static final int SOCKETS = 1024;
 
@@ -64,7 +64,9 @@
                         : all.has("discovery") ? address("discovery", all.text("discovery")) : null,
                 seed(all), known, openSearch != null && openSearch.backend() ? site.withoutRepeats() : site, openSearch,
                 all.has("dnssd") ? DnsSdConfig.read(all.needed("dnssd")) : null,
-                all.has("plan") ? PlanConfig.read(all.needed("plan")) : null);
+                all.has("plan") ? PlanConfig.read(all.needed("plan")) : null,
+                env.containsKey("EDGE_OPERATOR") ? address("EDGE_OPERATOR", env.get("EDGE_OPERATOR"))
+                        : all.has("operator") ? address("operator", all.text("operator")) : null);
     }
 
     public static JsonElement parse(String json, String key) {
--- a/src/main/java/pepperdock/config/Keys.java
+++ b/src/main/java/pepperdock/config/Keys.java
@@ -87,6 +87,56 @@
         return List.copyOf(names);
     }
 
+    /**
+     * The first key that stands here, or within, and not there; null where there is none. Of a list of objects, the keys that
+     * all of them have: each object there has to have them too.
+     */
+    public String lost(Keys there) {
+        return lost(path, object, there.object);
+    }
+
+    private static String lost(String path, JsonObject here, JsonObject there) {
+        for (String name : here.keySet()) {
+            String key = path.isEmpty() ? name : path + '.' + name;
+            JsonElement old = here.get(name);
+            JsonElement now = there.get(name);
+            if (old.isJsonNull()) {
+                continue;
+            }
+            if (now == null || now.isJsonNull()) {
+                return key;
+            }
+            String within = old.isJsonObject() && now.isJsonObject() ? lost(key, old.getAsJsonObject(), now.getAsJsonObject())
+                    : old.isJsonArray() && now.isJsonArray() ? lost(key, old.getAsJsonArray(), now.getAsJsonArray()) : null;
+            if (within != null) {
+                return within;
+            }
+        }
+        return null;
+    }
+
+    private static String lost(String key, JsonArray here, JsonArray there) {
+        Set<String> common = null;
+        for (JsonElement e : here) {
+            if (!e.isJsonObject()) {
+                return null;
+            }
+            if (common == null) {
+                common = new TreeSet<>(e.getAsJsonObject().keySet());
+            } else {
+                common.retainAll(e.getAsJsonObject().keySet());
+            }
+        }
+        for (int i = 0; common != null && i < there.size(); i++) {
+            for (String name : common) {
+                if (there.get(i).isJsonObject() && !there.get(i).getAsJsonObject().has(name)) {
+                    return key + '[' + i + "]." + name;
+                }
+            }
+        }
+        return null;
+    }
+
     /** A value as JSON text. */
     public String json(String name) {
         return need(name).toString();
--- a/src/main/java/pepperdock/config/Site.java
+++ b/src/main/java/pepperdock/config/Site.java
@@ -50,6 +50,40 @@
                 kinds, dialS, idleS, multiplex, assumed);
     }
 
+    /**
+     * The same site with what another file says of classes, limits of a query and rules, which can change while the program
+     * runs; layout, instances, the lists' way and the sockets' figures stay.
+     */
+    public Site changed(Site to) {
+        Aggregator.Settings m = module;
+        Aggregator.Settings now = to.module;
+        Aggregator.Rules r = now.rules();
+        return new Site(new Aggregator.Settings(m.instances(), m.zone(), m.tickS(), m.mustAsk(), now.classes(), m.tenantRates(),
+                m.overShareWorth(), m.reportNames(), m.layout(), now.limits(), new Aggregator.Rules(r.answerSlackS(), r.drainGraceS(),
+                        r.coldFrom(), r.warmUpS(), r.fallMultiple(), r.fallS(), r.budgetFree(), r.budgetShare(), r.budgetSpanS(),
+                        m.rules().askWithinS())), to.classes, zones, kinds, dialS, idleS, multiplex, assumed);
+    }
+
+    /** Of two files' settings, the keys that differ and that {@link #changed} leaves for a restart. */
+    public static List<String> laterKeys(Keys from, Keys to) {
+        List<String> later = new ArrayList<>();
+        for (String key : from.differing(to)) {
+            Set<String> live = switch (key) {
+                case "RequestClasses", "Rules" -> null;
+                case "Limits" -> Set.of("Cancel", "MayDuplicate", "MayProbe", "MaxAttempts", "MostHeld", "RetryAfter", "MaxRetryAfterS");
+                case "FamilyInfo" -> Set.of("NeedByClass", "FloorByClass", "ShortWorth", "SecondStep");
+                default -> Set.of();
+            };
+            if (live != null && live.isEmpty()) {
+                later.add(from.key(key));
+            } else if (live != null) {
+                from.within(key).differing(to.within(key)).stream().filter(k -> !live.contains(k))
+                        .forEach(k -> later.add(from.within(key).key(k)));
+            }
+        }
+        return later;
+    }
+
     private static double positive(Keys keys, String name, double otherwise) {
         double value = keys.number(name, otherwise);
         check(keys, name, value > 0, "not above 0");
--- /dev/null
+++ b/src/main/java/pepperdock/operator/Door.java
@@ -0,0 +1,115 @@
+package pepperdock.operator;
+
+import com.google.gson.JsonObject;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import pepperdock.http.HttpException;
+import pepperdock.http.HttpMessage;
+import pepperdock.net.HttpServer;
+
+/** The operators' calls, one a connection: what each path takes, and what is said of what it does not. */
+final class Door implements HttpServer.Service {
+
+    /** What the calls are about; on the loop's thread. */
+    interface Desk {
+        /** Whether this process takes queries now. */
+        boolean ready();
+
+        String figures();
+
+        /** Whether a worker of this id has ever stood in the list. */
+        boolean knows(String worker);
+
+        /** Takes a worker out, or lets it back; {@code then} gets null once that holds, or why it could not be kept. */
+        void ban(String worker, boolean out, Consumer<String> then);
+    }
+
+    private static final String JSON = "application/json";
+    private static final String WORKERS = "/-/workers/";
+    private static final int ID_MOST = 256;
+
+    private final Desk desk;
+
+    Door(Desk desk) {
+        this.desk = desk;
+    }
+
+    @Override
+    public Runnable serve(HttpMessage m, HttpServer.Reply reply) throws HttpException {
+        String path = m.path();
+        if (path.equals("/-/ready")) {
+            if (takes(m, "GET", reply)) {
+                boolean ready = desk.ready();
+                say(reply, ready ? 200 : 503, "", "ready", ready);
+            }
+        } else if (path.equals("/-/metrics")) {
+            if (takes(m, "GET", reply)) {
+                reply.send(200, "text/plain; charset=utf-8", "", desk.figures().getBytes(StandardCharsets.UTF_8));
+            }
+        } else if (path.startsWith(WORKERS) && path.endsWith("/disable")) {
+            ban(m, path, true, reply);
+        } else if (path.startsWith(WORKERS) && path.endsWith("/enable")) {
+            ban(m, path, false, reply);
+        } else {
+            throw new HttpException(404, "no such path");
+        }
+        return () -> { };
+    }
+
+    private void ban(HttpMessage m, String path, boolean out, HttpServer.Reply reply) throws HttpException {
+        if (!takes(m, "POST", reply)) {
+            return;
+        }
+        String worker = worker(path.substring(WORKERS.length(), Math.max(WORKERS.length(), path.lastIndexOf('/'))));
+        if (!desk.knows(worker)) {
+            throw new HttpException(404, "no worker of that id was ever listed");
+        }
+        desk.ban(worker, out, failed -> {
+            if (failed == null) {
+                say(reply, 200, "", "disabled", out);
+            } else {
+                malformed(500, failed, reply);
+            }
+        });
+    }
+
+    private static String worker(String segment) throws HttpException {
+        try {
+            String id = URLDecoder.decode(segment.replace("+", "%2B"), StandardCharsets.UTF_8);
+            if (id.isEmpty() || id.length() > ID_MOST || id.chars().anyMatch(Character::isISOControl)) {
+                throw new HttpException(400, "worker id: empty, too long or with control characters");
+            }
+            return id;
+        } catch (IllegalArgumentException e) {
+            throw new HttpException(400, "worker id: not percent-encoded");
+        }
+    }
+
+    /** Whether it is that method, with no body; said at once where it is another. */
+    private boolean takes(HttpMessage m, String method, HttpServer.Reply reply) throws HttpException {
+        if (!m.method().equals(method)) {
+            say(reply, 405, "Allow: " + method + "\r\n", "error", "only " + method);
+            return false;
+        }
+        if (m.body().length > 0) {
+            throw new HttpException(400, "body: none is taken here");
+        }
+        return true;
+    }
+
+    @Override
+    public void malformed(int status, String why, HttpServer.Reply reply) {
+        say(reply, status, "", "error", why);
+    }
+
+    private static void say(HttpServer.Reply reply, int status, String extra, String key, Object value) {
+        JsonObject body = new JsonObject();
+        if (value instanceof Boolean flag) {
+            body.addProperty(key, flag);
+        } else {
+            body.addProperty(key, String.valueOf(value));
+        }
+        reply.send(status, JSON, extra, body.toString().getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/src/main/java/pepperdock/operator/FigureText.java
@@ -0,0 +1,37 @@
+package pepperdock.operator;
+
+import pepperdock.core.Figures;
+import pepperdock.core.Figures.End;
+import pepperdock.core.Gatherer;
+
+/** The one place that knows how figures are written: a line {@code svc.NAME=VALUE} each, those of a class {@code svc.NAME.CLASS}. */
+final class FigureText {
+
+    private FigureText() { }
+
+    static String of(Gatherer core, long loads, long loadErrors) {
+        Figures f = core.figures();
+        StringBuilder text = new StringBuilder();
+        for (String queryClass : f.classes()) {
+            line(text, "passed." + word(queryClass), f.ended(queryClass, End.SERVED));
+            line(text, "dropped." + word(queryClass), f.ended(queryClass, End.REFUSED));
+            line(text, "bad_gateway." + word(queryClass), f.ended(queryClass, End.FAILED));
+        }
+        line(text, "upstream_tries", f.attempts());
+        line(text, "in_progress", core.inHand());
+        line(text, "known_workers", core.listed());
+        line(text, "skipped_workers", core.avoided());
+        line(text, "loads", loads);
+        line(text, "load_errors", loadErrors);
+        return text.toString();
+    }
+
+    private static void line(StringBuilder text, String name, long value) {
+        text.append("svc.").append(name).append('=').append(value).append('\n');
+    }
+
+    /** What would end a name or a line is written as an underscore. */
+    private static String word(String name) {
+        return name.replaceAll("[\\s=\\p{Cntrl}]", "_");
+    }
+}
--- a/src/test/java/pepperdock/ReloadTest.java
+++ b/src/test/java/pepperdock/ReloadTest.java
@@ -2,13 +2,19 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import pepperdock.config.Config;
 import pepperdock.config.Sites;
 
@@ -20,11 +26,14 @@
     @TempDir
     private Path folder;
     private final List<String> changed = new ArrayList<>();
+    private final List<Boolean> told = new ArrayList<>();
 
     private Reload begin(String text) throws Exception {
         Map<String, String> env = Map.of("EDGE_CONFIG", write(text).toString(), "EDGE_DISCOVERY", "127.0.0.1:1");
-        return new Reload(env, Config.file(env), Runnable::run, new Reload.Live(
-                at -> changed.add("discovery " + at.getPort()), null, n -> changed.add("sockets " + n)));
+        return new Reload(env, Config.file(env), false, Runnable::run, new Reload.Live(
+                at -> changed.add("discovery " + at.getPort()), null, n -> changed.add("sockets " + n),
+                to -> changed.add("classes " + to.site().classes() + " attempts " + to.site().module().limits().maxAttempts())),
+                told::add);
     }
 
     private Path write(String text) throws Exception {
@@ -43,7 +52,52 @@
         assertEquals(List.of("discovery 2"), changed);
         write(FILE.formatted(2, 512, Sites.SETTINGS.replace("0.005", "0.006")));
         reload.reload();
-        assertEquals(List.of("discovery 2", "sockets 512"), changed);
+        assertEquals(List.of("discovery 2", "sockets 512", "classes [history-search, payout-report, balance-adjust] attempts 4"),
+                changed);
+        assertEquals(List.of(true, true, true, true), told);
+    }
+
+    /** Classes added, dropped, with another effect, and fewer attempts: in use from here on. */
+    @Test
+    void otherClassesAndFewerAttemptsArePutIntoUse() throws Exception {
+        Reload reload = begin(FILE.formatted(1, 256, Sites.SETTINGS));
+        write(FILE.formatted(1, 256, Sites.SETTINGS.replace("balance-adjust", "wallet-move").replace("idempotency_key", "non_idempotent")
+                .replace("\"MaxAttempts\":4", "\"MaxAttempts\":2")));
+        reload.reload();
+        assertEquals(List.of("classes [history-search, payout-report, wallet-move] attempts 2"), changed);
+    }
+
+    static Stream<String> faults() {
+        String all = Sites.SETTINGS;
+        return Stream.of(all.replace("\"DeadlineS\":6", "\"DeadlineS\":0"), all.replace("\"DeadlineS\":6", "\"DeadlineS\":\"6\""),
+                all.replace("\"DeadlineS\":6,", ""), all.replace("\"MaxAttempts\":4", "\"MaxAttempts\":0"),
+                all.replace("\"MaxAttempts\":4", "\"MaxAttempts\":-1"), all.replace("\"MaxAttempts\":4", "\"MaxAttempts\":\"many\""),
+                all.replace("\"MaxAttempts\":4,", ""), all.replace("\"Worth\":5", "\"Wurth\":5"), all.replace("\"WarmUpS\":14", "\"Warm\":14"),
+                all.replace("\"Report\":{\"Names\":[\"throughput\"],\"Source\":\"inline\"},", ""),
+                all.substring(0, all.length() - 40));
+    }
+
+    @ParameterizedTest
+    @MethodSource("faults")
+    void settingsWithAFaultAreTurnedDownWholeWithAllElseInTheirFile(String settings) throws Exception {
+        Reload reload = begin(FILE.formatted(1, 256, Sites.SETTINGS));
+        write(FILE.formatted(2, 512, settings));
+        reload.reload();
+        assertEquals(List.of(), changed);
+        assertEquals(List.of(false), told);
+    }
+
+    /** Each of the platform's own keys, and the whole of the settings. */
+    @ParameterizedTest
+    @ValueSource(strings = {"name", "listen", "discovery", "limits", "settings"})
+    void aFileThatLacksAKeyOfThePlatformIsTurnedDown(String key) throws Exception {
+        Reload reload = begin(FILE.formatted(1, 256, Sites.SETTINGS));
+        JsonObject cut = JsonParser.parseString(FILE.formatted(2, 512, Sites.SETTINGS)).getAsJsonObject();
+        cut.remove(key);
+        write(cut.toString());
+        reload.reload();
+        assertEquals(List.of(), changed);
+        assertEquals(List.of(false), told);
     }
 
     @Test
--- /dev/null
+++ b/src/test/java/pepperdock/UpgradeIT.java
@@ -0,0 +1,270 @@
+package pepperdock;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import pepperdock.config.Sites;
+import pepperdock.platform.StandIn;
+import pepperdock.platform.StandInWorker;
+
+/** Real processes of the built jar on one clients' address and one folder for their state: upgrades and bans. */
+@Timeout(180)
+class UpgradeIT {
+
+    @TempDir
+    private Path folder;
+    private final StandIn does = new StandIn();
+    private final List<StandInWorker> workers = new ArrayList<>();
+    private final List<Gatherer> begun = new ArrayList<>();
+    private int port;
+
+    /** One process: its log, and where operators reach it. */
+    private final class Gatherer {
+        final Process process;
+        final Path log;
+
+        Gatherer(String name) throws IOException {
+            log = folder.resolve(name + ".log");
+            ProcessBuilder b = new ProcessBuilder(BuiltJar.PLAIN);
+            b.environment().put("EDGE_CONFIG", folder.resolve("config.json").toString());
+            b.environment().put("EDGE_OPERATOR", "127.0.0.1:0");
+            b.environment().put("TMPDIR", folder.resolve("state").toString());
+            process = b.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+            begun.add(this);
+        }
+
+        String log() throws IOException {
+            return Files.exists(log) ? Files.readString(log) : "";
+        }
+
+        String awaited(String text) throws Exception {
+            while (true) {
+                for (String line : log().lines().toList()) {
+                    if (line.contains(text)) {
+                        return line;
+                    }
+                }
+                assertTrue(process.isAlive(), log());
+                Thread.sleep(10);
+            }
+        }
+
+        String call(String request) throws Exception {
+            String line = awaited("operators are served on ");
+            try (Socket s = new Socket(InetAddress.getLoopbackAddress(),
+                    Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).strip()))) {
+                s.setSoTimeout(30_000);
+                s.getOutputStream().write((request + " HTTP/1.1\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                return new String(s.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            }
+        }
+
+        void yes(String request) throws Exception {
+            String said = call(request);
+            assertTrue(said.startsWith("HTTP/1.1 200"), said);
+        }
+
+        /** Until it says that it is ready. */
+        Gatherer ready() throws Exception {
+            while (!call("GET /-/ready").startsWith("HTTP/1.1 200")) {
+                Thread.sleep(10);
+            }
+            return this;
+        }
+
+        long figure(String name) throws Exception {
+            return call("GET /-/metrics").lines().filter(l -> l.startsWith(name + '='))
+                    .mapToLong(l -> Long.parseLong(l.substring(name.length() + 1))).findFirst().orElseThrow();
+        }
+
+        void signal(String name) throws Exception {
+            assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
+        }
+
+        void ended() throws Exception {
+            assertTrue(process.waitFor(30, TimeUnit.SECONDS), log());
+            assertEquals(0, process.exitValue(), log());
+        }
+    }
+
+    @BeforeEach
+    void begin() throws Exception {
+        Files.createDirectory(folder.resolve("state"));
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        StringBuilder hosts = new StringBuilder();
+        for (int cell = 0; cell < 4; cell++) {
+            workers.add(new StandInWorker(does));
+            hosts.append(cell == 0 ? "" : ",").append("{\"host\":\"w" + cell + "\",\"dial\":\"" + workers.get(cell).dial()
+                    + "\",\"block\":" + cell + ",\"health\":\"in_service\",\"born_ms\":0}");
+        }
+        configure(hosts.toString(), Sites.SETTINGS);
+    }
+
+    private void configure(String hosts, String settings) throws IOException {
+        Files.writeString(folder.resolve("config.json"), "{\"name\":\"n\",\"listen\":\"127.0.0.1:" + port
+                + "\",\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]},\"settings\":" + settings + "}");
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        for (Gatherer g : begun) {
+            g.process.destroyForcibly();
+        }
+        for (StandInWorker w : workers) {
+            w.close();
+        }
+    }
+
+    private Socket client() throws IOException {
+        Socket s = new Socket(InetAddress.getLoopbackAddress(), port);
+        s.setSoTimeout(30_000);
+        return s;
+    }
+
+    /** Asks for range 0, which w0 and w1 hold, and reads the answer. */
+    private static String ask(Socket s, String id, String text) throws IOException {
+        send(s, id, text);
+        return answer(s);
+    }
+
+    private static void send(Socket s, String id, String text) throws IOException {
+        String body = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"" + text + "\"}";
+        s.getOutputStream().write(("POST /api HTTP/1.1\r\nRequest-Id: " + id + "\r\nRequest-Class: payout-report\r\n"
+                + "Request-Timeout-Ms: 2500\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static String answer(Socket s) throws IOException {
+        StringBuilder said = new StringBuilder();
+        while (!said.toString().endsWith("\r\n\r\n")) {
+            int next = s.getInputStream().read();
+            assertTrue(next >= 0, said.toString());
+            said.append((char) next);
+        }
+        int length = said.toString().lines().filter(l -> l.startsWith("Content-Length: "))
+                .mapToInt(l -> Integer.parseInt(l.substring(16))).findFirst().orElseThrow();
+        said.append(new String(s.getInputStream().readNBytes(length), StandardCharsets.US_ASCII));
+        return said.toString();
+    }
+
+    /** Two in a row, each with a request in flight at the old process and a connection that rests there. */
+    @Test
+    void anUpgradeLosesNothingAndTheBansGoWithIt() throws Exception {
+        Gatherer old = new Gatherer("n0").ready();
+        old.yes("POST /-/workers/w1/disable");
+        old.yes("POST /-/workers/w1/disable");
+        for (int i = 1; i <= 2; i++) {
+            try (Socket resting = client(); Socket flying = client()) {
+                assertTrue(ask(resting, "r" + i, "good").startsWith("HTTP/1.1 200"));
+                Gatherer now = new Gatherer("n" + i).ready();
+                assertTrue(now.log().contains("another process of this gatherer serves, 1 workers disabled"), now.log());
+                old.awaited("another process of this gatherer has begun");
+                send(flying, "f" + i, "good");
+                old.signal("TERM");
+                old.awaited("no new connections here");
+                assertTrue(answer(flying).startsWith("HTTP/1.1 200"));
+                // Whoever rests is served once more, and sent to the other.
+                String last = ask(resting, "l" + i, "good");
+                assertTrue(last.startsWith("HTTP/1.1 200"), last);
+                for (int n = 0; n < 20; n++) {
+                    try (Socket next = client()) {
+                        assertTrue(ask(next, "n" + i + '-' + n, "good").startsWith("HTTP/1.1 200"));
+                    }
+                }
+                old.ended();
+                now.awaited("the other process of this gatherer has ended");
+                old = now;
+            }
+        }
+        assertEquals(1, old.figure("svc.skipped_workers"));
+        assertEquals(4, old.figure("svc.known_workers"));
+        assertEquals(0, old.figure("svc.in_progress"));
+        assertEquals(old.figure("svc.passed.payout-report"), old.figure("svc.upstream_tries"));
+        assertTrue(old.call("POST /-/workers/w9/disable").startsWith("HTTP/1.1 404"));
+    }
+
+    /** A ban at either process of an upgrade holds at the other; and none is used until the call back. */
+    @Test
+    void aBanDuringAnUpgradeHoldsAtBoth() throws Exception {
+        Gatherer old = new Gatherer("n0").ready();
+        Gatherer now = new Gatherer("n1").ready();
+        old.awaited("another process of this gatherer has begun");
+        now.yes("POST /-/workers/w0/disable");
+        old.yes("POST /-/workers/w1/disable");
+        while (old.figure("svc.skipped_workers") + now.figure("svc.skipped_workers") < 4) {
+            Thread.sleep(10);
+        }
+        try (Socket c = client()) {
+            String said = ask(c, "a", "good");
+            assertTrue(said.startsWith("HTTP/1.1 503"), said);
+        }
+        assertEquals(0, does.times("good", 0), "both holders are out");
+        now.yes("POST /-/workers/w1/enable");
+        while (old.figure("svc.skipped_workers") + now.figure("svc.skipped_workers") > 2) {
+            Thread.sleep(10);
+        }
+        try (Socket c = client()) {
+            assertTrue(ask(c, "b", "good").startsWith("HTTP/1.1 200"));
+        }
+        assertEquals(1, does.times("good", 0));
+    }
+
+    /** Killed, or never begun for a fault in its file: the old process serves on as though nothing had been. */
+    @Test
+    void aNewProcessThatDiesOrNeverBeginsHarmsNothing() throws Exception {
+        Gatherer old = new Gatherer("n0").ready();
+        Gatherer killed = new Gatherer("n1").ready();
+        old.awaited("another process of this gatherer has begun");
+        killed.process.destroyForcibly().waitFor();
+        old.awaited("the other process of this gatherer has ended");
+        String whole = Files.readString(folder.resolve("config.json"));
+        Files.writeString(folder.resolve("config.json"), whole.replace("\"MaxAttempts\":4", "\"MaxAttempts\":0"));
+        Gatherer faulty = new Gatherer("n2");
+        assertEquals(2, faulty.process.waitFor());
+        assertTrue(faulty.log().contains("settings.Limits.MaxAttempts"), faulty.log());
+        old.signal("HUP");
+        old.awaited("configuration not reloaded");
+        try (Socket c = client()) {
+            assertTrue(ask(c, "a", "good").startsWith("HTTP/1.1 200"));
+            assertFalse(ask(c, "b", "good").contains("Connection: close"));
+        }
+        assertEquals(0, old.figure("svc.loads"));
+        assertEquals(1, old.figure("svc.load_errors"));
+    }
+
+    /** The ban waits for nothing: not for a dial, not for a repeat that is about to go. */
+    @Test
+    void aDamagedStateIsSurvivedAndADisabledWorkerIsNotEvenRetriedAt() throws Exception {
+        Files.writeString(folder.resolve("state").resolve("bans.json"), "{\"version\":1,\"disab");
+        Gatherer only = new Gatherer("n0").ready();
+        only.awaited("bans not readable");
+        only.yes("POST /-/workers/w0/disable");
+        try (Socket c = client()) {
+            String said = ask(c, "a", "bad:*");
+            assertTrue(said.startsWith("HTTP/1.1 503"), said);
+        }
+        assertEquals(only.figure("svc.upstream_tries"), does.times("bad:*", 0));
+        only.signal("TERM");
+        only.ended();
+        Gatherer next = new Gatherer("n1").ready();
+        assertTrue(next.log().contains("no other process of this gatherer, 1 workers disabled"), next.log());
+    }
+}
