Give the old process's part of cold workers to the new one when it hands over

A second lock says whether a process takes queries; the old one lets go of it as it hands over, has no part from then on, and the new one has it all. Bans are read whether or not another process lives: the old one may still be told of one.

--- a/src/main/java/pepperdock/Drain.java
+++ b/src/main/java/pepperdock/Drain.java
@@ -39,12 +39,17 @@
     private final Gatherer core;
     private final Runnable leave;
     private final BooleanSupplier beside;
+    private final Runnable handOver;
     private boolean begun;
     private boolean stopped;
     private double quietSince = Double.NaN;
 
-    /** {@code leave} tells others that this one goes, before all else; {@code beside} is whether another process serves on. */
-    Drain(Loop loop, List<HttpServer> servers, Gatherer core, BooleanSupplier beside, Runnable leave) {
+    /**
+     * {@code leave} tells others that this one goes, before all else; {@code beside} is whether another process of this gatherer
+     * lives, and {@code handOver} tells that one that it is alone from now on.
+     */
+    Drain(Loop loop, List<HttpServer> servers, Gatherer core, BooleanSupplier beside, Runnable handOver, Runnable leave) {
+        this.handOver = handOver;
         this.beside = beside;
         this.leave = leave;
         this.loop = loop;
@@ -80,6 +85,7 @@
             LOG.log(System.Logger.Level.INFO, "another process serves on, no new connections here");
             servers.forEach(HttpServer::drain);
             servers.forEach(HttpServer::handOver);
+            handOver.run();
         }
         loop.after(beside.getAsBoolean() ? LOOK_S : STILL_COMING_S, () -> whenDone(now + killS - CLOSE_S));
     }
--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -207,7 +207,7 @@
                 searchFront.use(site[0], to.openSearch());
             }
         }), operator == null ? taken -> { } : operator::read).onSignal();
-        new Drain(loop, servers, core, operator == null ? () -> false : operator::beside,
+        new Drain(loop, servers, core, operator == null ? () -> false : operator::beside, operator == null ? () -> { } : operator::handOver,
                 base.members() == null ? () -> { } : base.members()::leave).onSignal();
         Runnable begin = () -> {
             ready[0] = true;
@@ -255,7 +255,7 @@
 
     /** What two processes of one gatherer share between them, and the operators' address. */
     private static void operate(Operator operator, Config config, Loop loop, Gatherer core) {
-        operator.whenBeside(core::beside);
+        operator.whenAnotherServes(core::beside);
         operator.whenBeside(another -> loop.shareSockets(another, (loop.wholeCap() - OTHER_DESCRIPTORS) / 2));
         try {
             operator.start(config.operator());
--- a/src/main/java/pepperdock/core/Gatherer.java
+++ b/src/main/java/pepperdock/core/Gatherer.java
@@ -28,11 +28,14 @@
     private static final System.Logger LOG = System.getLogger("pepperdock.core");
     /** Past a query's time by so much the core answers for the module: within the rules' slack, after its own sweep. */
     private static final double GUARD_S = 0.005;
+    /** One of so many has no part worth speaking of. */
+    private static final int HANDED_OVER = 1000;
     /** Ids of workers are remembered so long once the list has them no more, and so many; on long days they are always new. */
     private static final double GONE_S = 3600;
     private static final int GONE_MOST = 4096;
 
     private Aggregator.Settings settings;
+    /** Processes that this one is thought to be one of, as far as what they may do together goes. */
     private int processes = 1;
     /** In the order of the settings; a class beyond them goes by its number. */
     private List<String> classNames = List.of();
@@ -95,14 +98,20 @@
     }
 
     /**
-     * Whether another process of this gatherer serves beside this one. Both together must do no more than one: each reckons
-     * with twice as many instances, and so with half its part of what a cold worker is allowed.
+     * Whether another process of this gatherer takes queries beside this one. Both together must do no more than one: each
+     * reckons with twice as many instances, and so with half its part of what a cold worker is allowed.
      */
     public void beside(boolean another) {
         processes = another ? 2 : 1;
         tellSettings();
     }
 
+    /** The other process has all queries from now on, and with them this one's part of what a cold worker is allowed. */
+    public void handOver() {
+        processes = HANDED_OVER;
+        tellSettings();
+    }
+
     private void tellSettings() {
         Aggregator.Settings now = settings.with(settings.instances() * processes);
         tell(() -> module.settings(now));
--- a/src/main/java/pepperdock/operator/Lives.java
+++ b/src/main/java/pepperdock/operator/Lives.java
@@ -8,8 +8,8 @@
 import java.nio.file.StandardOpenOption;
 
 /**
- * Tells whether another process of this gatherer lives: each holds the lock of a file of its own for as long as it lives, and
- * the system lets go of it whatever end it comes to. A lock belongs to the process, and is gone with the first of its
+ * Tells whether another process of this gatherer lives, and whether it serves: each holds the lock of a file of its own for as
+ * long as it lives, and of a second one until it is told to end. The system lets go of both whatever end it comes to. A lock belongs to the process, and is gone with the first of its
  * descriptors that is closed: the own file is never opened again.
  */
 final class Lives implements AutoCloseable {
@@ -19,29 +19,49 @@
 
     private final Path folder;
     private int place = -1;
-    private FileChannel own;
+    private FileChannel life;
+    private FileChannel service;
 
     Lives(Path folder) throws IOException {
         this.folder = folder;
         for (int i = 0; i < PLACES && place < 0; i++) {
-            FileChannel c = FileChannel.open(at(i), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-            if (c.tryLock() != null) {
-                own = c;
+            life = held("life.", i);
+            if (life != null) {
                 place = i;
-            } else {
-                c.close();
+                service = held("serves.", i);
             }
         }
     }
 
-    private Path at(int i) {
-        return folder.resolve("life." + i);
+    private FileChannel held(String kind, int i) throws IOException {
+        FileChannel c = FileChannel.open(folder.resolve(kind + i), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        if (c.tryLock() != null) {
+            return c;
+        }
+        c.close();
+        return null;
+    }
+
+    /** This process takes no new queries from now on. */
+    void handOver() throws IOException {
+        if (service != null) {
+            service.close();
+        }
     }
 
     boolean another() throws IOException {
+        return taken("life.");
+    }
+
+    boolean anotherServes() throws IOException {
+        return taken("serves.");
+    }
+
+    private boolean taken(String kind) throws IOException {
         for (int i = 0; i < PLACES; i++) {
-            if (i != place && Files.exists(at(i))) {
-                try (FileChannel c = FileChannel.open(at(i), StandardOpenOption.WRITE)) {
+            Path at = folder.resolve(kind + i);
+            if (i != place && Files.exists(at)) {
+                try (FileChannel c = FileChannel.open(at, StandardOpenOption.WRITE)) {
                     FileLock free = c.tryLock();
                     if (free == null) {
                         return true;
@@ -55,8 +75,9 @@
 
     @Override
     public void close() throws IOException {
-        if (own != null) {
-            own.close();
+        if (life != null) {
+            life.close();
         }
+        handOver();
     }
 }
--- a/src/main/java/pepperdock/operator/Operator.java
+++ b/src/main/java/pepperdock/operator/Operator.java
@@ -35,15 +35,19 @@
     private final BooleanSupplier ready;
     private final Bans bans = new Bans();
     private final List<Consumer<Boolean>> besides = new ArrayList<>();
+    private final List<Consumer<Boolean>> serving = new ArrayList<>();
     /** All three null where there is no folder for the state. */
     private final BanFile file;
     private final Lives lives;
     private final ScheduledExecutorService disk;
     private boolean beside;
+    private boolean serves;
+    private boolean handedOver;
     private long loads;
     private long loadErrors;
     /** The disk thread's. */
     private boolean seenBeside;
+    private boolean seenServing;
     private Set<String> seenBans;
     private boolean failing;
 
@@ -60,6 +64,8 @@
             return;
         }
         seenBeside = lives.another();
+        seenServing = lives.anotherServes();
+        serves = seenServing;
         seenBans = file.read();
         beside = seenBeside;
         bans.read(seenBans);
@@ -80,6 +86,9 @@
         if (beside) {
             besides.forEach(then -> then.accept(true));
         }
+        if (serves) {
+            serving.forEach(then -> then.accept(true));
+        }
         if (disk != null) {
             disk.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         }
@@ -97,6 +106,24 @@
         besides.add(then);
     }
 
+    /** The same of whether another takes new queries: one that was told to end lives on for a while, and has no part then. */
+    public void whenAnotherServes(Consumer<Boolean> then) {
+        serving.add(then);
+    }
+
+    /** This process takes no new queries from now on; what it might have sent is the other's to send. */
+    public void handOver() {
+        handedOver = true;
+        core.handOver();
+        disk.execute(() -> {
+            try {
+                lives.handOver();
+            } catch (IOException e) {
+                LOG.log(System.Logger.Level.ERROR, "not told that this process hands over: {0}", String.valueOf(e));
+            }
+        });
+    }
+
     /** A configuration file was taken, or turned down. */
     public void read(boolean taken) {
         if (taken) {
@@ -109,12 +136,13 @@
     private void look() {
         try {
             boolean another = lives.another();
-            // The other's last change may have come right before its end.
-            Set<String> state = another || seenBeside ? file.read() : seenBans;
-            if (another != seenBeside || !state.equals(seenBans)) {
+            boolean anotherServes = lives.anotherServes();
+            Set<String> state = file.read();
+            if (another != seenBeside || anotherServes != seenServing || !state.equals(seenBans)) {
                 seenBeside = another;
+                seenServing = anotherServes;
                 seenBans = state;
-                loop.execute(() -> seen(another, state));
+                loop.execute(() -> seen(another, anotherServes, state));
             }
             failing = false;
         } catch (IOException | RuntimeException e) {
@@ -125,7 +153,7 @@
         }
     }
 
-    private void seen(boolean another, Set<String> state) {
+    private void seen(boolean another, boolean anotherServes, Set<String> state) {
         bans.read(state);
         core.ban(bans.inForce());
         if (beside != another) {
@@ -134,6 +162,12 @@
                     : "the other process of this gatherer has ended");
             besides.forEach(then -> then.accept(another));
         }
+        if (serves != anotherServes) {
+            serves = anotherServes;
+            if (!handedOver) {
+                serving.forEach(then -> then.accept(anotherServes));
+            }
+        }
     }
 
     // ---- The calls ------------------------------------------------------------
