Hand over only to a process that takes queries, looked at anew when told to end

Found by reading: the old process of an upgrade took another that lives for one that serves; told to end while the new one was still waiting for its list, it stopped listening and left clients nobody. A process now holds its second lock from when it listens until it hands over, and the end looks at it anew before it decides. Test: the new one waits for a list that does not come, the old one is told to end: who connects is answered.

--- a/src/main/java/pepperdock/Drain.java
+++ b/src/main/java/pepperdock/Drain.java
@@ -1,10 +1,10 @@
 package pepperdock;
 
 import java.util.List;
-import java.util.function.BooleanSupplier;
 import pepperdock.core.Gatherer;
 import pepperdock.net.HttpServer;
 import pepperdock.net.Loop;
+import pepperdock.operator.Beside;
 
 /**
  * The planned end, on SIGTERM: what was taken is finished, what still arrives is answered, and the program is gone before
@@ -38,18 +38,13 @@
     private final List<HttpServer> servers;
     private final Gatherer core;
     private final Runnable leave;
-    private final BooleanSupplier beside;
-    private final Runnable handOver;
+    private final Beside beside;
     private boolean begun;
     private boolean stopped;
     private double quietSince = Double.NaN;
 
-    /**
-     * {@code leave} tells others that this one goes, before all else; {@code beside} is whether another process of this gatherer
-     * lives, and {@code handOver} tells that one that it is alone from now on.
-     */
-    Drain(Loop loop, List<HttpServer> servers, Gatherer core, BooleanSupplier beside, Runnable handOver, Runnable leave) {
-        this.handOver = handOver;
+    /** {@code leave} tells others that this one goes, before all else. */
+    Drain(Loop loop, List<HttpServer> servers, Gatherer core, Beside beside, Runnable leave) {
         this.beside = beside;
         this.leave = leave;
         this.loop = loop;
@@ -80,14 +75,21 @@
             // A turn of the loop later: what was read just now has been refused and written.
             loop.after(LOOK_S, () -> end("with {0} in hand"));
         });
-        if (beside.getAsBoolean()) {
+        beside.look(() -> begin(now + killS - CLOSE_S));
+    }
+
+    /** As soon as it is known whether clients have another process to go to. */
+    private void begin(double closedAt) {
+        if (beside.anotherServes()) {
             // Whoever connects from now on is the other's; whoever is here is sent there with its next reply.
             LOG.log(System.Logger.Level.INFO, "another process serves on, no new connections here");
             servers.forEach(HttpServer::drain);
             servers.forEach(HttpServer::handOver);
-            handOver.run();
+            beside.handOver();
+            whenDone(closedAt);
+        } else {
+            loop.after(STILL_COMING_S, () -> whenDone(closedAt));
         }
-        loop.after(beside.getAsBoolean() ? LOOK_S : STILL_COMING_S, () -> whenDone(now + killS - CLOSE_S));
     }
 
     /**
--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -26,6 +26,7 @@
 import pepperdock.members.Members;
 import pepperdock.net.HttpServer;
 import pepperdock.net.Loop;
+import pepperdock.operator.Beside;
 import pepperdock.operator.Operator;
 import pepperdock.opensearch.SearchBackend;
 import pepperdock.opensearch.SearchFront;
@@ -207,7 +208,7 @@
                 searchFront.use(site[0], to.openSearch());
             }
         }), operator == null ? taken -> { } : operator::read).onSignal();
-        new Drain(loop, servers, core, operator == null ? () -> false : operator::beside, operator == null ? () -> { } : operator::handOver,
+        new Drain(loop, servers, core, operator == null ? Beside.NOBODY : operator,
                 base.members() == null ? () -> { } : base.members()::leave).onSignal();
         Runnable begin = () -> {
             ready[0] = true;
@@ -224,10 +225,10 @@
             if (operator == null || !operator.beside()) {
                 begin.run();
             } else {
-                whenAsked(core, loop, () -> {
+                whenAsked(core, loop, () -> operator.serve(() -> {
                     fronts.run();
                     begin.run();
-                });
+                }));
             }
         });
         return servers;
--- a/src/main/java/pepperdock/operator/Lives.java
+++ b/src/main/java/pepperdock/operator/Lives.java
@@ -9,7 +9,7 @@
 
 /**
  * Tells whether another process of this gatherer lives, and whether it serves: each holds the lock of a file of its own for as
- * long as it lives, and of a second one until it is told to end. The system lets go of both whatever end it comes to. A lock belongs to the process, and is gone with the first of its
+ * long as it lives, and of a second one while it takes queries. The system lets go of both whatever end it comes to. A lock belongs to the process, and is gone with the first of its
  * descriptors that is closed: the own file is never opened again.
  */
 final class Lives implements AutoCloseable {
@@ -28,7 +28,6 @@
             life = held("life.", i);
             if (life != null) {
                 place = i;
-                service = held("serves.", i);
             }
         }
     }
@@ -42,6 +41,11 @@
         return null;
     }
 
+    /** This process takes queries from now on. */
+    void serve() throws IOException {
+        service = place < 0 ? null : held("serves.", place);
+    }
+
     /** This process takes no new queries from now on. */
     void handOver() throws IOException {
         if (service != null) {
--- a/src/main/java/pepperdock/operator/Operator.java
+++ b/src/main/java/pepperdock/operator/Operator.java
@@ -19,7 +19,7 @@
  * What operators have to do with a running gatherer: their address, the bans, and the other process of an upgrade. State is
  * the loop's; the disk is a thread's of its own, which hands back what it read.
  */
-public final class Operator implements Door.Desk {
+public final class Operator implements Door.Desk, Beside {
 
     private static final System.Logger LOG = System.getLogger("pepperdock.operator");
     /** Out of the descriptors that are kept spare; whoever waits without a whole call gives way to the next. */
@@ -64,6 +64,9 @@
             return;
         }
         seenBeside = lives.another();
+        if (!seenBeside) {
+            lives.serve();
+        }
         seenServing = lives.anotherServes();
         serves = seenServing;
         seenBans = file.read();
@@ -96,6 +99,40 @@
         LOG.log(System.Logger.Level.INFO, "operators are served on {0}", server.address());
     }
 
+    /** Tells the other process that this one takes queries from now on, then goes on with that, on the loop's thread. */
+    public void serve(Runnable then) {
+        onDisk(lives::serve, then);
+    }
+
+    @Override
+    public void look(Runnable then) {
+        if (disk == null) {
+            then.run();
+        } else {
+            onDisk(this::look, then);
+        }
+    }
+
+    private interface Step {
+        void run() throws IOException;
+    }
+
+    private void onDisk(Step step, Runnable then) {
+        disk.execute(() -> {
+            try {
+                step.run();
+            } catch (IOException e) {
+                LOG.log(System.Logger.Level.ERROR, "the other process may not be told of this one: {0}", String.valueOf(e));
+            }
+            loop.execute(then);
+        });
+    }
+
+    @Override
+    public boolean anotherServes() {
+        return serves;
+    }
+
     /** Whether another process of this gatherer lives now. */
     public boolean beside() {
         return beside;
@@ -111,17 +148,11 @@
         serving.add(then);
     }
 
-    /** This process takes no new queries from now on; what it might have sent is the other's to send. */
+    @Override
     public void handOver() {
         handedOver = true;
         core.handOver();
-        disk.execute(() -> {
-            try {
-                lives.handOver();
-            } catch (IOException e) {
-                LOG.log(System.Logger.Level.ERROR, "not told that this process hands over: {0}", String.valueOf(e));
-            }
-        });
+        onDisk(lives::handOver, () -> { });
     }
 
     /** A configuration file was taken, or turned down. */
--- a/src/test/java/pepperdock/UpgradeIT.java
+++ b/src/test/java/pepperdock/UpgradeIT.java
@@ -250,6 +250,30 @@
         assertEquals(1, old.figure("svc.load_errors"));
     }
 
+    /** The new process has not begun to serve: it waits for a list that does not come. Nobody may be left without either. */
+    @Test
+    void toldToEndBeforeTheNewOneServesTheOldOneTakesWhoComes() throws Exception {
+        Gatherer old = new Gatherer("n0").ready();
+        try (ServerSocket discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            String whole = Files.readString(folder.resolve("config.json"));
+            Files.writeString(folder.resolve("config.json"), whole.replace("\"name\":",
+                    "\"discovery\":\"127.0.0.1:" + discovery.getLocalPort() + "\",\"name\":"));
+            Gatherer now = new Gatherer("n1");
+            try (Socket asks = discovery.accept()) {
+                assertEquals('G', asks.getInputStream().read());
+                old.awaited("another process of this gatherer has begun");
+                old.signal("TERM");
+                old.awaited("draining, 0 in hand");
+                try (Socket c = client()) {
+                    assertTrue(ask(c, "a", "good").startsWith("HTTP/1.1 200"));
+                }
+                now.ready();
+            }
+            assertFalse(old.log().contains("no new connections here"), old.log());
+            old.ended();
+        }
+    }
+
     /** The ban waits for nothing: not for a dial, not for a repeat that is about to go. */
     @Test
     void aDamagedStateIsSurvivedAndADisabledWorkerIsNotEvenRetriedAt() throws Exception {
