Try the only holder that is left again though it errs, in place of refusing unsent

A line at the refusal (trial) names the parts: ranges whose sound holder was taken out by hand, the other one of two workers that err. Ruled out: holders that are cold or out of room; suspicion carried over a ban (a worker comes back as new). At fault: Decide.dispatch, which refuses where no holder is fit, and Decide.allowed, which lets nothing further to a suspect before its next trial: both are right for workers that are silent or full, not for one that says so at once. Such a one is used where none of a part's holders is fit, as often as the class allows, and that does not count as a trial. Test fails without it.

--- a/src/main/java/pepperdock/aggregator/Decide.java
+++ b/src/main/java/pepperdock/aggregator/Decide.java
@@ -405,7 +405,7 @@
         int left = count;
         double spareable = 1 - kind(q).floor();
         double unfit = q.parts.stream()
-                .filter(p -> holders(p.shard).stream().noneMatch(s -> fit(s) || answers(s)))
+                .filter(p -> holders(p.shard).stream().noneMatch(s -> fit(s) || answers(s) || s.errs))
                 .mapToDouble(p -> p.weight).sum();
         int sound = cells.stream().flatMap(List::stream).mapToInt(s -> suspect(s) ? -1 : 1).sum();
         if (unfit > spareable + EPS && sound > 0) {
@@ -511,7 +511,7 @@
         }
         s.call.parts++;
         Attempt a = new Attempt(p, p.attempts.size(), s, s.call);
-        if (record(s) > WORSE) {
+        if (record(s) > WORSE && !lastResort(p, s)) {
             a.trial = true;
             trials = Math.max(0, trials - 1);
             anyTrialAt = now + shortestAim * TRIAL_MOST_AIMS;
@@ -573,7 +573,16 @@
                 && p.attempts.size() < p.query.maxAttempts
                 && (p.out == 0 || copies(p) && s.open.stream().noneMatch(a -> a.part == p))
                 && repeatable(p) && coldRoom(s)
-                && (p.attempts.isEmpty() || withinBudget(p) && !(suspect(s) && now < s.trialAt));
+                && (p.attempts.isEmpty() || withinBudget(p)
+                        && (!suspect(s) || now >= s.trialAt || lastResort(p, s)));
+    }
+
+    /**
+     * One that errs while no holder is fit: an error costs a call, and the next attempt may be served. Guards
+     * against refusals where the sound holder is drained or taken out; harms where its errors are a jam's.
+     */
+    private boolean lastResort(Part p, Searcher s) {
+        return s.errs && holders(p.shard).stream().noneMatch(this::fit);
     }
 
     private QueryClass kind(Query q) {
@@ -749,6 +758,7 @@
                 s.dead = false;
             }
         }
+        s.errs = a.outcome == Outcome.ERROR || s.errs && a.outcome == Outcome.CANCELLED;
         switch (a.outcome) {
             case OK -> {
                 s.mute = false;
@@ -825,6 +835,7 @@
             for (Attempt a : s.open) {
                 if (!a.overdue && now - a.sentAt > after) {
                     a.overdue = true;
+                    s.errs = false;
                     noteIdle(a, true);
                     if (!cutOff(a)) {
                         worsen(s, false);
--- a/src/main/java/pepperdock/aggregator/State.java
+++ b/src/main/java/pepperdock/aggregator/State.java
@@ -101,6 +101,8 @@
         double coldTurn = Double.NaN;
         double bad;
         boolean dead;
+        /** What it said last was an error: it is there, and quick to say so. */
+        boolean errs;
         double trialAt;
         double backOff;
         double lastOk = Double.NEGATIVE_INFINITY;
--- a/src/test/java/pepperdock/aggregator/DecideTest.java
+++ b/src/test/java/pepperdock/aggregator/DecideTest.java
@@ -274,6 +274,44 @@
         assertEquals(List.of("refuse 1"), scene.did.endings(1));
     }
 
+    /**
+     * Seen where operators took out the sound holders of ranges whose others answered one attempt in three: their queries were
+     * refused unsent. An error is told at once, so that the next attempt costs no more than a call.
+     */
+    @Test
+    void theOnlyHolderLeftIsTriedAgainThoughItErrs() {
+        Scene scene = new Scene();
+        scene.cells = 2;
+        scene.shards = 2;
+        scene.start("a", "b");
+        for (String sound : List.of("x", "y", "z")) {
+            scene.change(new Aggregator.Listed(sound, 0, 0, 1, Readiness.HEALTHY, 1, 0));
+        }
+        for (int query = 1; query <= 9; query++) {
+            scene.query(query, 6, 1.0);
+            scene.module.endBatch();
+            scene.at(scene.now + 0.01);
+            long part = query * 100L;
+            boolean toA = scene.did.sends.stream().anyMatch(s -> s.part() == part && s.searcher().equals("a"));
+            scene.end(part, 0, toA ? Outcome.ERROR : Outcome.OK, 0.01);
+            scene.module.endBatch();
+            scene.end(part, 1, Outcome.OK, 0.01);
+            scene.module.endBatch();
+        }
+        scene.change(Scene.listed("b", Readiness.DRAINING, 0));
+        scene.did.clear();
+        scene.query(20, 6, 1.0);
+        scene.module.endBatch();
+        for (int i = 0; i < 3; i++) {
+            assertEquals(i + 1, scene.did.sends.size(), scene.did.endings(20)::toString);
+            assertEquals("a", scene.did.sends.get(i).searcher());
+            scene.at(scene.now + 0.01);
+            scene.end(2000, i, i < 2 ? Outcome.ERROR : Outcome.OK, 0.01);
+            scene.module.endBatch();
+        }
+        assertEquals(List.of("answer 20 true"), scene.did.endings(20));
+    }
+
     // ---- Rule 3: drains
 
     @Test
