--- a/src/main/java/pepperdock/net/Loop.java
+++ b/src/main/java/pepperdock/net/Loop.java
@@ -34,8 +34,9 @@
     private final XnioIoThread thread;
     private final int bufferCap;
     private int socketCap;
-    /** The cap when no other process has a part of it. */
+    /** The cap when no other process has a part of it, and that part's bound while one has. */
     private int wholeCap;
+    private int sharedCap = Integer.MAX_VALUE;
     private final Set<Connection> open = new HashSet<>();
     private final double startedAt = System.currentTimeMillis() / 1e3;
     private final long startedNanos = System.nanoTime();
@@ -98,7 +99,7 @@
     /** Sets the cap anew; what stands open beyond it is left to end by itself. */
     public void capSockets(int most) {
         wholeCap = most;
-        socketCap = most;
+        socketCap = Math.min(wholeCap, sharedCap);
     }
 
     /** What {@link #capSockets} allows, whether or not another process has a part of it now. */
@@ -108,7 +109,8 @@
 
     /** Another process takes a part of what is allowed to both: this one opens no more than {@code most}, or than it has. */
     public void shareSockets(boolean with, int most) {
-        socketCap = with ? Math.max(inUse(), Math.min(most, wholeCap)) : wholeCap;
+        sharedCap = with ? Math.max(inUse(), most) : Integer.MAX_VALUE;
+        socketCap = Math.min(wholeCap, sharedCap);
     }
 
     /** Room for bytes that nobody wants, one for all connections. */
--- a/src/main/java/pepperdock/operator/Bans.java
+++ b/src/main/java/pepperdock/operator/Bans.java
@@ -43,6 +43,11 @@
         kept.addAll(state);
     }
 
+    /** Changes that are asked and not written yet. */
+    int waiting() {
+        return asked.size();
+    }
+
     Set<String> inForce() {
         Set<String> now = new LinkedHashSet<>(kept);
         asked.values().forEach(change -> apply(now, change));
--- a/src/main/java/pepperdock/operator/Operator.java
+++ b/src/main/java/pepperdock/operator/Operator.java
@@ -27,6 +27,8 @@
     /** Whoever has not completed a call by then is nobody's caller any more. */
     private static final double CALL_S = 4;
     private static final int BODY_MOST = 4096;
+    /** Calls that may wait for a disk that stands still. */
+    private static final int WAITING_MOST = 100;
     /** How often the disk is asked for another process and for its bans: word of leaving has a grace of five times that. */
     private static final long LOOK_MS = 100;
 
@@ -221,8 +223,8 @@
     /** In force at once; told once it is also written down, as an upgrade a moment later must find it. */
     @Override
     public void ban(String worker, boolean out, Consumer<String> then) {
-        if (out && !bans.inForce().contains(worker) && bans.inForce().size() >= Bans.MOST) {
-            then.accept("not done: " + Bans.MOST + " workers are disabled already");
+        if (out && !bans.inForce().contains(worker) && bans.inForce().size() >= Bans.MOST || bans.waiting() >= WAITING_MOST) {
+            then.accept("not done: " + bans.inForce().size() + " workers are disabled, " + bans.waiting() + " calls wait for the disk");
             return;
         }
         long no = bans.ask(worker, out);
--- a/src/test/java/pepperdock/UpgradeIT.java
+++ b/src/test/java/pepperdock/UpgradeIT.java
@@ -146,8 +146,12 @@
     }
 
     private static void send(Socket s, String id, String text) throws IOException {
+        send(s, id, "payout-report", text);
+    }
+
+    private static void send(Socket s, String id, String queryClass, String text) throws IOException {
         String body = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"" + text + "\"}";
-        s.getOutputStream().write(("POST /api HTTP/1.1\r\nRequest-Id: " + id + "\r\nRequest-Class: payout-report\r\n"
+        s.getOutputStream().write(("POST /api HTTP/1.1\r\nRequest-Id: " + id + "\r\nRequest-Class: " + queryClass + "\r\n"
                 + "Request-Timeout-Ms: 2500\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
                 .getBytes(StandardCharsets.US_ASCII));
     }
@@ -227,6 +231,40 @@
         assertEquals(1, does.times("good", 0));
     }
 
+    /** Read by both while both serve, and by the one that is left: whoever is asked knows the new class, and not the old one. */
+    @Test
+    void settingsThatChangeDuringAnUpgradeAreTakenByBoth() throws Exception {
+        Gatherer old = new Gatherer("n0").ready();
+        Gatherer now = new Gatherer("n1").ready();
+        String whole = Files.readString(folder.resolve("config.json"));
+        Files.writeString(folder.resolve("config.json"), whole.replace("\"payout-report\"", "\"wallet-move\"")
+                .replace("\"MaxAttempts\":4", "\"MaxAttempts\":1"));
+        for (Gatherer g : List.of(old, now)) {
+            g.signal("HUP");
+            g.awaited("configuration reloaded");
+            while (g.figure("svc.loads") < 1) {
+                Thread.sleep(10);
+            }
+        }
+        for (int i = 0; i < 20; i++) {
+            try (Socket c = client()) {
+                send(c, "n" + i, "wallet-move", "good");
+                assertTrue(answer(c).startsWith("HTTP/1.1 200"));
+                send(c, "o" + i, "payout-report", "good");
+                assertTrue(answer(c).startsWith("HTTP/1.1 400"));
+            }
+        }
+        assertEquals(20, old.figure("svc.passed.wallet-move") + now.figure("svc.passed.wallet-move"));
+        try (Socket c = client()) {
+            send(c, "once", "wallet-move", "bad:*");
+            assertTrue(answer(c).startsWith("HTTP/1.1 503"));
+        }
+        assertEquals(1, does.times("bad:*", 0), "one attempt");
+        old.signal("TERM");
+        old.ended();
+        assertEquals(0, now.figure("svc.load_errors"));
+    }
+
     /** Killed, or never begun for a fault in its file: the old process serves on as though nothing had been. */
     @Test
     void aNewProcessThatDiesOrNeverBeginsHarmsNothing() throws Exception {
--- a/src/test/java/pepperdock/config/ConfigTest.java
+++ b/src/test/java/pepperdock/config/ConfigTest.java
@@ -126,6 +126,10 @@
         Config c = Config.read(Config.file(Map.of("EDGE_CONFIG", "deploy/opensearch.json")), Map.of());
         assertEquals(Map.of("history", 0, "payouts", 1, "wallets", 2), c.openSearch().indices());
         assertTrue(c.site().module().classes().stream().noneMatch(k -> k.effect() == Effect.KEYED));
+        Keys daily = Config.file(Map.of("EDGE_CONFIG", "deploy/daily.json"));
+        assertEquals(9600, Config.read(daily, Map.of()).operator().getPort());
+        assertEquals(1, Config.read(daily, Map.of("EDGE_OPERATOR", "127.0.0.1:1")).operator().getPort());
+        assertEquals(null, c.operator());
         Keys second = Config.file(Map.of("EDGE_CONFIG", "deploy/dnssd-and-store.json"));
         assertEquals(Path.of("state/b"), Config.store(second).folder());
         Config d = Config.read(second.with("settings", JsonParser.parseString(Sites.SETTINGS)), Map.of());
--- a/src/test/java/pepperdock/net/HttpServerTest.java
+++ b/src/test/java/pepperdock/net/HttpServerTest.java
@@ -113,6 +113,20 @@
         }
     }
 
+    /** What stands is kept, nothing is opened beyond the part; a cap that changes meanwhile does not undo it. */
+    @Test
+    void twoProcessesShareTheSocketsThatOneMayHave() {
+        loop.shareSockets(true, 30);
+        assertEquals(30, loop.sockets());
+        loop.capSockets(200);
+        assertEquals(30, loop.sockets());
+        loop.capSockets(20);
+        assertEquals(20, loop.sockets());
+        loop.capSockets(200);
+        loop.shareSockets(false, 30);
+        assertEquals(200, loop.sockets());
+    }
+
     /** Two processes of one gatherer: who waits at the one that stops is taken in, and whoever comes next is the other's. */
     @Test
     void anAddressIsSharedAndHandedOverWithAllWhoWait() throws Exception {
