Keep a ban that could not be written in force whatever is read of the file later

Found on reading the whole change: a ban whose write failed was kept among those read, and went with the next change of the file or of the other process, though its caller had been told that it is in force. It stands apart now until a change of that worker is written. Test fails without it.

--- a/src/main/java/pepperdock/operator/Bans.java
+++ b/src/main/java/pepperdock/operator/Bans.java
@@ -18,6 +18,8 @@
     private record Change(String worker, boolean out) { }
 
     private final Set<String> kept = new LinkedHashSet<>();
+    /** What could not be written: in force here whatever is read, until a change of the same worker is written. */
+    private final Map<String, Change> unwritten = new LinkedHashMap<>();
     private final Map<Long, Change> asked = new LinkedHashMap<>();
     private long no;
 
@@ -30,10 +32,11 @@
     /** What was asked under a number is written, and this is the state since; null where it could not be written. */
     void written(long number, Collection<String> state) {
         Change change = asked.remove(number);
+        unwritten.remove(change.worker());
         if (state != null) {
             read(state);
-        } else if (change != null) {
-            apply(kept, change);
+        } else {
+            unwritten.put(change.worker(), change);
         }
     }
 
@@ -50,6 +53,7 @@
 
     Set<String> inForce() {
         Set<String> now = new LinkedHashSet<>(kept);
+        unwritten.values().forEach(change -> apply(now, change));
         asked.values().forEach(change -> apply(now, change));
         return now;
     }
--- a/src/test/java/pepperdock/net/HttpServerTest.java
+++ b/src/test/java/pepperdock/net/HttpServerTest.java
@@ -71,6 +71,11 @@
 
     /** Serving stops on the loop, after what the client does while the loop stands still. */
     private void stopAfter(Step whileHeldUp) throws Exception {
+        whileHeldUp(whileHeldUp, server::stopListening);
+    }
+
+    /** The loop stands still while one thing is done, and goes on with the other. */
+    private void whileHeldUp(Step step, Runnable then) throws Exception {
         CountDownLatch heldUp = new CountDownLatch(1);
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> {
@@ -80,10 +85,10 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-            server.stopListening();
+            then.run();
         });
         assertTrue(heldUp.await(30, TimeUnit.SECONDS));
-        whileHeldUp.run();
+        step.run();
         done.countDown();
     }
 
@@ -144,27 +149,16 @@
                 () -> 50, service);
         try (Loop second = new Loop(100, 1 << 16)) {
             List<Socket> clients = new ArrayList<>();
-            CountDownLatch heldUp = new CountDownLatch(1);
-            CountDownLatch done = new CountDownLatch(1);
-            loop.execute(() -> {
-                heldUp.countDown();
-                try {
-                    assertTrue(done.await(30, TimeUnit.SECONDS));
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
+            HttpServer[] other = new HttpServer[1];
+            whileHeldUp(() -> {
+                for (int i = 0; i < 40; i++) {
+                    if (i == 20) {
+                        other[0] = new HttpServer(second, old.address(), Loop.Kind.SHARED, 2.5, 1024, () -> 50, service);
+                    }
+                    clients.add(new Socket(old.address().getAddress(), old.address().getPort()));
                 }
-                old.handOver();
-            });
-            assertTrue(heldUp.await(30, TimeUnit.SECONDS));
-            for (int i = 0; i < 20; i++) {
-                clients.add(new Socket(old.address().getAddress(), old.address().getPort()));
-            }
-            HttpServer other = new HttpServer(second, old.address(), Loop.Kind.SHARED, 2.5, 1024, () -> 50, service);
-            for (int i = 0; i < 20; i++) {
-                clients.add(new Socket(old.address().getAddress(), old.address().getPort()));
-            }
-            assertEquals(old.address(), other.address());
-            done.countDown();
+            }, old::handOver);
+            assertEquals(old.address(), other[0].address());
             for (Socket c : clients) {
                 c.setSoTimeout(30_000);
                 c.getOutputStream().write(REQUEST);
--- a/src/test/java/pepperdock/operator/BansTest.java
+++ b/src/test/java/pepperdock/operator/BansTest.java
@@ -32,6 +32,10 @@
         assertEquals(Set.of("a"), bans.inForce());
         bans.written(bans.ask("c", true), null);
         assertEquals(Set.of("a", "c"), bans.inForce());
+        bans.read(Set.of("a"));
+        assertEquals(Set.of("a", "c"), bans.inForce(), "not written, and in force all the same");
+        bans.written(bans.ask("c", false), Set.of("a"));
+        assertEquals(Set.of("a"), bans.inForce());
     }
 
     @Test
