--- a/src/test/java/pepperdock/opensearch/SearchFrontTest.java
+++ b/src/test/java/pepperdock/opensearch/SearchFrontTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -93,6 +94,19 @@
         assertEquals(404, stack.send("POST", "/_search/scroll", body).statusCode());
     }
 
+    /** The index that a scroll is of has another class from now on: it goes on by its own, whoever comes goes by the new one. */
+    @Test
+    void classesThatChangeLeaveAnOpenScrollAsItWas() throws Exception {
+        String id = open("s").get("_scroll_id").getAsString();
+        stack.change(Stack.SETTINGS.replace("\"MaxAttempts\":4", "\"MaxAttempts\":1"), Map.of("history", 2, "reports", 1));
+        HttpResponse<String> refused = stack.send("POST", "/history/_search", QUERY.formatted("x"));
+        assertEquals(400, refused.statusCode());
+        assertTrue(refused.body().contains("takes updates only"), refused.body());
+        assertEquals(200, stack.send("POST", "/reports/_search", QUERY.formatted("x")).statusCode());
+        assertEquals(2, ids(Stack.json(stack.send("POST", "/_search/scroll", next(id)))).size());
+        assertEquals(404, stack.send("POST", "/payouts/_search", QUERY.formatted("x")).statusCode());
+    }
+
     @Test
     void scrollContextsAreCapped() throws Exception {
         open("a");
--- a/src/test/java/pepperdock/opensearch/Stack.java
+++ b/src/test/java/pepperdock/opensearch/Stack.java
@@ -36,7 +36,7 @@
 final class Stack implements AutoCloseable {
 
     /** Times far beyond what loopback takes: only a query's own time-out runs out in these tests. */
-    private static final String SETTINGS = Sites.SETTINGS.replace("\"GoalTimeS\":1.5,\"DeadlineS\":3", "\"GoalTimeS\":5,\"DeadlineS\":30")
+    static final String SETTINGS = Sites.SETTINGS.replace("\"GoalTimeS\":1.5,\"DeadlineS\":3", "\"GoalTimeS\":5,\"DeadlineS\":30")
             .replace("\"GoalTimeS\":2.5,\"DeadlineS\":6", "\"GoalTimeS\":5,\"DeadlineS\":30")
             .replace("\"DialTimeoutS\":0.25", "\"DialTimeoutS\":20");
 
@@ -48,6 +48,7 @@
     final SearchFront searchFront;
     private final List<Closeable> workers = new ArrayList<>();
     private final Loop loop = new Loop(500, 4 << 20);
+    private final Gatherer core;
     private final HttpServer server;
     private final boolean search;
     private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -66,7 +67,7 @@
         WorkerPool pool = new WorkerPool(loop, site);
         SearchBackend searches = new SearchBackend(loop, site, config);
         Backend backend = search ? searches : pool;
-        Gatherer core = new Gatherer(site.module(), 5, loop, backend, list);
+        core = new Gatherer(site.module(), 5, loop, backend, list);
         pool.start(core);
         searches.start(core);
         list.start(core);
@@ -93,6 +94,18 @@
         return w.dial();
     }
 
+    /** Other settings, and other classes of the indices, as SIGHUP puts them into use. */
+    void change(String settings, Map<String, Integer> indices) throws Exception {
+        Site now = Sites.with(settings).withoutRepeats();
+        CountDownLatch done = new CountDownLatch(1);
+        loop.execute(() -> {
+            core.settings(now.module(), now.classes());
+            searchFront.use(now, new OpenSearchConfig(null, indices, true, 8, 2, 300));
+            done.countDown();
+        });
+        done.await();
+    }
+
     int port() {
         return server.address().getPort();
     }
