Test bans over a restart, a list and SIGHUP, and what must not run twice in an upgrade

A ban while a call is dialling or waits for room; with the built jar, a worker that comes back under its id, elsewhere and cold, in a file that SIGHUP reads, and is used after the call back; keyed queries in flight and on a resting connection go out once over both processes. No fault found; all pass on the program as it is, which is unchanged.

--- a/src/test/java/pepperdock/UpgradeIT.java
+++ b/src/test/java/pepperdock/UpgradeIT.java
@@ -152,7 +152,7 @@
     private static void send(Socket s, String id, String queryClass, String text) throws IOException {
         String body = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"" + text + "\"}";
         s.getOutputStream().write(("POST /api HTTP/1.1\r\nRequest-Id: " + id + "\r\nRequest-Class: " + queryClass + "\r\n"
-                + "Request-Timeout-Ms: 2500\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                + "Request-Timeout-Ms: 2500\r\nIdempotency-Key: k" + id + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
                 .getBytes(StandardCharsets.US_ASCII));
     }
 
@@ -181,12 +181,13 @@
                 Gatherer now = new Gatherer("n" + i).ready();
                 assertTrue(now.log().contains("another process of this gatherer serves, 1 workers disabled"), now.log());
                 old.awaited("another process of this gatherer has begun");
-                send(flying, "f" + i, "good");
+                send(flying, "f" + i, "balance-adjust", "flying" + i);
                 old.signal("TERM");
                 old.awaited("no new connections here");
                 assertTrue(answer(flying).startsWith("HTTP/1.1 200"));
                 // Whoever rests is served once more, and sent to the other.
-                String last = ask(resting, "l" + i, "good");
+                send(resting, "l" + i, "balance-adjust", "last" + i);
+                String last = answer(resting);
                 assertTrue(last.startsWith("HTTP/1.1 200"), last);
                 for (int n = 0; n < 20; n++) {
                     try (Socket next = client()) {
@@ -196,6 +197,9 @@
                 old.ended();
                 now.awaited("the other process of this gatherer has ended");
                 old = now;
+                // What must not run twice went out once, by one of the two processes.
+                assertEquals(1, does.times("flying" + i, 0));
+                assertEquals(1, does.times("last" + i, 0));
             }
         }
         assertEquals(1, old.figure("svc.skipped_workers"));
@@ -231,6 +235,37 @@
         assertEquals(1, does.times("good", 0));
     }
 
+    /** The worker comes back under its id, at another address and cold, in a file that SIGHUP reads; then the call back comes. */
+    @Test
+    void aBanHoldsOverARestartOfTheWorkerAListAndSighupAndEndsWithTheCallBack() throws Exception {
+        Gatherer only = new Gatherer("n0").ready();
+        only.yes("POST /-/workers/w0/disable");
+        StandIn again = new StandIn();
+        StandInWorker restarted = new StandInWorker(again);
+        String old = workers.get(0).dial();
+        workers.add(restarted);
+        String whole = Files.readString(folder.resolve("config.json"));
+        Files.writeString(folder.resolve("config.json"), whole.replace(old + "\",\"block\":0,\"health\":\"in_service\",\"born_ms\":0",
+                restarted.dial() + "\",\"block\":0,\"health\":\"in_service\",\"born_ms\":" + System.currentTimeMillis()));
+        assertFalse(Files.readString(folder.resolve("config.json")).contains(old));
+        only.signal("HUP");
+        while (only.figure("svc.loads") < 1) {
+            Thread.sleep(10);
+        }
+        for (int i = 0; i < 20; i++) {
+            try (Socket c = client()) {
+                assertTrue(ask(c, "b" + i, "good").startsWith("HTTP/1.1 200"));
+            }
+        }
+        assertEquals(0, again.times("good", 0), "nothing to it, whatever the list says");
+        only.yes("POST /-/workers/w0/enable");
+        for (int i = 0; again.times("good", 0) == 0; i++) {
+            try (Socket c = client()) {
+                assertTrue(ask(c, "a" + i, "good").startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
+
     /** Read by both while both serve, and by the one that is left: whoever is asked knows the new class, and not the old one. */
     @Test
     void settingsThatChangeDuringAnUpgradeAreTakenByBoth() throws Exception {
--- a/src/test/java/pepperdock/platform/WorkerPoolTest.java
+++ b/src/test/java/pepperdock/platform/WorkerPoolTest.java
@@ -213,6 +213,13 @@
         assertEquals("refused " + Outcome.MOOT, ending());
     }
 
+    /** The same where it is taken out by hand. */
+    @Test
+    void partsQueuedBehindAConnectEndWhenTheWorkerIsTakenOutByHand() throws Exception {
+        ask(2, () -> core.ban(java.util.Set.of("w")));
+        assertEquals("refused " + Outcome.MOOT, ending());
+    }
+
     private static final int BIG = 24 << 20;
 
     /** The letter and the id of each frame up to and including the next answer-me of a probe. */
@@ -230,7 +237,7 @@
      * whether it goes. Found by reading: in the connection's buffer it would have gone whatever came.
      */
     @ParameterizedTest
-    @ValueSource(strings = {"drains", "gone", "left"})
+    @ValueSource(strings = {"drains", "gone", "banned", "left"})
     void aCallThatWaitsForRoomOnAConnectionIsTakenBack(String what) throws Exception {
         server.setSoTimeout(30_000);
         try (Loop own = new Loop(100, BIG + (1 << 20))) {
@@ -256,6 +263,7 @@
                         sent.add(small.parts().get(0).sent() ? 1 : 0);
                         switch (what) {
                             case "drains" -> gatherer.listed(ListKind.CHANGES, List.of(host(Readiness.DRAINING)));
+                            case "banned" -> gatherer.ban(java.util.Set.of("w"));
                             case "gone" -> gatherer.listed(ListKind.COMPLETE, List.of());
                             default -> gatherer.gone(small);
                         }
