Move the module's estimates and budgets into a package that decides nothing

Service times, decaying counts, token buckets, the retry budget and the limit on idle connections are bookkeeping that decides nothing; they stand in pepperdock.estimate now, each with a doc comment and tests. The arithmetic is the same, term by term. Tenants that share settings of several reloads keep their buckets as before. Sums that stood three times (mean and mean deviation) have a name.

PackagesTest said that the module uses no other package; it says now that it uses this one alone, and that this one uses none, which is as strict on circles and wires.

DecideTest and EstimatesTest pass.

--- a/src/main/java/pepperdock/aggregator/Decide.java
+++ b/src/main/java/pepperdock/aggregator/Decide.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -10,6 +11,11 @@
 import java.util.SplittableRandom;
 import pepperdock.aggregator.Aggregator.*;
 import pepperdock.aggregator.State.*;
+import pepperdock.estimate.DecayingCount;
+import pepperdock.estimate.IdleLimit;
+import pepperdock.estimate.RetryBudget;
+import pepperdock.estimate.ServiceTime;
+import pepperdock.estimate.TokenBucket;
 
 /**
  * All decisions of the root node. The interface (settings, events, actions) is in Aggregator.java, the plain
@@ -52,12 +58,6 @@
     private static final double SLOW_QUARTERS = 3;
     /** A part at a sound searcher is sent again only after mean + this many mean deviations: it may queue. */
     private static final double DEVIATIONS = 5;
-    /**
-     * Step of the quicker quarter's time, a share of itself, at most that over the parts of the query: these
-     * come in sorted, and must not carry the estimate to the time of the slowest.
-     */
-    private static final double QUARTER_STEP = 0.1;
-    private static final double QUARTER_QUERY = 2;
     /** Before anything was served, a part is thought to take this share of the shortest aim. */
     private static final double FIRST_PACE_SHARE = 0.15;
     /** Weight of one outcome in a searcher's badness: two failures in a row make a suspect, one does not. */
@@ -70,12 +70,6 @@
     private static final double TRIAL_MOST_AIMS = 2;
     /** Share of the cold allowance that is used; it is reckoned with one core, which leaves room besides. */
     private static final double COLD_SAFETY = 0.9;
-    /** Further attempts earned per first attempt, and the most saved up: that, or a share of a query. */
-    private static final double SPARE_SHARE = 0.15;
-    private static final double SPARE_MOST = 10;
-    private static final double SPARE_PARTS = 0.25;
-    /** Part of the stated budget left unused against rounding at the window's edge. */
-    private static final double BUDGET_SLACK = 1;
     /**
      * Pause before asking for the list again, in shares of AskWithinS; doubles up to the most, which with
      * its random half more leaves time for the answer: later, changes since its return would count as told.
@@ -102,14 +96,6 @@
     /** Trials earned by one that succeeds, and the most saved up so: what is well again is soon won back. */
     private static final double TRIALS_MORE = 1.5;
     private static final double TRIALS_WON = 3;
-    /** Gain towards a quicker part; towards a slower times PACE_GAIN: follows parts that did not queue. */
-    private static final double QUICK_GAIN = 0.1;
-    /** Share of calls after idleness, with a few more supposed answered, left so only by bad connections. */
-    private static final double REAPED = 0.25;
-    private static final double REAPED_LEAST = 4;
-    /** Share of the shortest idleness seen unanswered from which connections are closed, for so many aims. */
-    private static final double REAPED_SHARE = 0.5;
-    private static final double REAPED_AIMS = 20;
     private static final double EPS = 1e-6;
 
     private Settings settings;
@@ -125,8 +111,7 @@
     private final List<Query> arrived = new ArrayList<>();
     private final ArrayDeque<Query> waiting = new ArrayDeque<>();
     private double[] usualTry;
-    private final double[] tokens;
-    private final double[] tokensAt;
+    private final TokenBucket[] tenantShares;
     private double now;
     private boolean sweepSet;
     private double sweepAt;
@@ -135,29 +120,19 @@
     private double ceiling = Double.POSITIVE_INFINITY;
     private double lastCut = Double.NEGATIVE_INFINITY;
     private double typicalParts;
-    private double served;
-    private double servedAt;
-    private double pace;
-    private double quick;
-    private double quarter;
-    private double deviation;
+    private final DecayingCount served = new DecayingCount();
+    private final ServiceTime partTime;
     private Searcher lateAt;
     private double lateSince = Double.NEGATIVE_INFINITY;
-    private double spare = SPARE_MOST;
+    private final RetryBudget retryBudget = new RetryBudget(new RetryBudget.Stated(0, 0, 0));
     private double trials = TRIALS_MOST;
     private double anyTrialAt;
     private double fleetBad;
     private double shed;
     private final Map<Integer, Way> ways = new LinkedHashMap<>();
-    private final ArrayDeque<Double> taken = new ArrayDeque<>();
-    private final ArrayDeque<Double> extras = new ArrayDeque<>();
     private boolean asked;
     private boolean subscribed;
-    private double idleSilent;
-    private double idleTold;
-    private double idleToldAt;
-    private double reapedAt = Double.NEGATIVE_INFINITY;
-    private double shortestReaped;
+    private final IdleLimit idleLimit = new IdleLimit();
     private double askAt = Double.NaN;
     private double askPause;
     private Shares planned = (shard, searcher) -> 1;
@@ -167,13 +142,10 @@
         random = new SplittableRandom(seed);
         asking = new SplittableRandom(~seed);
         settings(settings);
-        pace = shortestAim * FIRST_PACE_SHARE;
-        deviation = pace / 2;
-        quick = pace;
+        partTime = new ServiceTime(shortestAim * FIRST_PACE_SHARE);
         subscribed = !settings.mustAsk();
-        quarter = pace;
-        tokens = new double[settings.tenantRates().size()];
-        tokensAt = new double[tokens.length];
+        tenantShares = new TokenBucket[settings.tenantRates().size()];
+        Arrays.setAll(tenantShares, i -> new TokenBucket());
         for (int i = 0; i < settings.layout().cells(); i++) {
             cells.add(new ArrayList<>());
         }
@@ -189,28 +161,27 @@
     }
 
     @Override
-    public void query(long id, int queryClass, int tenant, String key, double remainingS, long queryNo,
-                      int count) {
-        QueryClass c = settings.classes().get(queryClass);
-        Query q = new Query(id, queryNo, c, settings.limits().maxAttempts());
+    public void query(long id, int classNo, int tenant, String key, double remainingS, long no, int count) {
+        QueryClass c = settings.classes().get(classNo);
+        Query q = new Query(id, no, c, settings.limits().maxAttempts());
         q.endAt = now + remainingS;
         q.aimAt = now + Math.min(c.aimS(), remainingS);
         q.halfAt = now + remainingS / 2;
         // A try clearly shorter than usual is thought cut by the deadline: its client has waited the rest.
-        double usual = usualTry[queryClass] == 0 ? remainingS : usualTry[queryClass];
-        usualTry[queryClass] = usual + PACE_GAIN * (remainingS - usual);
+        double usual = usualTry[classNo] == 0 ? remainingS : usualTry[classNo];
+        usualTry[classNo] = usual + PACE_GAIN * (remainingS - usual);
         double spent = remainingS < SHORT_TRY * usual ? c.deadlineS() - remainingS : 0;
         q.freshUntil = Math.min(q.aimAt, now + c.aimS() - spent);
-        take();
+        retryBudget.take(now);
         q.overShare = beyondShare(tenant);
         queries.put(id, q);
-        byNo.put(queryNo, q);
+        byNo.put(no, q);
         arrived.add(q);
     }
 
     @Override
     public void part(long id, long queryNo, int shard, double weight) {
-        take();
+        retryBudget.take(now);
         Query q = byNo.get(queryNo);
         if (q == null || q.ended) {
             return;
@@ -224,13 +195,12 @@
     }
 
     @Override
-    public void attemptEnd(long id, int number, String searcher, Outcome outcome, double spentS,
-                           double[] report) {
+    public void attemptEnd(long id, int no, String worker, Outcome outcome, double spentS, double[] report) {
         Part p = parts.get(id);
-        if (p == null || number >= p.attempts.size() || p.attempts.get(number).outcome != null) {
+        if (p == null || no >= p.attempts.size() || p.attempts.get(no).outcome != null) {
             return;
         }
-        Attempt a = p.attempts.get(number);
+        Attempt a = p.attempts.get(no);
         a.outcome = outcome;
         a.searcher.open.remove(a);
         a.searcher.usedAt = now;
@@ -267,15 +237,22 @@
     public void settings(Settings now) {
         boolean otherClasses = settings == null || !now.classes().equals(settings.classes());
         settings = now;
+        retryBudget.stated(statedBudget(now.rules()));
         shortestAim = now.classes().stream().mapToDouble(QueryClass::aimS).min().orElseThrow();
         usualTry = otherClasses ? new double[now.classes().size()] : usualTry;
     }
 
+    private static RetryBudget.Stated statedBudget(Rules rules) {
+        return new RetryBudget.Stated(rules.budgetSpanS(), rules.budgetFree(), rules.budgetShare());
+    }
+
     @Override
     public boolean avoids(String searcher) {
         Searcher s = searchers.get(searcher);
-        return s != null && suspect(s)
-                && (s.call == null || now - s.call.sentAt > TRIAL_MOST_AIMS * shortestAim);
+        if (s == null || !suspect(s)) {
+            return false;
+        }
+        return s.call == null || now - s.call.sentAt > TRIAL_MOST_AIMS * shortestAim;
     }
 
     @Override
@@ -321,10 +298,10 @@
             end(q, false);
             return;
         }
-        boolean stale = now + pace > q.freshUntil;
+        boolean stale = now + partTime.meanS() > q.freshUntil;
         if (waiting.isEmpty() && out < (stale ? STALE_ROOM : 1) * ceiling) {
             dispatch(q, trimmed(q));
-        } else if (now + expectedWait(q) + pace + deviation > q.freshUntil - margin()) {
+        } else if (now + expectedWait(q) + cautiousPartS() > q.freshUntil - margin()) {
             end(q, false);
         } else {
             waiting.addLast(q);
@@ -336,27 +313,29 @@
      * Acts only while arrivals are turned away; harms where the front spreads a tenant unevenly.
      */
     private boolean beyondShare(int tenant) {
-        if (tenant < 0 || tenant >= tokens.length || settings.overShareWorth() >= 1) {
+        if (tenant < 0 || tenant >= tenantShares.length || settings.overShareWorth() >= 1) {
             return false;
         }
         double rate = settings.tenantRates().get(tenant) / settings.instances();
         double most = Math.max(SHARE_LEAST, rate * SHARE_AIMS * shortestAim);
-        double saved = Math.min(most, tokens[tenant] + rate * (now - tokensAt[tenant]));
-        tokensAt[tenant] = now;
-        tokens[tenant] = saved < 1 ? saved : saved - 1;
-        return saved < 1;
+        return !tenantShares[tenant].take(now, rate, most);
+    }
+
+    /** What a part takes, with its mean deviation on top. */
+    private double cautiousPartS() {
+        return partTime.meanS() + partTime.deviationS();
     }
 
     /** How long the queries held take to leave at their floors, one part for each one served. */
     private double expectedWait(Query q) {
         int ahead = fewest(q) + waiting.stream().mapToInt(this::fewest).sum();
-        return shortestAim * ahead / Math.max(1, served * Math.exp((servedAt - now) / shortestAim));
+        return shortestAim * ahead / Math.max(1, served.at(now, shortestAim));
     }
 
     /** Lets head queries leave while the ceiling has room; each one's count is worked out as it leaves. */
     private void admit() {
         for (Query q : waiting) {
-            if (!q.ended && (now + pace + deviation > q.aimAt - margin() || unreached(q))) {
+            if (!q.ended && (now + cautiousPartS() > q.aimAt - margin() || unreached(q))) {
                 end(q, false);
             }
         }
@@ -376,7 +355,7 @@
      */
     private int trimmed(Query q) {
         double from = SLOW_PACE_SHARE * (1 + TRIM_ALONE / settings.instances());
-        double over = (pace / shortestAim - from) / TRIM_RANGE;
+        double over = (partTime.meanS() / shortestAim - from) / TRIM_RANGE;
         return over <= 0 ? q.parts.size()
                 : Math.max(fewest(q), (int) Math.ceil((1 - Math.min(1, over)) * q.parts.size()));
     }
@@ -480,7 +459,7 @@
 
     /** The ceiling comes down to the parts out, but never below two whole queries' parts. */
     private void cut() {
-        if (now - lastCut > pace) {
+        if (now - lastCut > partTime.meanS()) {
             lastCut = now;
             ceiling = Math.max(CUT * Math.min(out, ceiling), 2 * typicalParts);
         }
@@ -494,17 +473,13 @@
             return false;
         }
         if (!p.attempts.isEmpty()) {
-            spare -= toldFailure(p) ? 0 : 1;
-            if (budgeted()) {
-                extras.addLast(now);
-            }
+            retryBudget.further(now, toldFailure(p));
         } else {
-            spare = Math.max(spare, Math.min(spare + SPARE_SHARE,
-                    Math.max(SPARE_MOST, SPARE_PARTS * p.query.parts.size())));
+            retryBudget.first(p.query.parts.size());
             trials = Math.max(trials, Math.min(TRIALS_MOST, trials + TRIALS_SHARE));
         }
         if (cold(s)) {
-            s.coldSends.addLast(now);
+            s.coldSends.add(now);
         }
         if (!joins(s)) {
             s.call = new Call(now, connect(s));
@@ -533,7 +508,7 @@
      */
     private double connect(Searcher s) {
         double idle = s.out() == 0 && s.usedAt > Double.NEGATIVE_INFINITY ? now - s.usedAt : 0;
-        if (idle > 0 && (s.mute || idle > idleLimit())) {
+        if (idle > 0 && (s.mute || idle > idleLimit.seconds(now, shortestAim))) {
             s.mute = false;
             actions.dropConnections(s.id);
             return 0;
@@ -541,30 +516,18 @@
         return idle;
     }
 
-    /** Idleness that a connection is not trusted with. */
-    private double idleLimit() {
-        return now < reapedAt + REAPED_AIMS * shortestAim ? shortestReaped : Double.POSITIVE_INFINITY;
-    }
-
     /** A call after idleness was answered, or not: where many were not, the connections are to blame. */
     private void noteIdle(Attempt a, boolean silent) {
         Call call = a.call;
         if (call.idle > 0 && !call.told && (!silent || a.searcher.lastOk < a.sentAt)) {
             call.told = true;
-            double left = Math.exp((idleToldAt - now) / shortestAim);
-            idleSilent = idleSilent * left + (silent ? 1 : 0);
-            idleTold = idleTold * left + 1;
-            idleToldAt = now;
-            if (silent && idleSilent > REAPED * (idleTold + REAPED_LEAST)) {
-                shortestReaped = Math.min(idleLimit(), REAPED_SHARE * call.idle);
-                reapedAt = now;
-            }
+            idleLimit.add(call.idle, silent, now, shortestAim);
         }
     }
 
     /** Unanswered on a connection that stood idle while such are dropped unseen: not the searcher's fault. */
     private boolean cutOff(Attempt a) {
-        return a.call.idle > idleLimit() && a.searcher.lastOk < a.sentAt;
+        return a.call.idle > idleLimit.seconds(now, shortestAim) && a.searcher.lastOk < a.sentAt;
     }
 
     private boolean allowed(Part p, Searcher s) {
@@ -573,7 +536,7 @@
                 && p.attempts.size() < p.query.maxAttempts
                 && (p.out == 0 || copies(p) && s.open.stream().noneMatch(a -> a.part == p))
                 && repeatable(p) && coldRoom(s)
-                && (p.attempts.isEmpty() || withinBudget(p)
+                && (p.attempts.isEmpty() || retryBudget.allows(now, toldFailure(p))
                         && (!suspect(s) || now >= s.trialAt || lastResort(p, s)));
     }
 
@@ -603,40 +566,12 @@
         return a.outcome == null || !a.outcome.neverRan();
     }
 
-    /** Rule 6 over its window, and our own share of spare attempts: against retry storms. */
-    private boolean withinBudget(Part p) {
-        boolean spared = spare >= 1 || toldFailure(p);
-        Rules r = settings.rules();
-        prune(taken, now - r.budgetSpanS());
-        prune(extras, now - r.budgetSpanS() - EPS);
-        return spared && (!budgeted()
-                || extras.size() + 1 <= r.budgetFree() + r.budgetShare() * taken.size() - BUDGET_SLACK);
-    }
-
-    private boolean budgeted() {
-        return settings.rules().budgetSpanS() > 0;
-    }
-
     /** The last attempt was answered with a failure, so another adds little work to the first. */
     private static boolean toldFailure(Part p) {
         Outcome last = p.attempts.get(p.attempts.size() - 1).outcome;
         return last == Outcome.ERROR || last == Outcome.RESET || last != null && last.neverRan();
     }
 
-    /** Counts a query or part towards the budget; nothing is kept where none is stated. */
-    private void take() {
-        if (budgeted()) {
-            prune(taken, now - settings.rules().budgetSpanS());
-            taken.addLast(now);
-        }
-    }
-
-    private static void prune(ArrayDeque<Double> times, double before) {
-        while (!times.isEmpty() && times.peekFirst() < before) {
-            times.removeFirst();
-        }
-    }
-
     private boolean cold(Searcher s) {
         return now < s.coldSince + settings.rules().warmUpS();
     }
@@ -653,14 +588,14 @@
         }
         Rules r = settings.rules();
         double share = r.coldFrom() + (1 - r.coldFrom()) * Math.max(0, now - s.coldSince) / r.warmUpS();
-        double most = COLD_SAFETY * r.fallMultiple() * share * r.fallS() / quick / settings.instances();
+        double fleet = COLD_SAFETY * r.fallMultiple() * share * r.fallS() / partTime.unqueuedS();
+        double most = fleet / settings.instances();
         double window = r.fallS() * Math.max(1, 1 / most);
         if (Double.isNaN(s.coldTurn)) {
             s.coldTurn = random.nextDouble();
             s.coldKnown = now;
         }
-        prune(s.coldSends, now - window);
-        return s.coldSends.size() < Math.max(1, Math.floor(most))
+        return s.coldSends.countSince(now - window) < Math.max(1, Math.floor(most))
                 && (most >= 1 || now >= s.coldKnown + s.coldTurn * window);
     }
 
@@ -763,20 +698,19 @@
             case OK -> {
                 s.mute = false;
                 noteIdle(a, false);
-                boolean ownLateness = stalled && spentS > quarter;
+                boolean ownLateness = stalled && spentS > partTime.lowerQuartileS();
                 if (!ownLateness) {
                     learnPace(a, spentS);
                 }
                 boolean longGone = !subscribed && now - s.lastOk > 2 * shortestAim;
                 s.lastOk = now;
-                served = served * Math.exp((servedAt - now) / shortestAim) + 1;
-                servedAt = now;
+                served.add(1, now, shortestAim);
                 if (s.dead && longGone && !cold(s)) {
                     s.coldSince = now - spentS;
                 }
                 s.dead = false;
                 if (!a.overdue && !ownLateness) {
-                    note(s, Math.max(0, Math.min(1, spentS / quarter / SLOW_QUARTERS - 1)));
+                    note(s, Math.max(0, Math.min(1, spentS / partTime.lowerQuartileS() / SLOW_QUARTERS - 1)));
                     s.timelySent = a.sentAt;
                     if (a.trial) {
                         way(s).trialAt = now;
@@ -792,7 +726,7 @@
             }
             case ERROR, RESET -> worsen(s, false);
             case CONNECT_FAILED -> {
-                reapedAt = Double.NEGATIVE_INFINITY;
+                idleLimit.forget();
                 worsen(s, true);
             }
             case TIMEOUT, CANCELLED, MOOT -> { }
@@ -800,13 +734,8 @@
     }
 
     private void learnPace(Attempt a, double spentS) {
-        double step = Math.min(QUARTER_STEP, QUARTER_QUERY / Math.max(1, a.part.query.parts.size()));
-        quarter *= 1 + step * (spentS > quarter ? 0.25 : -0.75);
-        double off = Math.abs(spentS - pace);
-        pace += PACE_GAIN * (spentS - pace);
-        quick += (spentS < quick ? QUICK_GAIN : QUICK_GAIN * PACE_GAIN) * (spentS - quick);
-        deviation += PACE_GAIN * (off - deviation);
-        if (pace > SLOW_PACE_SHARE * shortestAim) {
+        partTime.add(spentS, a.part.query.parts.size());
+        if (partTime.meanS() > SLOW_PACE_SHARE * shortestAim) {
             cut();
         }
         shed(a.searcher, spentS / (SHED_PACE_SHARE * shortestAim) - 1);
@@ -825,7 +754,11 @@
      * queues too.
      */
     private double overdueAfter() {
-        return OVERDUE_QUARTERS * quarter;
+        return OVERDUE_QUARTERS * partTime.lowerQuartileS();
+    }
+
+    private double lostAfter() {
+        return partTime.meanS() + DEVIATIONS * partTime.deviationS();
     }
 
     /** Overdue attempts count against their searcher; silence since the send while it is overdue is fatal. */
@@ -844,12 +777,13 @@
                 if (cutOff(a)) {
                     continue;
                 }
-                if (!a.lost && now - a.sentAt > Math.max(after, pace + DEVIATIONS * deviation)) {
+                if (!a.lost && now - a.sentAt > Math.max(after, lostAfter())) {
                     a.lost = true;
                     shed(s, 1);
                     worsen(s, false);
                 }
-                if (!s.dead && s.lastOk < a.sentAt && servedAt > a.sentAt && now - a.sentAt > 2 * after) {
+                boolean othersServed = s.lastOk < a.sentAt && served.updatedAt() > a.sentAt;
+                if (!s.dead && othersServed && now - a.sentAt > 2 * after) {
                     worsen(s, true);
                 }
                 if (now - a.sentAt > LATE_SHARE * kind(a.part.query).aimS()) {
@@ -889,25 +823,26 @@
     }
 
     private void further(Part p) {
-        if (now + pace > worthUntil(p.query)) {
+        if (now + partTime.meanS() > worthUntil(p.query)) {
             return;
         }
         if (p.out == 0) {
             propose(p);
             return;
         }
-        double mark = now < p.query.aimAt ? Math.min(p.query.aimAt - margin(), worthUntil(p.query))
-                : worthUntil(p.query);
-        double left = mark - now - pace - deviation;
+        double worthUntil = worthUntil(p.query);
+        double mark = now < p.query.aimAt ? Math.min(p.query.aimAt - margin(), worthUntil) : worthUntil;
+        double left = mark - now - cautiousPartS();
         if (p.out > 1 || left < 0) {
             return;
         }
         Attempt last = p.attempts.get(p.attempts.size() - 1);
         boolean cutOff = last.overdue && cutOff(last);
-        boolean lastCall = budgeted() && shed == 0 && copies(p) && left < 2 * SWEEP_TICKS * settings.tickS()
-                && now < p.query.aimAt && now - last.sentAt > LAST_CALL_QUARTERS * quarter;
+        boolean lastChance = left < 2 * SWEEP_TICKS * settings.tickS();
+        boolean lastCall = retryBudget.isStated() && shed == 0 && copies(p) && lastChance
+                && now < p.query.aimAt && now - last.sentAt > LAST_CALL_QUARTERS * partTime.lowerQuartileS();
         boolean lost = last.lost || last.overdue && suspect(last.searcher) || cutOff || lastCall;
-        if (last.outcome != null || !lost || last.calledOff || !withinBudget(p)
+        if (last.outcome != null || !lost || last.calledOff || !retryBudget.allows(now, toldFailure(p))
                 || p.attempts.size() >= p.query.maxAttempts) {
             return;
         }
@@ -951,7 +886,8 @@
         }
         double floor = c.floor() < c.need() ? c.floor() : q.step == 1 ? c.need() : 1;
         boolean enough = q.in >= floor - EPS;
-        double secondStep = q.step == 1 && c.secondStep() > 0 ? pace + 2 * deviation : 0;
+        boolean twoSteps = q.step == 1 && c.secondStep() > 0;
+        double secondStep = twoSteps ? partTime.meanS() + 2 * partTime.deviationS() : 0;
         boolean pending = q.parts.stream().anyMatch(p -> p.wanted && !p.in
                 && (p.out > 0 || p.attempts.size() < p.query.maxAttempts));
         if (enough && (now >= Math.min(q.aimAt, q.endAt) - margin() - secondStep || !pending)) {
--- a/src/main/java/pepperdock/aggregator/State.java
+++ b/src/main/java/pepperdock/aggregator/State.java
@@ -1,8 +1,8 @@
 package pepperdock.aggregator;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import pepperdock.estimate.SlidingWindow;
 
 /** Plain data the module keeps: queries, parts, attempts at them, calls, searchers, and the ways to their centres. */
 final class State {
@@ -111,7 +111,7 @@
         double usedAt = Double.NEGATIVE_INFINITY;
         boolean mute;
         final List<Attempt> open = new ArrayList<>();
-        final ArrayDeque<Double> coldSends = new ArrayDeque<>();
+        final SlidingWindow coldSends = new SlidingWindow();
 
         Searcher(String id) {
             this.id = id;
--- a/src/test/java/pepperdock/PackagesTest.java
+++ b/src/test/java/pepperdock/PackagesTest.java
@@ -57,7 +57,8 @@
     @Test
     void theCoreKnowsNoWire() throws Exception {
         assertEquals(Set.of("aggregator"), uses().get("core"));
-        assertEquals(Set.of(), uses().get("aggregator"));
+        assertEquals(Set.of("estimate"), uses().get("aggregator"));
+        assertEquals(Set.of(), uses().get("estimate"));
     }
 
     /** A wall clock that jumps can do nothing to a program that reads it once, at its start, and then counts from there. */
--- /dev/null
+++ b/src/test/java/pepperdock/estimate/EstimatesTest.java
@@ -0,0 +1,83 @@
+package pepperdock.estimate;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class EstimatesTest {
+
+    @Test
+    void aTokenBucketGivesItsRateAndNoMoreThanItsCapacityAtOnce() {
+        TokenBucket bucket = new TokenBucket();
+        int taken = 0;
+        for (int i = 0; i < 10; i++) {
+            taken += bucket.take(100, 2, 3) ? 1 : 0;
+        }
+        assertEquals(3, taken);
+        assertFalse(bucket.take(100.4, 2, 3));
+        assertTrue(bucket.take(100.5, 2, 3));
+    }
+
+    @Test
+    void furtherAttemptsAreAShareOfFirstOnesAndThoseAfterAnAnsweredFailureAreFree() {
+        RetryBudget budget = new RetryBudget(new RetryBudget.Stated(0, 0, 0));
+        int made = 0;
+        while (budget.allows(1, false)) {
+            budget.further(1, false);
+            made++;
+        }
+        assertEquals(10, made);
+        assertTrue(budget.allows(1, true));
+        for (int i = 0; i < 7; i++) {
+            budget.first(1);
+        }
+        assertTrue(budget.allows(1, false));
+    }
+
+    @Test
+    void aStatedBudgetHoldsOverItsWindow() {
+        RetryBudget budget = new RetryBudget(new RetryBudget.Stated(10, 2, 0.1));
+        for (int i = 0; i < 10; i++) {
+            budget.take(5);
+        }
+        budget.further(5, true);
+        budget.further(5, true);
+        assertFalse(budget.allows(6, true));
+        assertTrue(budget.allows(15.1, true));
+    }
+
+    @Test
+    void theLowerQuartileStaysWhileThreeQuartersOfTheAnswersAreSlow() {
+        ServiceTime time = new ServiceTime(0.1);
+        for (int i = 0; i < 4000; i++) {
+            time.add(i % 4 == 0 ? 0.09 : 5, 4);
+        }
+        assertTrue(time.lowerQuartileS() < 0.2, "" + time.lowerQuartileS());
+        assertTrue(time.meanS() > 3, "" + time.meanS());
+        assertTrue(time.unqueuedS() < 1, "" + time.unqueuedS());
+    }
+
+    @Test
+    void aDecayingCountLosesAFactorOfEInItsTimeConstant() {
+        DecayingCount count = new DecayingCount();
+        count.add(3, 10, 2);
+        assertEquals(3 / Math.E, count.at(12, 2), 1e-9);
+        assertEquals(10, count.updatedAt());
+    }
+
+    @Test
+    void idleConnectionsAreTrustedForHalfOfWhatWasDroppedAndAgainAfterAWhile() {
+        IdleLimit limit = new IdleLimit();
+        limit.add(8, true, 100, 1);
+        assertEquals(Double.POSITIVE_INFINITY, limit.seconds(100, 1));
+        limit.add(8, true, 100, 1);
+        assertEquals(4, limit.seconds(100, 1));
+        assertEquals(Double.POSITIVE_INFINITY, limit.seconds(121, 1));
+        limit.add(6, true, 121, 1);
+        limit.add(6, true, 121, 1);
+        limit.forget();
+        assertEquals(Double.POSITIVE_INFINITY, limit.seconds(121, 1));
+    }
+}
