--- a/Makefile
+++ b/Makefile
@@ -1,18 +1,22 @@
 # The whole of it needs a JDK 17, Maven and make.
 MVN = mvn -B
 
-.PHONY: build test lint run bench-start clean
+.PHONY: build test lint format run bench-start clean
 
 build:
 	$(MVN) -q -Dmaven.test.skip=true package
 
-# Unit, property and loopback tests, then the built jar over the simulator's wire.
+# The formatter's check, unit, property and loopback tests, then the built jar over the simulator's wire.
 test:
-	$(MVN) verify
+	$(MVN) spotless:check verify
 
-# Every compiler warning is an error, in the tests too.
+# The formatter's check, and every compiler warning as an error, in the tests too.
 lint:
-	$(MVN) -q clean test-compile
+	$(MVN) -q spotless:check clean test-compile
+
+# Formats the whole tree.
+format:
+	$(MVN) -q spotless:apply
 
 # One gatherer, by the file in EDGE_CONFIG: make run EDGE_CONFIG=deploy/opensearch.json
 run: build
--- a/src/main/java/pepperdock/Drain.java
+++ b/src/main/java/pepperdock/Drain.java
@@ -17,6 +17,7 @@
     private static final System.Logger LOG = System.getLogger("pepperdock");
     /** SIGKILL comes no sooner than the longest deadline, counted as this at most, and {@link #SPARE_S}. */
     private static final double DEADLINE_MOST_S = 3;
+
     private static final double SPARE_S = 0.7;
     /** New connections keep coming for 0.4 s; with none left after that there is nothing to wait for. */
     private static final double STILL_COMING_S = 0.6;
@@ -27,6 +28,7 @@
      * stay: what is unanswered at SIGKILL is lost, and half a core needs its time to write.
      */
     private static final double SEND_AWAY_S = 0.65;
+
     private static final double CLOSE_S = 0.45;
     private static final double FAIL_S = 0.35;
     private static final double END_S = 0.2;
@@ -64,8 +66,13 @@
         begun = true;
         leave.run();
         double now = loop.now();
-        double killS = SPARE_S + Math.min(DEADLINE_MOST_S, core.settings().classes().stream()
-                .mapToDouble(c -> c.deadlineS()).max().orElse(DEADLINE_MOST_S));
+        double killS = SPARE_S
+                + Math.min(
+                        DEADLINE_MOST_S,
+                        core.settings().classes().stream()
+                                .mapToDouble(c -> c.deadlineS())
+                                .max()
+                                .orElse(DEADLINE_MOST_S));
         LOG.log(System.Logger.Level.INFO, "draining, {0} in hand", core.inHand());
         loop.after(killS - SEND_AWAY_S, () -> servers.forEach(HttpServer::drain));
         loop.after(killS - CLOSE_S, () -> servers.forEach(HttpServer::stopListening));
@@ -99,7 +106,8 @@
      */
     private void whenDone(double closedAt) {
         boolean written = servers.stream().mapToInt(HttpServer::busy).sum() == 0;
-        boolean left = loop.now() > closedAt || servers.stream().mapToInt(HttpServer::connections).sum() == 0;
+        boolean left = loop.now() > closedAt
+                || servers.stream().mapToInt(HttpServer::connections).sum() == 0;
         if (core.inHand() > 0 || !written || !left) {
             quietSince = Double.NaN;
         } else if (Double.isNaN(quietSince)) {
--- a/src/main/java/pepperdock/LogLine.java
+++ b/src/main/java/pepperdock/LogLine.java
@@ -40,8 +40,8 @@
     /** Made by the JDK's log itself, by the name in its property. */
     public static final class Setup {
         public Setup() throws IOException {
-            LogManager.getLogManager().readConfiguration(
-                    new ByteArrayInputStream(CONFIGURATION.getBytes(StandardCharsets.ISO_8859_1)));
+            LogManager.getLogManager()
+                    .readConfiguration(new ByteArrayInputStream(CONFIGURATION.getBytes(StandardCharsets.ISO_8859_1)));
         }
     }
 
@@ -56,8 +56,14 @@
         two(line, at.getSecond()).append('.');
         int rest = (int) Math.floorMod(millis, 1000L);
         line.append((char) ('0' + rest / 100));
-        two(line, rest % 100).append("Z ").append(record.getLevel().getName()).append(' ')
-                .append(record.getLoggerName()).append(": ").append(formatMessage(record)).append('\n');
+        two(line, rest % 100)
+                .append("Z ")
+                .append(record.getLevel().getName())
+                .append(' ')
+                .append(record.getLoggerName())
+                .append(": ")
+                .append(formatMessage(record))
+                .append('\n');
         if (record.getThrown() != null) {
             StringWriter trace = new StringWriter();
             record.getThrown().printStackTrace(new PrintWriter(trace, true));
--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -21,20 +21,20 @@
 import pepperdock.core.Host;
 import pepperdock.core.PooledBackend;
 import pepperdock.dnssd.DnsSd;
-import pepperdock.events.Events;
 import pepperdock.drill.WireHost;
+import pepperdock.events.Events;
 import pepperdock.members.Members;
 import pepperdock.net.HttpServer;
 import pepperdock.net.Loop;
-import pepperdock.operator.Beside;
-import pepperdock.operator.Operator;
 import pepperdock.opensearch.SearchBackend;
 import pepperdock.opensearch.SearchFront;
+import pepperdock.operator.Beside;
+import pepperdock.operator.Operator;
+import pepperdock.planner.PlannerThread;
 import pepperdock.platform.Front;
 import pepperdock.platform.Warmup;
 import pepperdock.platform.Watch;
 import pepperdock.platform.WorkerPool;
-import pepperdock.planner.PlannerThread;
 import pepperdock.store.Store;
 
 /** The command line, and the wiring: {@code serve} is one gatherer, {@code drill} the simulator's wire. */
@@ -52,12 +52,13 @@
     private static final int CLIENTS_SHARE = 3;
     /** Beside another process of the same gatherer, ready when the list has been asked for, or after so long. */
     private static final double LIST_S = 3;
+
     private static final int BODY_MOST = 64 << 10;
     private static final int SEARCH_BODY_MOST = 1 << 20;
     private static final int BUFFER_MOST = 256 << 10;
     private static final int SEARCH_BUFFER_MOST = 16 << 20;
 
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] args) {
         String what = args.length == 1 ? args[0] : "";
@@ -85,8 +86,7 @@
                 }
                 System.exit(0);
             }
-            default -> System.exit(Cli.run(args, new PrintWriter(System.out, true),
-                    new PrintWriter(System.err, true)));
+            default -> System.exit(Cli.run(args, new PrintWriter(System.out, true), new PrintWriter(System.err, true)));
         }
     }
 
@@ -102,7 +102,8 @@
         if (file.has("settings")) {
             Config.read(file, env);
         }
-        Loop loop = new Loop(Config.sockets(file) - OTHER_DESCRIPTORS,
+        Loop loop = new Loop(
+                Config.sockets(file) - OTHER_DESCRIPTORS,
                 file.has("opensearch") || members != null || file.has("members") ? SEARCH_BUFFER_MOST : BUFFER_MOST);
         Store store = new Store(members, loop);
         Events events = Events.of(Config.events(file));
@@ -112,7 +113,7 @@
             serve(known(file, store), false, base);
             loop.execute(() -> {
                 if (store.leads() && !file.json("settings").equals(store.get("settings"))) {
-                    store.put("settings", file.json("settings"), held -> { });
+                    store.put("settings", file.json("settings"), held -> {});
                 }
             });
         } else if (store.get("settings") != null) {
@@ -142,12 +143,13 @@
 
     /** Where the file knows no nodes, those that the store last held. */
     private static Keys known(Keys file, Store store) {
-        return file.has("known") || store.get("nodes") == null ? file
+        return file.has("known") || store.get("nodes") == null
+                ? file
                 : file.with("known", Config.parse(store.get("nodes"), "known"));
     }
 
     /** What stands before there are settings; {@code members} is null where the file has none. */
-    record Base(Map<String, String> env, Loop loop, Store store, Events events, Members members) { }
+    record Base(Map<String, String> env, Loop loop, Store store, Events events, Members members) {}
 
     /** Returns the servers that listen, or will; {@code stored} says that the settings are the store's, not the file's. */
     static List<HttpServer> serve(Keys file, boolean stored, Base base) throws IOException {
@@ -155,7 +157,9 @@
         Loop loop = base.loop();
         Config config = Config.read(file, env);
         if (!config.site().assumed().isEmpty()) {
-            LOG.log(System.Logger.Level.WARNING, "configuration: not given, so taken as: {0}",
+            LOG.log(
+                    System.Logger.Level.WARNING,
+                    "configuration: not given, so taken as: {0}",
                     String.join(", ", config.site().assumed()));
         }
         Warmup warmup = new Warmup(config.site());
@@ -163,10 +167,14 @@
         boolean searches = config.openSearch() != null && config.openSearch().backend();
         WorkerPool pool = searches ? null : new WorkerPool(loop, config.site());
         SearchBackend search = searches ? new SearchBackend(loop, config.site(), config.openSearch()) : null;
-        Watch watch = config.dnsSd() != null || config.discovery() == null ? null
-                : new Watch(loop, config.discovery(), config.site(), config.known().seq());
+        Watch watch = config.dnsSd() != null || config.discovery() == null
+                ? null
+                : new Watch(
+                        loop, config.discovery(), config.site(), config.known().seq());
         DnsSd dnsSd = config.dnsSd() == null ? null : new DnsSd(config.dnsSd(), config.site(), loop, loop::execute);
-        FixedList fixed = watch != null || dnsSd != null ? null : new FixedList(loop, config.known().hosts());
+        FixedList fixed = watch != null || dnsSd != null
+                ? null
+                : new FixedList(loop, config.known().hosts());
         PooledBackend<?> backend = searches ? search : pool;
         Discovery discovery = watch != null ? watch : dnsSd != null ? dnsSd : fixed;
         Gatherer core = new Gatherer(config.site().module(), config.seed(), loop, backend, discovery);
@@ -181,42 +189,64 @@
         }
         keepNodes(core, config, base.store());
         if (config.plan() != null) {
-            PlannerThread planner = new PlannerThread(config.plan(), config.site().module().layout(), loop, core,
-                    PlannerThread.thread(), loop::execute);
+            PlannerThread planner = new PlannerThread(
+                    config.plan(), config.site().module().layout(), loop, core, PlannerThread.thread(), loop::execute);
             loop.execute(planner::start);
         }
         boolean[] ready = {false};
         List<HttpServer> servers = new ArrayList<>();
-        Operator operator = config.operator() == null ? null : new Operator(folder(env), loop, core,
-                () -> ready[0] && servers.stream().allMatch(HttpServer::listens));
+        Operator operator = config.operator() == null
+                ? null
+                : new Operator(
+                        folder(env),
+                        loop,
+                        core,
+                        () -> ready[0] && servers.stream().allMatch(HttpServer::listens));
         Front front = config.listen() == null ? null : new Front(config.site(), core, () -> ready[0]);
-        SearchFront searchFront = config.openSearch() == null ? null
+        SearchFront searchFront = config.openSearch() == null
+                ? null
                 : new SearchFront(config.site(), config.openSearch(), core, loop, search);
         Runnable fronts = () -> servers.addAll(listen(config, loop, front, searchFront));
         if (operator == null || !operator.beside()) {
             fronts.run();
         }
         Site[] site = {config.site()};
-        new Reload(env, file, stored, loop::execute, new Reload.Live(watch == null ? null : watch::move,
-                fixed == null ? null : fixed::replace, n -> loop.capSockets(n - OTHER_DESCRIPTORS), to -> {
-            site[0] = site[0].changed(to.site());
-            core.settings(site[0].module(), site[0].classes());
-            if (front != null) {
-                front.use(site[0]);
-            }
-            if (searchFront != null) {
-                searchFront.use(site[0], to.openSearch());
-            }
-        }), operator == null ? taken -> { } : operator::read).onSignal();
-        new Drain(loop, servers, core, operator == null ? Beside.NOBODY : operator,
-                base.members() == null ? () -> { } : base.members()::leave).onSignal();
+        new Reload(
+                        env,
+                        file,
+                        stored,
+                        loop::execute,
+                        new Reload.Live(
+                                watch == null ? null : watch::move,
+                                fixed == null ? null : fixed::replace,
+                                n -> loop.capSockets(n - OTHER_DESCRIPTORS),
+                                to -> {
+                                    site[0] = site[0].changed(to.site());
+                                    core.settings(site[0].module(), site[0].classes());
+                                    if (front != null) {
+                                        front.use(site[0]);
+                                    }
+                                    if (searchFront != null) {
+                                        searchFront.use(site[0], to.openSearch());
+                                    }
+                                }),
+                        operator == null ? taken -> {} : operator::read)
+                .onSignal();
+        new Drain(
+                        loop,
+                        servers,
+                        core,
+                        operator == null ? Beside.NOBODY : operator,
+                        base.members() == null ? () -> {} : base.members()::leave)
+                .onSignal();
         Runnable begin = () -> {
             ready[0] = true;
             base.events().tell("ready");
             servers.forEach(s -> LOG.log(System.Logger.Level.INFO, "{0} serves on {1}", config.name(), s.address()));
             warmup.spread(loop, () -> core.inHand() == 0);
         };
-        // After the signals' handlers: told that it is ready, whoever starts it may send one at once, which else ends it.
+        // After the signals' handlers: told that it is ready, whoever starts it may send one at once, which else ends
+        // it.
         loop.execute(() -> {
             if (operator != null) {
                 operate(operator, config, loop, core);
@@ -225,10 +255,13 @@
             if (operator == null || !operator.beside()) {
                 begin.run();
             } else {
-                whenAsked(core, loop, () -> operator.serve(() -> {
-                    fronts.run();
-                    begin.run();
-                }));
+                whenAsked(
+                        core,
+                        loop,
+                        () -> operator.serve(() -> {
+                            fronts.run();
+                            begin.run();
+                        }));
             }
         });
         return servers;
@@ -236,8 +269,8 @@
 
     /** Where clients connect; shared with another process where operators may upgrade this one. */
     private static List<HttpServer> listen(Config config, Loop loop, Front front, SearchFront searchFront) {
-        IntSupplier clients = () -> (loop.sockets() + OTHER_DESCRIPTORS) / CLIENTS_SHARE
-                / (front != null && searchFront != null ? 2 : 1);
+        IntSupplier clients = () ->
+                (loop.sockets() + OTHER_DESCRIPTORS) / CLIENTS_SHARE / (front != null && searchFront != null ? 2 : 1);
         Loop.Kind kind = config.operator() == null ? Loop.Kind.OWN : Loop.Kind.SHARED;
         List<HttpServer> made = new ArrayList<>();
         try {
@@ -245,7 +278,13 @@
                 made.add(new HttpServer(loop, config.listen(), kind, HttpServer.REQUEST_S, BODY_MOST, clients, front));
             }
             if (searchFront != null) {
-                made.add(new HttpServer(loop, config.openSearch().listen(), kind, HttpServer.REQUEST_S, SEARCH_BODY_MOST, clients,
+                made.add(new HttpServer(
+                        loop,
+                        config.openSearch().listen(),
+                        kind,
+                        HttpServer.REQUEST_S,
+                        SEARCH_BODY_MOST,
+                        clients,
                         searchFront));
             }
         } catch (IOException e) {
@@ -287,10 +326,13 @@
     private static void keepNodes(Gatherer core, Config config, Store store) {
         if (store.leads()) {
             core.whenListed(hosts -> {
-                String list = HostList.write(hosts.stream().sorted(java.util.Comparator.comparing(Host::id)).toList(),
+                String list = HostList.write(
+                        hosts.stream()
+                                .sorted(java.util.Comparator.comparing(Host::id))
+                                .toList(),
                         config.site());
                 if (!list.equals(store.get("nodes"))) {
-                    store.put("nodes", list, held -> { });
+                    store.put("nodes", list, held -> {});
                 }
             });
         }
--- a/src/main/java/pepperdock/Rehearsal.java
+++ b/src/main/java/pepperdock/Rehearsal.java
@@ -5,7 +5,6 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -16,8 +15,8 @@
 import pepperdock.config.Config;
 import pepperdock.config.Keys;
 import pepperdock.drill.WireHost;
-import pepperdock.frame.Frames;
 import pepperdock.events.Events;
+import pepperdock.frame.Frames;
 import pepperdock.net.Loop;
 import pepperdock.store.Store;
 
@@ -32,6 +31,7 @@
     private static final int WORKERS = 4;
     /** Enough that each class is sent, answered, sent again on a kept connection, and its code linked. */
     private static final int QUERIES = 12;
+
     private static final int TIMEOUT_MS = 10_000;
     private static final String[] CLASSES = {"search", "report", "adjust"};
     private static final String DRILL = """
@@ -44,7 +44,7 @@
         void run() throws IOException;
     }
 
-    private Rehearsal() { }
+    private Rehearsal() {}
 
     /** Returns once all queries were answered; the caller ends the JVM. */
     static void run() throws IOException {
@@ -57,8 +57,13 @@
         StringBuilder hosts = new StringBuilder();
         for (int i = 0; i < WORKERS; i++) {
             int port = listen(Rehearsal::work);
-            hosts.append(i == 0 ? "" : ",").append("{\"host\":\"s-").append(i).append("\",\"dial\":\"127.0.0.1:").append(port)
-                    .append("\",\"site\":\"room\",\"class\":\"std\",\"block\":").append(i)
+            hosts.append(i == 0 ? "" : ",")
+                    .append("{\"host\":\"s-")
+                    .append(i)
+                    .append("\",\"dial\":\"127.0.0.1:")
+                    .append(port)
+                    .append("\",\"site\":\"room\",\"class\":\"std\",\"block\":")
+                    .append(i)
                     .append(",\"health\":\"in_service\",\"share\":1.0,\"born_ms\":0}");
         }
         String list = "{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}";
@@ -66,15 +71,22 @@
         Keys served = whole.with("discovery", Config.parse("\"127.0.0.1:" + discovery + '"', "discovery"))
                 .with("known", Config.parse(list, "known"));
         Loop loop = new Loop(200, 1 << 18);
-        InetSocketAddress at = Main.serve(served, false, new Main.Base(Map.of(), loop, new Store(null, loop), Events.of(false), null)).get(0).address();
+        InetSocketAddress at = Main.serve(
+                        served, false, new Main.Base(Map.of(), loop, new Store(null, loop), Events.of(false), null))
+                .get(0)
+                .address();
         ask(at);
     }
 
     /** The simulator's wire: one instance attached, nothing asked. */
     private static void drill(Keys whole) {
         PrintStream nowhere = new PrintStream(new ByteArrayOutputStream(), false, StandardCharsets.UTF_8);
-        new WireHost(new ByteArrayInputStream(DRILL.formatted(whole.json("settings")).getBytes(StandardCharsets.UTF_8)),
-                nowhere, nowhere).run();
+        new WireHost(
+                        new ByteArrayInputStream(
+                                DRILL.formatted(whole.json("settings")).getBytes(StandardCharsets.UTF_8)),
+                        nowhere,
+                        nowhere)
+                .run();
     }
 
     /** A client that asks for readiness, once wrongly, and then one query after the other on a kept connection. */
@@ -84,7 +96,8 @@
         }
         exchange(at, "POST /api HTTP/1.1\r\nHost: r\r\nContent-Length: 2\r\n\r\n{}", 1);
         for (String queryClass : CLASSES) {
-            String body = "{\"ranges\":[{\"range\":0,\"portion\":0.5},{\"range\":1,\"portion\":0.5}],\"predicate\":\"r\"}";
+            String body =
+                    "{\"ranges\":[{\"range\":0,\"portion\":0.5},{\"range\":1,\"portion\":0.5}],\"predicate\":\"r\"}";
             String request = "POST /api HTTP/1.1\r\nHost: r\r\nRequest-Id: %s%d\r\nRequest-Class: " + queryClass
                     + "\r\nRequest-Timeout-Ms: 3000\r\nIdempotency-Key: r%d\r\nContent-Length: " + body.length()
                     + "\r\n\r\n" + body;
@@ -100,11 +113,15 @@
         try (Socket s = new Socket(at.getAddress(), at.getPort())) {
             s.setSoTimeout(TIMEOUT_MS);
             for (int i = 0; i < times; i++) {
-                s.getOutputStream().write(request.replace("%d", Integer.toString(i)).getBytes(StandardCharsets.UTF_8));
+                s.getOutputStream()
+                        .write(request.replace("%d", Integer.toString(i)).getBytes(StandardCharsets.UTF_8));
                 String head = head(s.getInputStream());
                 int length = head.toLowerCase(java.util.Locale.ROOT).indexOf("content-length: ");
-                s.getInputStream().readNBytes(length < 0 ? 0
-                        : Integer.parseInt(head.substring(length + 16, head.indexOf('\r', length))));
+                s.getInputStream()
+                        .readNBytes(
+                                length < 0
+                                        ? 0
+                                        : Integer.parseInt(head.substring(length + 16, head.indexOf('\r', length))));
                 answer = head;
             }
         }
@@ -126,8 +143,9 @@
     private static void tell(Socket s, String list) throws IOException {
         while (true) {
             if (!head(s.getInputStream()).contains("since=")) {
-                s.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
-                        .getBytes(StandardCharsets.US_ASCII));
+                s.getOutputStream()
+                        .write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+                                .getBytes(StandardCharsets.US_ASCII));
             }
         }
     }
@@ -137,15 +155,16 @@
         DataInputStream in = new DataInputStream(s.getInputStream());
         while (true) {
             byte[] frame = in.readNBytes(in.readInt());
-            for (int at = 1; frame[0] == Frames.CALL && at < frame.length;) {
+            for (int at = 1; frame[0] == Frames.CALL && at < frame.length; ) {
                 int end = at;
                 while (frame[end] != '\n') {
                     end++;
                 }
                 String[] words = new String(frame, at, end - at, StandardCharsets.UTF_8).split(" ");
                 at = end + 1 + Integer.parseInt(words[3]);
-                s.getOutputStream().write(Frames.frame(Frames.RESULT,
-                        (words[0] + " good 1 qps=1\nvalue").getBytes(StandardCharsets.UTF_8)));
+                s.getOutputStream()
+                        .write(Frames.frame(
+                                Frames.RESULT, (words[0] + " good 1 qps=1\nvalue").getBytes(StandardCharsets.UTF_8)));
             }
         }
     }
--- a/src/main/java/pepperdock/Reload.java
+++ b/src/main/java/pepperdock/Reload.java
@@ -25,14 +25,19 @@
     /** Of no concern to a running program: the seed is new in each file, the list held is older than our own. */
     private static final List<String> PASSED_OVER = List.of("seed", "known");
     /** What the platform's files have: one of these that is gone is a file cut short, not a part switched off. */
-    private static final List<String> PLATFORM = List.of("name", "listen", "discovery", "seed", "limits", "known", "settings");
+    private static final List<String> PLATFORM =
+            List.of("name", "listen", "discovery", "seed", "limits", "known", "settings");
 
     /** What can change live; an absent one is null. */
-    record Live(Consumer<InetSocketAddress> discovery, Consumer<List<Host>> known, Consumer<Integer> sockets,
-                Consumer<Config> settings) { }
+    record Live(
+            Consumer<InetSocketAddress> discovery,
+            Consumer<List<Host>> known,
+            Consumer<Integer> sockets,
+            Consumer<Config> settings) {}
 
     /** Without the address of discovery: that of a start goes before the file, but can't be changed since. */
     private final Map<String, String> env;
+
     private final Consumer<Runnable> loop;
     private final Live live;
     private final Consumer<Boolean> told;
@@ -43,7 +48,13 @@
      * {@code current} is the file now in use, with the settings in use; {@code stored} says that these came from the store and
      * that the file need not have any; {@code told} is told of each file, on the loop.
      */
-    Reload(Map<String, String> env, Keys current, boolean stored, Consumer<Runnable> loop, Live live, Consumer<Boolean> told) {
+    Reload(
+            Map<String, String> env,
+            Keys current,
+            boolean stored,
+            Consumer<Runnable> loop,
+            Live live,
+            Consumer<Boolean> told) {
         this.told = told;
         this.stored = stored;
         this.env = new HashMap<>(env);
@@ -98,7 +109,9 @@
             });
             LOG.log(System.Logger.Level.INFO, "configuration reloaded");
             if (!later.isEmpty()) {
-                LOG.log(System.Logger.Level.WARNING, "configuration: changed, but in use only after a restart: {0}",
+                LOG.log(
+                        System.Logger.Level.WARNING,
+                        "configuration: changed, but in use only after a restart: {0}",
                         String.join(", ", later));
             }
         } catch (ConfigException e) {
--- a/src/main/java/pepperdock/Signals.java
+++ b/src/main/java/pepperdock/Signals.java
@@ -10,15 +10,15 @@
 
     private static final System.Logger LOG = System.getLogger("pepperdock");
 
-    private Signals() { }
+    private Signals() {}
 
     /** {@code then} runs on a thread of the JVM's own whenever the signal comes. */
     static void on(String name, Runnable then) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object ours = Proxy.newProxyInstance(Reload.class.getClassLoader(), new Class<?>[] {handler},
-                    (proxy, method, args) -> {
+            Object ours = Proxy.newProxyInstance(
+                    Reload.class.getClassLoader(), new Class<?>[] {handler}, (proxy, method, args) -> {
                         switch (method.getName()) {
                             case "handle" -> then.run();
                             case "hashCode" -> {
--- a/src/main/java/pepperdock/aggregator/Aggregator.java
+++ b/src/main/java/pepperdock/aggregator/Aggregator.java
@@ -18,11 +18,22 @@
     }
 
     /** May a part be repeated: always, only within a time as its key is recognised, or not at all. */
-    enum Effect { SAFE, KEYED, UNSAFE }
+    enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** How an attempt or a probe ended. */
     enum Outcome {
-        OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT;
+        OK,
+        ERROR,
+        FULL,
+        TIMEOUT,
+        CONNECT_FAILED,
+        RESET,
+        CANCELLED,
+        MOOT;
 
         /** True when this outcome proves that the attempt never ran. */
         public boolean neverRan() {
@@ -31,10 +42,19 @@
     }
 
     /** What a list event carries: changes, the complete list, the list as last held, or a failed call. */
-    enum ListKind { CHANGES, COMPLETE, HELD, FAILED }
+    enum ListKind {
+        CHANGES,
+        COMPLETE,
+        HELD,
+        FAILED
+    }
 
     /** State of a listed searcher. */
-    enum Readiness { HEALTHY, DRAINING, REMOVED }
+    enum Readiness {
+        HEALTHY,
+        DRAINING,
+        REMOVED
+    }
 
     /**
      * One class of query.
@@ -48,30 +68,56 @@
      * @param secondStep parts that follow the first answer; 0 when the class has one step
      * @param windowS for keyed parts: how long repeats are recognised, from the first attempt
      */
-    record QueryClass(double aimS, double deadlineS, double worth, double lateWorth, Effect effect, double windowS,
-                      double floor, double need, double partialWorth, int secondStep) { }
+    record QueryClass(
+            double aimS,
+            double deadlineS,
+            double worth,
+            double lateWorth,
+            Effect effect,
+            double windowS,
+            double floor,
+            double need,
+            double partialWorth,
+            int secondStep) {}
 
     /**
      * Who holds a shard: the searchers of cells {@code (shard + j) mod cells}, j from 0 to {@code span - 1};
      * {@code batch} parts sent together to one searcher share a call.
      */
-    record Layout(int shards, int cells, int span, int batch) { }
+    record Layout(int shards, int cells, int span, int batch) {}
 
     /** What the site allows; {@code maxPauseS} is the longest pause a client observes, 0 where none is told. */
-    record Limits(boolean cancel, boolean duplicate, boolean probe, int maxAttempts, int mostHeld,
-                  double maxPauseS) { }
+    record Limits(boolean cancel, boolean duplicate, boolean probe, int maxAttempts, int mostHeld, double maxPauseS) {}
 
     /**
      * Figures of the rules. {@code budgetSpanS} is 0 where further attempts have no budget; {@code askWithinS} is 0
      * where lists come unasked.
      */
-    record Rules(double answerSlackS, double drainGraceS, double coldFrom, double warmUpS, double fallMultiple,
-                 double fallS, double budgetFree, double budgetShare, double budgetSpanS, double askWithinS) { }
+    record Rules(
+            double answerSlackS,
+            double drainGraceS,
+            double coldFrom,
+            double warmUpS,
+            double fallMultiple,
+            double fallS,
+            double budgetFree,
+            double budgetShare,
+            double budgetSpanS,
+            double askWithinS) {}
 
     /** The settings of one instance; {@code tenantRates} are the queries a second within share, fleet-wide. */
-    record Settings(int instances, int zone, double tickS, boolean mustAsk, List<QueryClass> classes,
-                    List<Double> tenantRates, double overShareWorth, List<String> reportNames, Layout layout,
-                    Limits limits, Rules rules) {
+    record Settings(
+            int instances,
+            int zone,
+            double tickS,
+            boolean mustAsk,
+            List<QueryClass> classes,
+            List<Double> tenantRates,
+            double overShareWorth,
+            List<String> reportNames,
+            Layout layout,
+            Limits limits,
+            Rules rules) {
 
         /** Rejects settings that make no sense, naming the first one found. */
         public Settings {
@@ -98,7 +144,17 @@
 
         /** The same with another number of instances. */
         public Settings with(int instances) {
-            return new Settings(instances, zone, tickS, mustAsk, classes, tenantRates, overShareWorth, reportNames, layout, limits,
+            return new Settings(
+                    instances,
+                    zone,
+                    tickS,
+                    mustAsk,
+                    classes,
+                    tenantRates,
+                    overShareWorth,
+                    reportNames,
+                    layout,
+                    limits,
                     rules);
         }
 
@@ -110,7 +166,7 @@
     }
 
     /** One entry of a list; {@code bootAt} is the clock time of the last start, 0 for long ago. */
-    record Listed(String searcher, int zone, int kind, int cell, Readiness readiness, double weight, double bootAt) { }
+    record Listed(String searcher, int zone, int kind, int cell, Readiness readiness, double weight, double bootAt) {}
 
     /** What part of a shard's work is meant for a searcher, above 0; only ratios between a shard's holders count. */
     @FunctionalInterface
--- a/src/main/java/pepperdock/aggregator/Decide.java
+++ b/src/main/java/pepperdock/aggregator/Decide.java
@@ -41,6 +41,7 @@
     private static final double OVER_SHARE_SHED = 4;
     /** What a tenant may save up of its share: so many aims' worth, and a few queries at least. */
     private static final double SHARE_AIMS = 3;
+
     private static final double SHARE_LEAST = 3;
     /** Most of the arrivals turned away while parts are slow; the rest keep telling how slow. */
     private static final double SHED_MOST = 0.9;
@@ -75,6 +76,7 @@
      * its random half more leaves time for the answer: later, changes since its return would count as told.
      */
     private static final double ASK_AGAIN_SHARE = 0.05;
+
     private static final double ASK_MOST_SHARE = 0.5;
     /** The first call comes within so many seconds for each instance there is, and within the first pause. */
     private static final double FIRST_ASK_S = 0.005;
@@ -92,9 +94,11 @@
     private static final double WAY_GAIN = 1.0 / 16;
     /** Trials earned by a first attempt, and the most saved up so: suspects cost each query little. */
     private static final double TRIALS_SHARE = 0.007;
+
     private static final double TRIALS_MOST = 2;
     /** Trials earned by one that succeeds, and the most saved up so: what is well again is soon won back. */
     private static final double TRIALS_MORE = 1.5;
+
     private static final double TRIALS_WON = 3;
     private static final double EPS = 1e-6;
 
@@ -261,8 +265,7 @@
     }
 
     @Override
-    public void probed(String searcher, Outcome outcome, double spentS, double[] report) {
-    }
+    public void probed(String searcher, Outcome outcome, double spentS, double[] report) {}
 
     @Override
     public void endBatch() {
@@ -356,7 +359,8 @@
     private int trimmed(Query q) {
         double from = SLOW_PACE_SHARE * (1 + TRIM_ALONE / settings.instances());
         double over = (partTime.meanS() / shortestAim - from) / TRIM_RANGE;
-        return over <= 0 ? q.parts.size()
+        return over <= 0
+                ? q.parts.size()
                 : Math.max(fewest(q), (int) Math.ceil((1 - Math.min(1, over)) * q.parts.size()));
     }
 
@@ -371,7 +375,9 @@
     }
 
     private static List<Part> heaviestFirst(Query q) {
-        return q.parts.stream().sorted(Comparator.comparingDouble(p -> -p.weight)).toList();
+        return q.parts.stream()
+                .sorted(Comparator.comparingDouble(p -> -p.weight))
+                .toList();
     }
 
     /**
@@ -385,8 +391,12 @@
         double spareable = 1 - kind(q).floor();
         double unfit = q.parts.stream()
                 .filter(p -> holders(p.shard).stream().noneMatch(s -> fit(s) || answers(s) || s.errs))
-                .mapToDouble(p -> p.weight).sum();
-        int sound = cells.stream().flatMap(List::stream).mapToInt(s -> suspect(s) ? -1 : 1).sum();
+                .mapToDouble(p -> p.weight)
+                .sum();
+        int sound = cells.stream()
+                .flatMap(List::stream)
+                .mapToInt(s -> suspect(s) ? -1 : 1)
+                .sum();
         if (unfit > spareable + EPS && sound > 0) {
             end(q, false);
             return;
@@ -411,7 +421,8 @@
      * that is shared does not crowd a few; it harms when the best holder is good by luck only.
      */
     private boolean propose(Part p) {
-        List<Searcher> open = holders(p.shard).stream().filter(s -> allowed(p, s)).toList();
+        List<Searcher> open =
+                holders(p.shard).stream().filter(s -> allowed(p, s)).toList();
         double least = open.stream().mapToDouble(s -> standing(s, p)).min().orElse(0);
         Searcher best = null;
         int ties = 0;
@@ -440,7 +451,9 @@
     }
 
     private boolean joins(Searcher s) {
-        return s.call != null && s.call.sentAt == now && s.call.parts < settings.layout().batch();
+        return s.call != null
+                && s.call.sentAt == now
+                && s.call.parts < settings.layout().batch();
     }
 
     /** The record of a searcher as far as it concerns a part: the lower the better. */
@@ -532,12 +545,18 @@
 
     private boolean allowed(Part p, Searcher s) {
         Query q = p.query;
-        return !q.ended && !p.in && p.wanted && s.usable && now < worthUntil(q)
+        return !q.ended
+                && !p.in
+                && p.wanted
+                && s.usable
+                && now < worthUntil(q)
                 && p.attempts.size() < p.query.maxAttempts
                 && (p.out == 0 || copies(p) && s.open.stream().noneMatch(a -> a.part == p))
-                && repeatable(p) && coldRoom(s)
-                && (p.attempts.isEmpty() || retryBudget.allows(now, toldFailure(p))
-                        && (!suspect(s) || now >= s.trialAt || lastResort(p, s)));
+                && repeatable(p)
+                && coldRoom(s)
+                && (p.attempts.isEmpty()
+                        || retryBudget.allows(now, toldFailure(p))
+                                && (!suspect(s) || now >= s.trialAt || lastResort(p, s)));
     }
 
     /**
@@ -557,8 +576,12 @@
         return switch (kind(p.query).effect()) {
             case SAFE -> true;
             case UNSAFE -> p.attempts.stream().noneMatch(Decide::mayHaveRun);
-            case KEYED -> p.attempts.stream().filter(Decide::mayHaveRun).findFirst()
-                    .map(a -> now <= a.sentAt + kind(p.query).windowS()).orElse(true);
+            case KEYED ->
+                p.attempts.stream()
+                        .filter(Decide::mayHaveRun)
+                        .findFirst()
+                        .map(a -> now <= a.sentAt + kind(p.query).windowS())
+                        .orElse(true);
         };
     }
 
@@ -729,7 +752,7 @@
                 idleLimit.forget();
                 worsen(s, true);
             }
-            case TIMEOUT, CANCELLED, MOOT -> { }
+            case TIMEOUT, CANCELLED, MOOT -> {}
         }
     }
 
@@ -839,16 +862,24 @@
         Attempt last = p.attempts.get(p.attempts.size() - 1);
         boolean cutOff = last.overdue && cutOff(last);
         boolean lastChance = left < 2 * SWEEP_TICKS * settings.tickS();
-        boolean lastCall = retryBudget.isStated() && shed == 0 && copies(p) && lastChance
-                && now < p.query.aimAt && now - last.sentAt > LAST_CALL_QUARTERS * partTime.lowerQuartileS();
+        boolean lastCall = retryBudget.isStated()
+                && shed == 0
+                && copies(p)
+                && lastChance
+                && now < p.query.aimAt
+                && now - last.sentAt > LAST_CALL_QUARTERS * partTime.lowerQuartileS();
         boolean lost = last.lost || last.overdue && suspect(last.searcher) || cutOff || lastCall;
-        if (last.outcome != null || !lost || last.calledOff || !retryBudget.allows(now, toldFailure(p))
+        if (last.outcome != null
+                || !lost
+                || last.calledOff
+                || !retryBudget.allows(now, toldFailure(p))
                 || p.attempts.size() >= p.query.maxAttempts) {
             return;
         }
         if (copies(p) && !cutOff) {
             propose(p);
-        } else if (settings.limits().cancel() && kind(p.query).effect() == Effect.SAFE
+        } else if (settings.limits().cancel()
+                && kind(p.query).effect() == Effect.SAFE
                 && (cutOff || holders(p.shard).stream().anyMatch(s -> !suspect(s) && s != last.searcher))) {
             last.calledOff = true;
             actions.cancel(p.id, last.no);
@@ -857,9 +888,15 @@
 
     /** Weight that is in or can still come from the wanted parts. */
     private double reachable(Query q) {
-        return q.parts.stream().filter(p -> p.in || p.wanted && (p.out > 0
-                || p.attempts.size() < p.query.maxAttempts && repeatable(p)
-                && !holders(p.shard).isEmpty())).mapToDouble(p -> p.weight).sum();
+        return q.parts.stream()
+                .filter(p -> p.in
+                        || p.wanted
+                                && (p.out > 0
+                                        || p.attempts.size() < p.query.maxAttempts
+                                                && repeatable(p)
+                                                && !holders(p.shard).isEmpty()))
+                .mapToDouble(p -> p.weight)
+                .sum();
     }
 
     // ---- Answers and refusals ------------------------------------------------------------
@@ -888,8 +925,8 @@
         boolean enough = q.in >= floor - EPS;
         boolean twoSteps = q.step == 1 && c.secondStep() > 0;
         double secondStep = twoSteps ? partTime.meanS() + 2 * partTime.deviationS() : 0;
-        boolean pending = q.parts.stream().anyMatch(p -> p.wanted && !p.in
-                && (p.out > 0 || p.attempts.size() < p.query.maxAttempts));
+        boolean pending = q.parts.stream()
+                .anyMatch(p -> p.wanted && !p.in && (p.out > 0 || p.attempts.size() < p.query.maxAttempts));
         if (enough && (now >= Math.min(q.aimAt, q.endAt) - margin() - secondStep || !pending)) {
             answer(q, false);
         } else if (now >= worthUntil(q) || reachable(q) < floor - EPS || unreached(q)) {
@@ -899,8 +936,10 @@
 
     /** Half its time is gone and nobody was reached: refused while its client can still turn elsewhere. */
     private boolean unreached(Query q) {
-        return now >= q.halfAt - margin() && q.parts.stream().flatMap(p -> p.attempts.stream())
-                .allMatch(a -> a.outcome == Outcome.CONNECT_FAILED || a.outcome == Outcome.MOOT);
+        return now >= q.halfAt - margin()
+                && q.parts.stream()
+                        .flatMap(p -> p.attempts.stream())
+                        .allMatch(a -> a.outcome == Outcome.CONNECT_FAILED || a.outcome == Outcome.MOOT);
     }
 
     private void answer(Query q, boolean whole) {
@@ -1008,8 +1047,11 @@
      */
     private void follow() {
         if (Double.isNaN(askAt)) {
-            askAt = now + asking.nextDouble() * Math.min(settings.instances() * FIRST_ASK_S,
-                    ASK_AGAIN_SHARE * settings.rules().askWithinS());
+            askAt = now
+                    + asking.nextDouble()
+                            * Math.min(
+                                    settings.instances() * FIRST_ASK_S,
+                                    ASK_AGAIN_SHARE * settings.rules().askWithinS());
         }
         if (!subscribed && !asked && now >= askAt) {
             asked = true;
--- a/src/main/java/pepperdock/aggregator/State.java
+++ b/src/main/java/pepperdock/aggregator/State.java
@@ -7,7 +7,7 @@
 /** Plain data the module keeps: queries, parts, attempts at them, calls, searchers, and the ways to their centres. */
 final class State {
 
-    private State() { }
+    private State() {}
 
     /** A query in hand. */
     static final class Query {
@@ -103,6 +103,7 @@
         boolean dead;
         /** What it said last was an error: it is there, and quick to say so. */
         boolean errs;
+
         double trialAt;
         double backOff;
         double lastOk = Double.NEGATIVE_INFINITY;
--- a/src/main/java/pepperdock/cli/Cli.java
+++ b/src/main/java/pepperdock/cli/Cli.java
@@ -18,11 +18,21 @@
  * The command line beyond {@code serve} and {@code drill}, which the program starts without it: nothing here, nor picocli,
  * is loaded by them. Exit status: 0 done, 1 failed, 2 faulty input or usage, 3 no solution.
  */
-@Command(name = "pepperdock", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
+@Command(
+        name = "pepperdock",
+        mixinStandardHelpOptions = true,
+        versionProvider = Cli.Version.class,
         description = "A gatherer for sharded queries, and its tools.",
-        subcommands = {PlanCommand.class, MembersCommand.class, LabCommand.class, Cli.ConfigCommand.class, GenerateCompletion.class},
-        exitCodeListHeading = "Exit status:%n", exitCodeList = {"0:done", "1:failed", "2:faulty input or usage",
-            "3:no solution"}, synopsisSubcommandLabel = "COMMAND")
+        subcommands = {
+            PlanCommand.class,
+            MembersCommand.class,
+            LabCommand.class,
+            Cli.ConfigCommand.class,
+            GenerateCompletion.class
+        },
+        exitCodeListHeading = "Exit status:%n",
+        exitCodeList = {"0:done", "1:failed", "2:faulty input or usage", "3:no solution"},
+        synopsisSubcommandLabel = "COMMAND")
 public final class Cli implements Runnable {
 
     static final int FAULTY = 2;
@@ -38,7 +48,7 @@
         {"rehearse", "Live a short life against stand-ins, for the build's class archive."},
     };
 
-    private Cli() { }
+    private Cli() {}
 
     /** Runs what the arguments name, without ending the JVM; returns the exit status. */
     public static int run(String[] args, PrintWriter out, PrintWriter err) {
@@ -48,17 +58,23 @@
                 err.println("pepperdock " + program[0] + " takes no arguments");
                 return FAULTY;
             });
-            help.mixinStandardHelpOptions(true).versionProvider(new Version()).usageMessage().description(program[1]);
+            help.mixinStandardHelpOptions(true)
+                    .versionProvider(new Version())
+                    .usageMessage()
+                    .description(program[1]);
             line.addSubcommand(program[0], help);
         }
-        return line.setOut(out).setErr(err).setExecutionExceptionHandler((e, at, parsed) -> {
-            if (e instanceof ConfigException) {
-                err.println(e.getMessage());
-                return FAULTY;
-            }
-            err.println("failed: " + e);
-            return 1;
-        }).execute(args);
+        return line.setOut(out)
+                .setErr(err)
+                .setExecutionExceptionHandler((e, at, parsed) -> {
+                    if (e instanceof ConfigException) {
+                        err.println(e.getMessage());
+                        return FAULTY;
+                    }
+                    err.println("failed: " + e);
+                    return 1;
+                })
+                .execute(args);
     }
 
     @Override
@@ -76,8 +92,12 @@
     }
 
     /** Of configuration files. */
-    @Command(name = "config", mixinStandardHelpOptions = true, versionProvider = Version.class,
-            description = "Look at configuration files.", subcommands = ConfigCommand.Check.class)
+    @Command(
+            name = "config",
+            mixinStandardHelpOptions = true,
+            versionProvider = Version.class,
+            description = "Look at configuration files.",
+            subcommands = ConfigCommand.Check.class)
     static final class ConfigCommand implements Runnable {
 
         @Spec
@@ -89,8 +109,11 @@
         }
 
         /** Reads a file as {@code serve} would. */
-        @Command(name = "check", mixinStandardHelpOptions = true, versionProvider = Version.class, description = "Read a file as serve"
-                + " does; name the faulty key, or say that there is none.")
+        @Command(
+                name = "check",
+                mixinStandardHelpOptions = true,
+                versionProvider = Version.class,
+                description = "Read a file as serve" + " does; name the faulty key, or say that there is none.")
         static final class Check implements Callable<Integer> {
 
             @Parameters(paramLabel = "FILE", description = "A configuration file, as EDGE_CONFIG names it.")
@@ -107,7 +130,9 @@
                     Config.read(all, Map.of());
                     spec.commandLine().getOut().println(file + ": sound");
                 } else {
-                    spec.commandLine().getOut().println(file + ": sound as far as it goes; its settings come from the store");
+                    spec.commandLine()
+                            .getOut()
+                            .println(file + ": sound as far as it goes; its settings come from the store");
                 }
                 return 0;
             }
--- a/src/main/java/pepperdock/cli/ExploreCommand.java
+++ b/src/main/java/pepperdock/cli/ExploreCommand.java
@@ -19,30 +19,53 @@
 import picocli.CommandLine.Spec;
 
 /** The keepers' consensus in simulated time. */
-@Command(name = "explore", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
-        description = "Take the keepers' consensus through losses, crashes and changes drawn by seeds, and check each step.")
+@Command(
+        name = "explore",
+        mixinStandardHelpOptions = true,
+        versionProvider = Cli.Version.class,
+        description =
+                "Take the keepers' consensus through losses, crashes and changes drawn by seeds, and check each step.")
 final class ExploreCommand implements Callable<Integer> {
 
     /** Small enough that snapshots, pieces and full windows come in every walk. */
     static final Settings SETTINGS = new Settings(5, 1, 48, 4, 4096, 1);
 
-    @Option(names = "--seeds", paramLabel = "N", defaultValue = "1000", description = "How many walks. Default: ${DEFAULT-VALUE}")
+    @Option(
+            names = "--seeds",
+            paramLabel = "N",
+            defaultValue = "1000",
+            description = "How many walks. Default: ${DEFAULT-VALUE}")
     private int seeds;
 
-    @Option(names = "--from", paramLabel = "N", defaultValue = "1", description = "The first seed. Default: ${DEFAULT-VALUE}")
+    @Option(
+            names = "--from",
+            paramLabel = "N",
+            defaultValue = "1",
+            description = "The first seed. Default: ${DEFAULT-VALUE}")
     private long from;
 
-    @Option(names = "--steps", paramLabel = "N", defaultValue = "3000", description = "Of each walk. Default: ${DEFAULT-VALUE}")
+    @Option(
+            names = "--steps",
+            paramLabel = "N",
+            defaultValue = "3000",
+            description = "Of each walk. Default: ${DEFAULT-VALUE}")
     private int steps;
 
     @Option(names = "--processes", paramLabel = "N", defaultValue = "5", description = "Default: ${DEFAULT-VALUE}")
     private int processes;
 
-    @Option(names = "--voters", paramLabel = "N", defaultValue = "3", description = "At the start. Default: ${DEFAULT-VALUE}")
+    @Option(
+            names = "--voters",
+            paramLabel = "N",
+            defaultValue = "3",
+            description = "At the start. Default: ${DEFAULT-VALUE}")
     private int voters;
 
-    @Option(names = "--mix", paramLabel = "MIX", defaultValue = "ALL", description = "Of what steps: ${COMPLETION-CANDIDATES}."
-            + " Default: ${DEFAULT-VALUE}")
+    @Option(
+            names = "--mix",
+            paramLabel = "MIX",
+            defaultValue = "ALL",
+            description = "Of what steps: ${COMPLETION-CANDIDATES}." + " Default: ${DEFAULT-VALUE}")
     private Explorer.Mix mix;
 
     @Option(names = "--script", paramLabel = "FILE", description = "Play these steps instead, with the seed of --from.")
@@ -63,12 +86,17 @@
             return tell(out, explorer.play(from, all));
         }
         AtomicLong[] sums = {new AtomicLong(), new AtomicLong(), new AtomicLong()};
-        Explorer.Walk failing = LongStream.range(from, from + seeds).parallel().mapToObj(seed -> explorer.walk(seed, steps))
+        Explorer.Walk failing = LongStream.range(from, from + seeds)
+                .parallel()
+                .mapToObj(seed -> explorer.walk(seed, steps))
                 .peek(w -> {
                     for (int i = 0; i < sums.length; i++) {
                         sums[i].addAndGet(w.counts()[i]);
                     }
-                }).filter(w -> !w.found().isEmpty()).findFirst().orElse(null);
+                })
+                .filter(w -> !w.found().isEmpty())
+                .findFirst()
+                .orElse(null);
         out.println(seeds + " walks of " + steps + " steps, " + mix + ", " + processes + " processes, " + voters
                 + " voters at first: "
                 + sums[0] + " leaders, " + sums[1] + " entries committed, " + sums[2] + " reads answered");
@@ -77,7 +105,8 @@
             return 0;
         }
         Explorer.Walk shorter = explorer.shorter(failing);
-        out.println("seed " + failing.seed() + " fails; shortened to " + shorter.steps().size() + " steps:");
+        out.println("seed " + failing.seed() + " fails; shortened to "
+                + shorter.steps().size() + " steps:");
         shorter.steps().forEach(out::println);
         return tell(out, shorter);
     }
--- a/src/main/java/pepperdock/cli/LabCommand.java
+++ b/src/main/java/pepperdock/cli/LabCommand.java
@@ -25,15 +25,24 @@
 import picocli.CommandLine.Spec;
 
 /** The laboratory on real processes (docs/rig.md). */
-@Command(name = "lab", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
+@Command(
+        name = "lab",
+        mixinStandardHelpOptions = true,
+        versionProvider = Cli.Version.class,
         description = "Several processes of the program on loopback, and faults between them (docs/rig.md).",
-        subcommands = {LabCommand.FleetCommand.class, LabCommand.SimCommand.class, LabCommand.CheckCommand.class,
-            ExploreCommand.class})
+        subcommands = {
+            LabCommand.FleetCommand.class,
+            LabCommand.SimCommand.class,
+            LabCommand.CheckCommand.class,
+            ExploreCommand.class
+        })
 final class LabCommand implements Runnable {
 
     /** What a run's exit status says where it does not count: the machine was late, not the program. */
     static final int NOT_COUNTED = 4;
-    private static final List<String> MEMBER = List.of("-Xmx56m", "-Xss512k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+
+    private static final List<String> MEMBER =
+            List.of("-Xmx56m", "-Xss512k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
 
     @Spec
     private CommandSpec spec;
@@ -50,17 +59,24 @@
     }
 
     /** Plays a script. */
-    @Command(name = "fleet", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
+    @Command(
+            name = "fleet",
+            mixinStandardHelpOptions = true,
+            versionProvider = Cli.Version.class,
             description = "Play a script of faults on a fleet of processes, and judge what happened.",
-            exitCodeListHeading = "Exit status:%n", exitCodeList = {"0:passed", "1:failed", "2:faulty input or usage",
-                "4:does not count, the machine was late"})
+            exitCodeListHeading = "Exit status:%n",
+            exitCodeList = {"0:passed", "1:failed", "2:faulty input or usage", "4:does not count, the machine was late"
+            })
     static final class FleetCommand implements Callable<Integer> {
 
         @Parameters(paramLabel = "FILE", description = "The script, as JSON.")
         private Path file;
 
-        @Option(names = "--folder", paramLabel = "DIR", description = "Where logs, history and report go; made by this, so"
-                + " it must not exist. Default: rig-TIME below the folder for temporary files.")
+        @Option(
+                names = "--folder",
+                paramLabel = "DIR",
+                description = "Where logs, history and report go; made by this, so"
+                        + " it must not exist. Default: rig-TIME below the folder for temporary files.")
         private Path folder;
 
         @Option(names = "--seed", paramLabel = "N", description = "Goes before the script's own seed.")
@@ -71,9 +87,14 @@
 
         @Override
         public Integer call() throws IOException, InterruptedException {
-            Path to = folder != null ? folder : Path.of(System.getProperty("java.io.tmpdir"), "rig-"
-                    + DateTimeFormatter.ofPattern("yyyyMMdd'T'HHmmss.SSS", Locale.ROOT).withZone(ZoneOffset.UTC)
-                            .format(Instant.now()));
+            Path to = folder != null
+                    ? folder
+                    : Path.of(
+                            System.getProperty("java.io.tmpdir"),
+                            "rig-"
+                                    + DateTimeFormatter.ofPattern("yyyyMMdd'T'HHmmss.SSS", Locale.ROOT)
+                                            .withZone(ZoneOffset.UTC)
+                                            .format(Instant.now()));
             PrintWriter out = spec.commandLine().getOut();
             out.println("playing in " + to);
             Outcome outcome = Rig.run(file, seed, to, command());
@@ -85,8 +106,13 @@
         /** This very jar, as a gatherer: with the class archive beside it where there is one. */
         private static List<String> command() {
             try {
-                Path jar = Path.of(Rig.class.getProtectionDomain().getCodeSource().getLocation().toURI());
-                List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+                Path jar = Path.of(Rig.class
+                        .getProtectionDomain()
+                        .getCodeSource()
+                        .getLocation()
+                        .toURI());
+                List<String> words = new ArrayList<>(List.of(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString()));
                 words.addAll(MEMBER);
                 Path archive = jar.resolveSibling(jar.getFileName().toString().replace(".jar", ".jsa"));
                 if (Files.isReadable(archive)) {
@@ -101,24 +127,39 @@
     }
 
     /** Plays a script in simulated time. */
-    @Command(name = "sim", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
+    @Command(
+            name = "sim",
+            mixinStandardHelpOptions = true,
+            versionProvider = Cli.Version.class,
             description = "Play a script's membership in simulated time, over many seeds.")
     static final class SimCommand implements Callable<Integer> {
 
         @Parameters(paramLabel = "FILE", description = "The script, as JSON.")
         private Path file;
 
-        @Option(names = "--seeds", paramLabel = "N", defaultValue = "100", description = "How many. Default: ${DEFAULT-VALUE}")
+        @Option(
+                names = "--seeds",
+                paramLabel = "N",
+                defaultValue = "100",
+                description = "How many. Default: ${DEFAULT-VALUE}")
         private int seeds;
 
-        @Option(names = "--from", paramLabel = "N", defaultValue = "1", description = "The first. Default: ${DEFAULT-VALUE}")
+        @Option(
+                names = "--from",
+                paramLabel = "N",
+                defaultValue = "1",
+                description = "The first. Default: ${DEFAULT-VALUE}")
         private long from;
 
         @Option(names = "--members", paramLabel = "N", description = "Goes before the script's own count.")
         private int members;
 
-        @Option(names = "--arm", paramLabel = "ARM", defaultValue = "FULL", description = "What is left out, to see its worth:"
-                + " ${COMPLETION-CANDIDATES}. Default: ${DEFAULT-VALUE}")
+        @Option(
+                names = "--arm",
+                paramLabel = "ARM",
+                defaultValue = "FULL",
+                description =
+                        "What is left out, to see its worth:" + " ${COMPLETION-CANDIDATES}. Default: ${DEFAULT-VALUE}")
         private Seeds.Arm arm;
 
         @Option(names = "--threads", paramLabel = "N", description = "Seeds played side by side. Default: one a core.")
@@ -139,7 +180,10 @@
     }
 
     /** Judges a history again. */
-    @Command(name = "check", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
+            versionProvider = Cli.Version.class,
             description = "Judge a history again, by its own checkers or others.")
     static final class CheckCommand implements Callable<Integer> {
 
--- a/src/main/java/pepperdock/cli/MembersCommand.java
+++ b/src/main/java/pepperdock/cli/MembersCommand.java
@@ -23,7 +23,10 @@
 import picocli.CommandLine.Spec;
 
 /** The view of a running gatherer, its links and its reasons (docs/membership.md). */
-@Command(name = "members", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
+@Command(
+        name = "members",
+        mixinStandardHelpOptions = true,
+        versionProvider = Cli.Version.class,
         description = "Print the members as a running gatherer sees them, and why.")
 final class MembersCommand implements Callable<Integer> {
 
@@ -54,8 +57,12 @@
         PrintWriter out = spec.commandLine().getOut();
         while (true) {
             try {
-                String answer = client.send(HttpRequest.newBuilder(URI.create("http://" + Config.text(at) + "/members"))
-                        .timeout(PATIENCE).build(), HttpResponse.BodyHandlers.ofString(StandardCharsets.UTF_8)).body();
+                String answer = client.send(
+                                HttpRequest.newBuilder(URI.create("http://" + Config.text(at) + "/members"))
+                                        .timeout(PATIENCE)
+                                        .build(),
+                                HttpResponse.BodyHandlers.ofString(StandardCharsets.UTF_8))
+                        .body();
                 Keys view = Keys.of("answer", Config.parse(answer, "answer"));
                 if (json) {
                     out.println(new GsonBuilder().setPrettyPrinting().create().toJson(Config.parse(answer, "answer")));
@@ -63,7 +70,9 @@
                     print(out, view);
                 }
             } catch (ConnectException e) {
-                spec.commandLine().getErr().println("nobody answers on " + address + "; is members.ask set in its file?");
+                spec.commandLine()
+                        .getErr()
+                        .println("nobody answers on " + address + "; is members.ask set in its file?");
                 if (watch == null) {
                     return 1;
                 }
@@ -82,20 +91,47 @@
     }
 
     private static void print(PrintWriter out, Keys v) {
-        out.printf(Locale.ROOT, "fleet %s as %s sees it, view %d: reaching %d of %d%s%n", v.text("fleet"), v.text("self"),
-                (long) v.number("number"), (int) v.number("reached"), (int) v.number("of"), v.flag("sure", true) ? ""
-                : ", may be the one cut off, calls nobody gone");
+        out.printf(
+                Locale.ROOT,
+                "fleet %s as %s sees it, view %d: reaching %d of %d%s%n",
+                v.text("fleet"),
+                v.text("self"),
+                (long) v.number("number"),
+                (int) v.number("reached"),
+                (int) v.number("of"),
+                v.flag("sure", true) ? "" : ", may be the one cut off, calls nobody gone");
         if (v.has("name_taken_by")) {
             out.println("its name is used by another process too, at " + v.text("name_taken_by") + ": it stays out");
         }
-        out.printf(Locale.ROOT, "%-20s %-9s %9s %5s %-12s %-12s %-22s %s%n", "member", "standing", "for s", "inc", "zone",
-                "machine", "address", "said by observers");
+        out.printf(
+                Locale.ROOT,
+                "%-20s %-9s %9s %5s %-12s %-12s %-22s %s%n",
+                "member",
+                "standing",
+                "for s",
+                "inc",
+                "zone",
+                "machine",
+                "address",
+                "said by observers");
         for (Keys m : v.objects("members")) {
             Keys said = m.within("said_by");
             StringBuilder words = new StringBuilder();
-            said.names().forEach(n -> words.append(words.length() == 0 ? "" : ", ").append(n).append(' ').append(said.text(n)));
-            out.printf(Locale.ROOT, "%-20s %-9s %9.1f %5d %-12s %-12s %-22s %s%n", m.text("name"), m.text("standing"),
-                    m.number("for_s"), (long) m.number("incarnation"), m.text("zone"), m.text("machine"), m.text("address"),
+            said.names()
+                    .forEach(n -> words.append(words.length() == 0 ? "" : ", ")
+                            .append(n)
+                            .append(' ')
+                            .append(said.text(n)));
+            out.printf(
+                    Locale.ROOT,
+                    "%-20s %-9s %9.1f %5d %-12s %-12s %-22s %s%n",
+                    m.text("name"),
+                    m.text("standing"),
+                    m.number("for_s"),
+                    (long) m.number("incarnation"),
+                    m.text("zone"),
+                    m.text("machine"),
+                    m.text("address"),
                     words);
         }
     }
--- a/src/main/java/pepperdock/cli/PlanCommand.java
+++ b/src/main/java/pepperdock/cli/PlanCommand.java
@@ -31,13 +31,17 @@
 import picocli.CommandLine.Spec;
 
 /** Shares for a problem from a file: as a table, as JSON, explained for a range, or against a plan in force. */
-@Command(name = "plan", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
+@Command(
+        name = "plan",
+        mixinStandardHelpOptions = true,
+        versionProvider = Cli.Version.class,
         description = "Reckon shares for the problem in a file (docs/planning.md).")
 final class PlanCommand implements Callable<Integer> {
 
     private static final double MICRO = 1e6;
     /** Shares that differ by less are the same plan. */
     private static final double SAME = 0.0005;
+
     private static final int MOST_NAMED = 12;
 
     @Parameters(paramLabel = "FILE", description = "The problem, as JSON.")
@@ -107,17 +111,30 @@
         for (int n = 0; n < p.nodes().size(); n++) {
             Problem.Node node = p.nodes().get(n);
             double used = node.inService() ? plan.utilisation().get(n).value() : 0;
-            out.printf(Locale.ROOT, "%-24s %-12s %12.3f %12.3f %10s%n", node.name(), p.zones().get(node.zone()),
-                    node.capacity() / MICRO, used * node.capacity() / MICRO,
+            out.printf(
+                    Locale.ROOT,
+                    "%-24s %-12s %12.3f %12.3f %10s%n",
+                    node.name(),
+                    p.zones().get(node.zone()),
+                    node.capacity() / MICRO,
+                    used * node.capacity() / MICRO,
                     node.inService() ? String.format(Locale.ROOT, "%.1f %%", 100 * used) : "away");
         }
-        out.printf(Locale.ROOT, "greatest use %.1f %%, crossings %.3f a second%n%n", 100 * plan.greatest().value(),
+        out.printf(
+                Locale.ROOT,
+                "greatest use %.1f %%, crossings %.3f a second%n%n",
+                100 * plan.greatest().value(),
                 plan.crossings());
         out.printf(Locale.ROOT, "%-8s %-12s %10s  %s%n", "range", "from zone", "work s/s", "shares");
         for (int r = 0; r < p.ranges().size(); r++) {
             for (int z = 0; z < p.zones().size(); z++) {
-                out.printf(Locale.ROOT, "%-8d %-12s %10.3f  %s%n", p.ranges().get(r).number(), p.zones().get(z),
-                        work(p, r, z), shares(p, plan, r, z));
+                out.printf(
+                        Locale.ROOT,
+                        "%-8d %-12s %10.3f  %s%n",
+                        p.ranges().get(r).number(),
+                        p.zones().get(z),
+                        work(p, r, z),
+                        shares(p, plan, r, z));
             }
         }
     }
@@ -130,17 +147,28 @@
     private static String shares(Problem p, Plan plan, int r, int z) {
         List<String> words = new ArrayList<>();
         for (int i = 0; i < p.ranges().get(r).holders().size(); i++) {
-            words.add(String.format(Locale.ROOT, "%s %.3f", p.nodes().get(p.ranges().get(r).holders().get(i)).name(),
+            words.add(String.format(
+                    Locale.ROOT,
+                    "%s %.3f",
+                    p.nodes().get(p.ranges().get(r).holders().get(i)).name(),
                     plan.shares().get(r).get(z)[i]));
         }
         return String.join(", ", words);
     }
 
     private static void explain(PrintWriter out, Problem p, Plan plan, int r) {
-        out.printf(Locale.ROOT, "range %d, %.3f s of work a second%n", p.ranges().get(r).number(),
+        out.printf(
+                Locale.ROOT,
+                "range %d, %.3f s of work a second%n",
+                p.ranges().get(r).number(),
                 p.ranges().get(r).work() / MICRO);
         for (int z = 0; z < p.zones().size(); z++) {
-            out.printf(Locale.ROOT, "from zone %s (%.3f s/s): %s%n", p.zones().get(z), work(p, r, z), shares(p, plan, r, z));
+            out.printf(
+                    Locale.ROOT,
+                    "from zone %s (%.3f s/s): %s%n",
+                    p.zones().get(z),
+                    work(p, r, z),
+                    shares(p, plan, r, z));
         }
         for (int n : p.ranges().get(r).holders()) {
             Problem.Node node = p.nodes().get(n);
@@ -148,31 +176,59 @@
                 out.println("  " + node.name() + " is not in service: no share");
                 continue;
             }
-            long others = p.ranges().stream().filter(x -> x.holders().contains(n)).count() - 1;
-            long alone = p.ranges().stream().filter(x -> x.work() > 0 && x.holders().stream()
-                    .allMatch(h -> h == n || !p.nodes().get(h).inService())).count();
-            out.printf(Locale.ROOT, "  %s is used to %.1f %% of %.3f s/s, holds %d other ranges, %d with work that it alone"
-                    + " can serve%n", node.name(), 100 * plan.utilisation().get(n).value(), node.capacity() / MICRO, others,
+            long others =
+                    p.ranges().stream().filter(x -> x.holders().contains(n)).count() - 1;
+            long alone = p.ranges().stream()
+                    .filter(x -> x.work() > 0
+                            && x.holders().stream()
+                                    .allMatch(h -> h == n || !p.nodes().get(h).inService()))
+                    .count();
+            out.printf(
+                    Locale.ROOT,
+                    "  %s is used to %.1f %% of %.3f s/s, holds %d other ranges, %d with work that it alone"
+                            + " can serve%n",
+                    node.name(),
+                    100 * plan.utilisation().get(n).value(),
+                    node.capacity() / MICRO,
+                    others,
                     alone);
         }
     }
 
     private static String words(Problem p, Conflict c) {
-        StringBuilder words = new StringBuilder("no solution").append(c.away() == null ? "" : " with node " + c.away() + " away")
+        StringBuilder words = new StringBuilder("no solution")
+                .append(c.away() == null ? "" : " with node " + c.away() + " away")
                 .append(": ");
-        String work = named(c.work().stream().map(w -> "range " + p.ranges().get(w.range()).number()
-                + (p.zones().size() > 1 ? " from zone " + p.zones().get(w.zone()) : "")
-                + String.format(Locale.ROOT, " (%.3f s/s)", work(p, w.range(), w.zone()))).toList());
+        String work = named(c.work().stream()
+                .map(w -> "range " + p.ranges().get(w.range()).number()
+                        + (p.zones().size() > 1 ? " from zone " + p.zones().get(w.zone()) : "")
+                        + String.format(Locale.ROOT, " (%.3f s/s)", work(p, w.range(), w.zone())))
+                .toList());
         if (c.nodes().isEmpty()) {
             Conflict.Work w = c.work().get(0);
-            return words.append(work).append(" has no holder that may take it: ").append(p.ranges().get(w.range()).holders()
-                    .stream().map(n -> p.nodes().get(n)).map(n -> n.name() + (!n.inService() || n.name().equals(c.away())
-                            ? " is not in service" : n.capacity() == 0 ? " has no capacity" : " may not be crossed to"))
-                    .collect(Collectors.joining(", "))).toString();
+            return words.append(work)
+                    .append(" has no holder that may take it: ")
+                    .append(p.ranges().get(w.range()).holders().stream()
+                            .map(n -> p.nodes().get(n))
+                            .map(n -> n.name()
+                                    + (!n.inService() || n.name().equals(c.away())
+                                            ? " is not in service"
+                                            : n.capacity() == 0 ? " has no capacity" : " may not be crossed to"))
+                            .collect(Collectors.joining(", ")))
+                    .toString();
         }
-        return words.append(work).append(" need more than ").append(named(c.nodes().stream().map(n -> p.nodes().get(n).name()
-                + String.format(Locale.ROOT, " (%.3f s/s)", p.nodes().get(n).capacity() / MICRO)).toList()))
-                .append(String.format(Locale.ROOT, " can do: %.1f %% of it", 100 * c.need().value())).toString();
+        return words.append(work)
+                .append(" need more than ")
+                .append(named(c.nodes().stream()
+                        .map(n -> p.nodes().get(n).name()
+                                + String.format(
+                                        Locale.ROOT,
+                                        " (%.3f s/s)",
+                                        p.nodes().get(n).capacity() / MICRO))
+                        .toList()))
+                .append(String.format(
+                        Locale.ROOT, " can do: %.1f %% of it", 100 * c.need().value()))
+                .toString();
     }
 
     private static String named(List<String> all) {
@@ -204,7 +260,9 @@
                 one.addProperty("zone", p.zones().get(z));
                 JsonObject to = new JsonObject();
                 for (int i = 0; i < p.ranges().get(r).holders().size(); i++) {
-                    to.addProperty(p.nodes().get(p.ranges().get(r).holders().get(i)).name(), plan.shares().get(r).get(z)[i]);
+                    to.addProperty(
+                            p.nodes().get(p.ranges().get(r).holders().get(i)).name(),
+                            plan.shares().get(r).get(z)[i]);
                 }
                 one.add("to", to);
                 ranges.add(one);
@@ -248,8 +306,14 @@
         for (int r = 0; r < p.ranges().size(); r++) {
             for (int z = 0; z < p.zones().size(); z++) {
                 for (int i = 0; i < p.ranges().get(r).holders().size(); i++) {
-                    shares.put(label(p.ranges().get(r).number(), p.zones().get(z),
-                            p.nodes().get(p.ranges().get(r).holders().get(i)).name()), plan.shares().get(r).get(z)[i]);
+                    shares.put(
+                            label(
+                                    p.ranges().get(r).number(),
+                                    p.zones().get(z),
+                                    p.nodes()
+                                            .get(p.ranges().get(r).holders().get(i))
+                                            .name()),
+                            plan.shares().get(r).get(z)[i]);
                 }
             }
         }
@@ -264,10 +328,12 @@
         Map<String, Double> changes = new TreeMap<>();
         after.forEach((label, share) -> changes.put(label, share - before.getOrDefault(label, 0.0)));
         before.forEach((label, share) -> changes.putIfAbsent(label, -share));
-        List<String> changed = changes.keySet().stream().filter(l -> Math.abs(changes.get(l)) >= SAME)
-                .sorted(Comparator.comparingDouble(l -> -Math.abs(changes.get(l)))).toList();
+        List<String> changed = changes.keySet().stream()
+                .filter(l -> Math.abs(changes.get(l)) >= SAME)
+                .sorted(Comparator.comparingDouble(l -> -Math.abs(changes.get(l))))
+                .toList();
         out.println(changed.isEmpty() ? "the plan in force stays" : changed.size() + " shares change:");
-        changed.forEach(l -> out.printf(Locale.ROOT, "%-48s %.3f -> %.3f%n", l, before.getOrDefault(l, 0.0),
-                after.getOrDefault(l, 0.0)));
+        changed.forEach(l -> out.printf(
+                Locale.ROOT, "%-48s %.3f -> %.3f%n", l, before.getOrDefault(l, 0.0), after.getOrDefault(l, 0.0)));
     }
 }
--- a/src/main/java/pepperdock/config/Config.java
+++ b/src/main/java/pepperdock/config/Config.java
@@ -14,8 +14,17 @@
  * the OpenSearch-style front serves, {@code discovery} where the list is fixed or comes from DNS; {@code openSearch},
  * {@code dnsSd}, {@code plan} and {@code operator} are null where the operator's file has none.
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, HostList known,
-                     Site site, OpenSearchConfig openSearch, DnsSdConfig dnsSd, PlanConfig plan, InetSocketAddress operator) {
+public record Config(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        long seed,
+        HostList known,
+        Site site,
+        OpenSearchConfig openSearch,
+        DnsSdConfig dnsSd,
+        PlanConfig plan,
+        InetSocketAddress operator) {
 
     private static final int SOCKETS = 1024;
 
@@ -55,17 +64,24 @@
         }
         Site site = Site.read(all.needed("settings"));
         HostList known = all.has("known") ? HostList.read(all.needed("known"), site) : HostList.none();
-        OpenSearchConfig openSearch = all.has("opensearch")
-                ? OpenSearchConfig.read(all.needed("opensearch"), site) : null;
-        return new Config(env.getOrDefault("EDGE_NAME", all.text("name", "pepperdock")),
-                env.containsKey("EDGE_LISTEN") ? address("EDGE_LISTEN", env.get("EDGE_LISTEN"))
+        OpenSearchConfig openSearch =
+                all.has("opensearch") ? OpenSearchConfig.read(all.needed("opensearch"), site) : null;
+        return new Config(
+                env.getOrDefault("EDGE_NAME", all.text("name", "pepperdock")),
+                env.containsKey("EDGE_LISTEN")
+                        ? address("EDGE_LISTEN", env.get("EDGE_LISTEN"))
                         : openSearch == null || all.has("listen") ? address("listen", all.text("listen")) : null,
-                env.containsKey("EDGE_DISCOVERY") ? address("EDGE_DISCOVERY", env.get("EDGE_DISCOVERY"))
+                env.containsKey("EDGE_DISCOVERY")
+                        ? address("EDGE_DISCOVERY", env.get("EDGE_DISCOVERY"))
                         : all.has("discovery") ? address("discovery", all.text("discovery")) : null,
-                seed(all), known, openSearch != null && openSearch.backend() ? site.withoutRepeats() : site, openSearch,
+                seed(all),
+                known,
+                openSearch != null && openSearch.backend() ? site.withoutRepeats() : site,
+                openSearch,
                 all.has("dnssd") ? DnsSdConfig.read(all.needed("dnssd")) : null,
                 all.has("plan") ? PlanConfig.read(all.needed("plan")) : null,
-                env.containsKey("EDGE_OPERATOR") ? address("EDGE_OPERATOR", env.get("EDGE_OPERATOR"))
+                env.containsKey("EDGE_OPERATOR")
+                        ? address("EDGE_OPERATOR", env.get("EDGE_OPERATOR"))
                         : all.has("operator") ? address("operator", all.text("operator")) : null);
     }
 
--- a/src/main/java/pepperdock/config/DnsSdConfig.java
+++ b/src/main/java/pepperdock/config/DnsSdConfig.java
@@ -23,7 +23,7 @@
         if (!(least > 0)) {
             throw new ConfigException(keys.key("least_s"), "not above 0");
         }
-        return new DnsSdConfig(Config.address(keys.key("server"), keys.text("server")), service, domain, timeout,
-                least);
+        return new DnsSdConfig(
+                Config.address(keys.key("server"), keys.text("server")), service, domain, timeout, least);
     }
 }
--- a/src/main/java/pepperdock/config/HostList.java
+++ b/src/main/java/pepperdock/config/HostList.java
@@ -14,8 +14,8 @@
 /** A node list in discovery's form: its version, whether it is the whole list, and its entries. */
 public record HostList(long seq, boolean whole, List<Host> hosts) {
 
-    private static final Map<String, Readiness> HEALTH = Map.of("in_service", Readiness.HEALTHY,
-            "terminating", Readiness.DRAINING, "terminated", Readiness.REMOVED);
+    private static final Map<String, Readiness> HEALTH =
+            Map.of("in_service", Readiness.HEALTHY, "terminating", Readiness.DRAINING, "terminated", Readiness.REMOVED);
 
     /** Decodes the body of an answer; throws {@link ConfigException} for whatever it is not. */
     public static HostList parse(String json, Site site) {
@@ -33,9 +33,15 @@
             if (readiness == null) {
                 throw new ConfigException(h.key("health"), "unknown state " + h.text("health"));
             }
-            hosts.add(new Host(h.text("host"), h.text("dial", ""), index(site.zones(), h.text("site", "")),
-                    index(site.kinds(), h.text("class", "")), h.whole("block", 0, 1 << 24), readiness,
-                    h.number("share", 1), h.number("born_ms", 0) / 1e3));
+            hosts.add(new Host(
+                    h.text("host"),
+                    h.text("dial", ""),
+                    index(site.zones(), h.text("site", "")),
+                    index(site.kinds(), h.text("class", "")),
+                    h.whole("block", 0, 1 << 24),
+                    readiness,
+                    h.number("share", 1),
+                    h.number("born_ms", 0) / 1e3));
         }
         return new HostList((long) list.number("seq", 0), list.flag("whole", false), List.copyOf(hosts));
     }
@@ -55,8 +61,13 @@
             o.addProperty("site", h.zone() < site.zones().size() ? site.zones().get(h.zone()) : "");
             o.addProperty("class", h.kind() < site.kinds().size() ? site.kinds().get(h.kind()) : "");
             o.addProperty("block", h.cell());
-            o.addProperty("health", HEALTH.entrySet().stream().filter(e -> e.getValue() == h.readiness()).findFirst()
-                    .orElseThrow().getKey());
+            o.addProperty(
+                    "health",
+                    HEALTH.entrySet().stream()
+                            .filter(e -> e.getValue() == h.readiness())
+                            .findFirst()
+                            .orElseThrow()
+                            .getKey());
             o.addProperty("share", h.weight());
             o.addProperty("born_ms", Math.round(h.bornAt() * 1e3));
             list.add(o);
--- a/src/main/java/pepperdock/config/Keys.java
+++ b/src/main/java/pepperdock/config/Keys.java
@@ -18,7 +18,7 @@
     private final Consumer<String> assumed;
 
     public Keys(String path, JsonObject object) {
-        this(path, object, said -> { });
+        this(path, object, said -> {});
     }
 
     private Keys(String path, JsonObject object, Consumer<String> assumed) {
@@ -106,8 +106,11 @@
             if (now == null || now.isJsonNull()) {
                 return key;
             }
-            String within = old.isJsonObject() && now.isJsonObject() ? lost(key, old.getAsJsonObject(), now.getAsJsonObject())
-                    : old.isJsonArray() && now.isJsonArray() ? lost(key, old.getAsJsonArray(), now.getAsJsonArray()) : null;
+            String within = old.isJsonObject() && now.isJsonObject()
+                    ? lost(key, old.getAsJsonObject(), now.getAsJsonObject())
+                    : old.isJsonArray() && now.isJsonArray()
+                            ? lost(key, old.getAsJsonArray(), now.getAsJsonArray())
+                            : null;
             if (within != null) {
                 return within;
             }
@@ -129,7 +132,8 @@
         }
         for (int i = 0; common != null && i < there.size(); i++) {
             for (String name : common) {
-                if (there.get(i).isJsonObject() && !there.get(i).getAsJsonObject().has(name)) {
+                if (there.get(i).isJsonObject()
+                        && !there.get(i).getAsJsonObject().has(name)) {
                     return key + '[' + i + "]." + name;
                 }
             }
@@ -151,7 +155,8 @@
 
     /** An object within; empty where absent. */
     public Keys within(String name) {
-        return has(name) ? of(key(name), object.get(name)).assuming(assumed)
+        return has(name)
+                ? of(key(name), object.get(name)).assuming(assumed)
                 : new Keys(key(name), new JsonObject(), assumed);
     }
 
@@ -225,7 +230,9 @@
     /** A figure of a list, or the other where the list is absent or short. */
     public double numberAt(String name, int at, double otherwise) {
         JsonArray all = array(name);
-        return at < all.size() ? number(key(name) + '[' + at + ']', all.get(at)) : instead(name + '[' + at + ']', otherwise);
+        return at < all.size()
+                ? number(key(name) + '[' + at + ']', all.get(at))
+                : instead(name + '[' + at + ']', otherwise);
     }
 
     private JsonArray array(String name) {
--- a/src/main/java/pepperdock/config/MembersConfig.java
+++ b/src/main/java/pepperdock/config/MembersConfig.java
@@ -9,8 +9,16 @@
  * Membership among the gatherers: which fleet, where this one is reached, whom to ask first. {@code ask} is the loopback
  * address where {@code pepperdock members} asks, null for none.
  */
-public record MembersConfig(String fleet, String name, InetSocketAddress address, List<String> seeds, String zone,
-                            String machine, Settings settings, Reach reach, InetSocketAddress ask) {
+public record MembersConfig(
+        String fleet,
+        String name,
+        InetSocketAddress address,
+        List<String> seeds,
+        String zone,
+        String machine,
+        Settings settings,
+        Reach reach,
+        InetSocketAddress ask) {
 
     private static final double SECONDS_MOST = 86_400;
 
@@ -20,11 +28,30 @@
             return null;
         }
         Keys k = all.needed("members");
-        k.only("fleet", "address", "seeds", "zone", "machine", "ask", "probe_s", "doubt_s", "confirm_s", "observers", "agree",
-                "doubters", "helpers", "slow_s", "exchange_s", "forget_s", "datagrams_per_s", "bytes_per_s", "most");
+        k.only(
+                "fleet",
+                "address",
+                "seeds",
+                "zone",
+                "machine",
+                "ask",
+                "probe_s",
+                "doubt_s",
+                "confirm_s",
+                "observers",
+                "agree",
+                "doubters",
+                "helpers",
+                "slow_s",
+                "exchange_s",
+                "forget_s",
+                "datagrams_per_s",
+                "bytes_per_s",
+                "most");
         InetSocketAddress address = Config.address(k.key("address"), k.text("address"));
         if (address.getAddress().isAnyLocalAddress() || address.getPort() == 0) {
-            throw new ConfigException(k.key("address"), "announced to others, so it has to be one host's, with its port");
+            throw new ConfigException(
+                    k.key("address"), "announced to others, so it has to be one host's, with its port");
         }
         List<String> seeds = k.texts("seeds");
         for (String s : seeds) {
@@ -32,11 +59,19 @@
         }
         InetSocketAddress ask = k.has("ask") ? Config.address(k.key("ask"), k.text("ask")) : null;
         if (ask != null && !ask.getAddress().isLoopbackAddress()) {
-            throw new ConfigException(k.key("ask"), "not a loopback address; whoever can ask there is not asked who it is");
+            throw new ConfigException(
+                    k.key("ask"), "not a loopback address; whoever can ask there is not asked who it is");
         }
-        return new MembersConfig(word(k, "fleet", k.text("fleet")), word(all, "name", all.text("name")), address,
-                List.copyOf(seeds), word(k, "zone", k.text("zone", "-")), word(k, "machine", k.text("machine", "-")),
-                timings(k), Reach.read(all), ask);
+        return new MembersConfig(
+                word(k, "fleet", k.text("fleet")),
+                word(all, "name", all.text("name")),
+                address,
+                List.copyOf(seeds),
+                word(k, "zone", k.text("zone", "-")),
+                word(k, "machine", k.text("machine", "-")),
+                timings(k),
+                Reach.read(all),
+                ask);
     }
 
     /** The timings and bounds alone, checked. */
@@ -45,7 +80,8 @@
         double probe = seconds(k, "probe_s", d.probeS(), 0.02);
         double doubt = seconds(k, "doubt_s", 6 * probe, probe);
         if (doubt < 3 * probe) {
-            throw new ConfigException(k.key("doubt_s"), "less than three times probe_s: one lost datagram would be a doubt");
+            throw new ConfigException(
+                    k.key("doubt_s"), "less than three times probe_s: one lost datagram would be a doubt");
         }
         double high = k.number("agree", d.high());
         if (!(high > 0.5 && high <= 1)) {
@@ -55,17 +91,30 @@
         int low = k.whole("doubters", 1, observers, Math.min(observers, d.low()));
         int datagrams = k.whole("datagrams_per_s", 1, 1 << 20, d.datagramsPerS());
         if (datagrams < 3 * observers / probe) {
-            throw new ConfigException(k.key("datagrams_per_s"), "less than three times observers / probe_s, which probes, their"
-                    + " answers and help need: " + Math.ceil(3 * observers / probe));
+            throw new ConfigException(
+                    k.key("datagrams_per_s"),
+                    "less than three times observers / probe_s, which probes, their" + " answers and help need: "
+                            + Math.ceil(3 * observers / probe));
         }
         int bytes = k.whole("bytes_per_s", 1, 1 << 30, d.bytesPerS());
         if (bytes < 300 * datagrams) {
             throw new ConfigException(k.key("bytes_per_s"), "less than 300 times datagrams_per_s");
         }
-        return new Settings(probe, doubt, seconds(k, "confirm_s", doubt, 2 * probe), observers, high, low,
-                k.whole("helpers", 0, 16, d.helpers()), seconds(k, "slow_s", probe, 0.001),
-                seconds(k, "exchange_s", 60 * probe, probe), seconds(k, "forget_s", d.forgetS(), 10 * doubt), datagrams, bytes,
-                k.whole("most", 2, 100_000, d.membersMost()), true);
+        return new Settings(
+                probe,
+                doubt,
+                seconds(k, "confirm_s", doubt, 2 * probe),
+                observers,
+                high,
+                low,
+                k.whole("helpers", 0, 16, d.helpers()),
+                seconds(k, "slow_s", probe, 0.001),
+                seconds(k, "exchange_s", 60 * probe, probe),
+                seconds(k, "forget_s", d.forgetS(), 10 * doubt),
+                datagrams,
+                bytes,
+                k.whole("most", 2, 100_000, d.membersMost()),
+                true);
     }
 
     private static double seconds(Keys k, String name, double otherwise, double least) {
@@ -78,7 +127,8 @@
 
     private static String word(Keys k, String name, String given) {
         if (!given.matches(Card.NAME)) {
-            throw new ConfigException(k.key(name), "not 1 to 64 of letters, digits, dot, line and underscore: " + given);
+            throw new ConfigException(
+                    k.key(name), "not 1 to 64 of letters, digits, dot, line and underscore: " + given);
         }
         return given;
     }
--- a/src/main/java/pepperdock/config/OpenSearchConfig.java
+++ b/src/main/java/pepperdock/config/OpenSearchConfig.java
@@ -9,8 +9,13 @@
  * The operator's part for the OpenSearch-style front: where it listens, which index stands for which class, whether the
  * workers are asked in the same API, and the limits on scrolls and connections.
  */
-public record OpenSearchConfig(InetSocketAddress listen, Map<String, Integer> indices, boolean backend,
-                               int connectionsPerWorker, int scrollContexts, double scrollMostS) {
+public record OpenSearchConfig(
+        InetSocketAddress listen,
+        Map<String, Integer> indices,
+        boolean backend,
+        int connectionsPerWorker,
+        int scrollContexts,
+        double scrollMostS) {
 
     static OpenSearchConfig read(Keys keys, Site site) {
         Map<String, Integer> indices = new LinkedHashMap<>();
@@ -31,8 +36,12 @@
         if (!List.of("opensearch", "frames").contains(backend)) {
             throw new ConfigException(keys.key("backend"), "neither opensearch nor frames");
         }
-        return new OpenSearchConfig(Config.address(keys.key("listen"), keys.text("listen")), indices,
-                backend.equals("opensearch"), keys.whole("connections_per_worker", 1, 1024, 8),
-                keys.whole("scroll_contexts", 1, 100_000, 500), keys.whole("scroll_most_s", 1, 86_400, 300));
+        return new OpenSearchConfig(
+                Config.address(keys.key("listen"), keys.text("listen")),
+                indices,
+                backend.equals("opensearch"),
+                keys.whole("connections_per_worker", 1, 1024, 8),
+                keys.whole("scroll_contexts", 1, 100_000, 500),
+                keys.whole("scroll_most_s", 1, 86_400, 300));
     }
 }
--- a/src/main/java/pepperdock/config/PlanConfig.java
+++ b/src/main/java/pepperdock/config/PlanConfig.java
@@ -11,7 +11,9 @@
 
     static PlanConfig read(Keys keys) {
         keys.only("every_s", "least_change", "share_least");
-        return new PlanConfig(within(keys, "every_s", 0.1, 3600, 5), within(keys, "least_change", 0.01, 1, 0.15),
+        return new PlanConfig(
+                within(keys, "every_s", 0.1, 3600, 5),
+                within(keys, "least_change", 0.01, 1, 0.15),
                 within(keys, "share_least", 0.01, 0.5, 0.1));
     }
 
--- a/src/main/java/pepperdock/config/PlanFile.java
+++ b/src/main/java/pepperdock/config/PlanFile.java
@@ -19,7 +19,7 @@
     private static final double SECONDS_MOST = 1e6;
     private static final int RATE_MOST = 1000;
 
-    private PlanFile() { }
+    private PlanFile() {}
 
     public static Problem read(Keys all) {
         all.only("zones", "crossings", "gatherers", "nodes", "ranges", "spare_node");
@@ -43,12 +43,18 @@
             if (slow < 0.01 || slow > 1000) {
                 throw new ConfigException(n.key("slow"), "not a factor from 0.01 to 1000");
             }
-            nodes.add(new Problem.Node(name, zone(n, zones), (long) (micros(n, "capacity") / slow), state.equals("in_service")));
+            nodes.add(new Problem.Node(
+                    name, zone(n, zones), (long) (micros(n, "capacity") / slow), state.equals("in_service")));
         }
         if (nodes.isEmpty()) {
             throw new ConfigException(all.key("nodes"), "empty or missing");
         }
-        return new Problem(zones, crossings(all, zones), rates(all, zones), nodes, ranges(all, places),
+        return new Problem(
+                zones,
+                crossings(all, zones),
+                rates(all, zones),
+                nodes,
+                ranges(all, places),
                 all.flag("spare_node", false));
     }
 
@@ -92,7 +98,8 @@
             if (value < 0 || value > SECONDS_MOST) {
                 throw new ConfigException(c.key("cost"), "not from 0 to " + (long) SECONDS_MOST);
             }
-            cost[place(c, "from", zones)][place(c, "to", zones)] = c.flag("barred", false) ? Double.POSITIVE_INFINITY : value;
+            cost[place(c, "from", zones)][place(c, "to", zones)] =
+                    c.flag("barred", false) ? Double.POSITIVE_INFINITY : value;
         }
         return cost;
     }
--- a/src/main/java/pepperdock/config/Reach.java
+++ b/src/main/java/pepperdock/config/Reach.java
@@ -15,8 +15,12 @@
         Map<InetAddress, InetAddress> hosts = new HashMap<>();
         Keys reach = all.within("reach");
         for (String announced : reach.names()) {
-            InetAddress from = Config.address(reach.key(announced), announced + ":1").getAddress();
-            hosts.put(from, Config.address(reach.key(announced), reach.text(announced) + ":1").getAddress());
+            InetAddress from =
+                    Config.address(reach.key(announced), announced + ":1").getAddress();
+            hosts.put(
+                    from,
+                    Config.address(reach.key(announced), reach.text(announced) + ":1")
+                            .getAddress());
         }
         return new Reach(Map.copyOf(hosts));
     }
--- a/src/main/java/pepperdock/config/Site.java
+++ b/src/main/java/pepperdock/config/Site.java
@@ -12,11 +12,23 @@
  * {@code idleS} is when a worker's machine closes an idle connection, {@code multiplex} how many parts one carries,
  * {@code assumed} names each key that is absent and what was taken in its place, for the log.
  */
-public record Site(Aggregator.Settings module, List<String> classes, List<String> zones, List<String> kinds,
-                   double dialS, double idleS, int multiplex, List<String> assumed) {
+public record Site(
+        Aggregator.Settings module,
+        List<String> classes,
+        List<String> zones,
+        List<String> kinds,
+        double dialS,
+        double idleS,
+        int multiplex,
+        List<String> assumed) {
 
-    private static final Map<String, Aggregator.Effect> EFFECTS = Map.of("read_like", Aggregator.Effect.SAFE,
-            "idempotency_key", Aggregator.Effect.KEYED, "non_idempotent", Aggregator.Effect.UNSAFE);
+    private static final Map<String, Aggregator.Effect> EFFECTS = Map.of(
+            "read_like",
+            Aggregator.Effect.SAFE,
+            "idempotency_key",
+            Aggregator.Effect.KEYED,
+            "non_idempotent",
+            Aggregator.Effect.UNSAFE);
 
     /** Reads and checks the settings, under the names that the platform gives them. */
     public static Site read(Keys settings) {
@@ -31,9 +43,15 @@
             classes.add(name);
         }
         check(env, "RequestClasses", !classes.isEmpty(), "none");
-        return new Site(module(env), List.copyOf(classes), env.texts("FailureDomains"), env.texts("Kinds"),
-                positive(limits, "DialTimeoutS", 0.25), positive(limits, "ConnIdleS", 15),
-                limits.whole("Multiplex", 1, Integer.MAX_VALUE, 100), List.copyOf(assumed));
+        return new Site(
+                module(env),
+                List.copyOf(classes),
+                env.texts("FailureDomains"),
+                env.texts("Kinds"),
+                positive(limits, "DialTimeoutS", 0.25),
+                positive(limits, "ConnIdleS", 15),
+                limits.whole("Multiplex", 1, Integer.MAX_VALUE, 100),
+                List.copyOf(assumed));
     }
 
     /**
@@ -42,12 +60,41 @@
      */
     public Site withoutRepeats() {
         Aggregator.Settings m = module;
-        List<Aggregator.QueryClass> strict = m.classes().stream().map(c -> c.effect() != Aggregator.Effect.KEYED ? c
-                : new Aggregator.QueryClass(c.aimS(), c.deadlineS(), c.worth(), c.lateWorth(), Aggregator.Effect.UNSAFE,
-                        c.windowS(), c.floor(), c.need(), c.partialWorth(), c.secondStep())).toList();
-        return new Site(new Aggregator.Settings(m.instances(), m.zone(), m.tickS(), m.mustAsk(), strict,
-                m.tenantRates(), m.overShareWorth(), m.reportNames(), m.layout(), m.limits(), m.rules()), classes, zones,
-                kinds, dialS, idleS, multiplex, assumed);
+        List<Aggregator.QueryClass> strict = m.classes().stream()
+                .map(c -> c.effect() != Aggregator.Effect.KEYED
+                        ? c
+                        : new Aggregator.QueryClass(
+                                c.aimS(),
+                                c.deadlineS(),
+                                c.worth(),
+                                c.lateWorth(),
+                                Aggregator.Effect.UNSAFE,
+                                c.windowS(),
+                                c.floor(),
+                                c.need(),
+                                c.partialWorth(),
+                                c.secondStep()))
+                .toList();
+        return new Site(
+                new Aggregator.Settings(
+                        m.instances(),
+                        m.zone(),
+                        m.tickS(),
+                        m.mustAsk(),
+                        strict,
+                        m.tenantRates(),
+                        m.overShareWorth(),
+                        m.reportNames(),
+                        m.layout(),
+                        m.limits(),
+                        m.rules()),
+                classes,
+                zones,
+                kinds,
+                dialS,
+                idleS,
+                multiplex,
+                assumed);
     }
 
     /**
@@ -58,10 +105,36 @@
         Aggregator.Settings m = module;
         Aggregator.Settings now = to.module;
         Aggregator.Rules r = now.rules();
-        return new Site(new Aggregator.Settings(m.instances(), m.zone(), m.tickS(), m.mustAsk(), now.classes(), m.tenantRates(),
-                m.overShareWorth(), m.reportNames(), m.layout(), now.limits(), new Aggregator.Rules(r.answerSlackS(), r.drainGraceS(),
-                        r.coldFrom(), r.warmUpS(), r.fallMultiple(), r.fallS(), r.budgetFree(), r.budgetShare(), r.budgetSpanS(),
-                        m.rules().askWithinS())), to.classes, zones, kinds, dialS, idleS, multiplex, assumed);
+        return new Site(
+                new Aggregator.Settings(
+                        m.instances(),
+                        m.zone(),
+                        m.tickS(),
+                        m.mustAsk(),
+                        now.classes(),
+                        m.tenantRates(),
+                        m.overShareWorth(),
+                        m.reportNames(),
+                        m.layout(),
+                        now.limits(),
+                        new Aggregator.Rules(
+                                r.answerSlackS(),
+                                r.drainGraceS(),
+                                r.coldFrom(),
+                                r.warmUpS(),
+                                r.fallMultiple(),
+                                r.fallS(),
+                                r.budgetFree(),
+                                r.budgetShare(),
+                                r.budgetSpanS(),
+                                m.rules().askWithinS())),
+                to.classes,
+                zones,
+                kinds,
+                dialS,
+                idleS,
+                multiplex,
+                assumed);
     }
 
     /** Of two files' settings, the keys that differ and that {@link #changed} leaves for a restart. */
@@ -70,14 +143,23 @@
         for (String key : from.differing(to)) {
             Set<String> live = switch (key) {
                 case "RequestClasses", "Rules" -> null;
-                case "Limits" -> Set.of("Cancel", "MayDuplicate", "MayProbe", "MaxAttempts", "MostHeld", "RetryAfter", "MaxRetryAfterS");
+                case "Limits" ->
+                    Set.of(
+                            "Cancel",
+                            "MayDuplicate",
+                            "MayProbe",
+                            "MaxAttempts",
+                            "MostHeld",
+                            "RetryAfter",
+                            "MaxRetryAfterS");
                 case "FamilyInfo" -> Set.of("NeedByClass", "FloorByClass", "ShortWorth", "SecondStep");
                 default -> Set.of();
             };
             if (live != null && live.isEmpty()) {
                 later.add(from.key(key));
             } else if (live != null) {
-                from.within(key).differing(to.within(key)).stream().filter(k -> !live.contains(k))
+                from.within(key).differing(to.within(key)).stream()
+                        .filter(k -> !live.contains(k))
                         .forEach(k -> later.add(from.within(key).key(k)));
             }
         }
@@ -104,7 +186,8 @@
         double deadlineS = c.number("DeadlineS");
         check(c, "DeadlineS", deadlineS > 0, "not above 0");
         check(c, "GoalTimeS", aimS > 0 && aimS <= deadlineS, "not above 0, or past DeadlineS");
-        // Where repeats are recognised by a key, for how long is what decides whether one may be sent: nothing stands in.
+        // Where repeats are recognised by a key, for how long is what decides whether one may be sent: nothing stands
+        // in.
         double windowS = effect == Aggregator.Effect.KEYED ? c.number("WindowS") : 0;
         check(c, "WindowS", windowS >= 0, "below 0");
         double worth = c.number("Worth", 1);
@@ -118,9 +201,13 @@
         check(family, "NeedByClass[" + i + ']', need > 0 && need <= 1, "not above 0 and up to 1");
         check(family, "FloorByClass[" + i + ']', floor > 0 && floor <= need, "not above 0 and up to what is needed");
         check(family, "ShortWorth[" + i + ']', partialWorth >= 0, "below 0");
-        check(family, "SecondStep[" + i + ']', secondStep >= 0 && secondStep == Math.rint(secondStep), "not a whole number from 0");
-        return new Aggregator.QueryClass(aimS, deadlineS, worth, lateWorth, effect, windowS, floor, need, partialWorth,
-                (int) secondStep);
+        check(
+                family,
+                "SecondStep[" + i + ']',
+                secondStep >= 0 && secondStep == Math.rint(secondStep),
+                "not a whole number from 0");
+        return new Aggregator.QueryClass(
+                aimS, deadlineS, worth, lateWorth, effect, windowS, floor, need, partialWorth, (int) secondStep);
     }
 
     private static Aggregator.Settings module(Keys env) {
@@ -133,28 +220,60 @@
         }
         int cells = family.whole("Cells", 1, 1 << 24);
         check(env, "TickS", env.number("TickS") > 0, "not above 0");
-        check(rules, "ColdFrom", rules.number("ColdFrom", 1) > 0 && rules.number("ColdFrom", 1) <= 1, "not above 0 and up to 1");
+        check(
+                rules,
+                "ColdFrom",
+                rules.number("ColdFrom", 1) > 0 && rules.number("ColdFrom", 1) <= 1,
+                "not above 0 and up to 1");
         check(rules, "FallMultiple", rules.number("FallMultiple", 1) > 0, "not above 0");
-        for (String period : List.of("AnswerSlackS", "StopSendingWithinS", "WarmUpS", "FallS", "FreeResends", "ExtraPerRequest",
-                "BudgetSpanS", "AskWithinS")) {
+        for (String period : List.of(
+                "AnswerSlackS",
+                "StopSendingWithinS",
+                "WarmUpS",
+                "FallS",
+                "FreeResends",
+                "ExtraPerRequest",
+                "BudgetSpanS",
+                "AskWithinS")) {
             check(rules, period, rules.number(period, 0) >= 0, "below 0");
         }
-        List<Double> tenants = env.objects("Tenants").stream().map(t -> t.number("AllowancePerS", 0)).toList();
+        List<Double> tenants = env.objects("Tenants").stream()
+                .map(t -> t.number("AllowancePerS", 0))
+                .toList();
         List<String> reports = env.within("Report").texts("Names");
         boolean asks = env.text("Discovery", "").equals("subscribe");
         try {
-            return new Aggregator.Settings(env.whole("Instances", 1, 1 << 20, 1), env.whole("Zone", 0, 1 << 20, 0),
-                    env.number("TickS"), asks, classes, tenants, env.number("OverShareWorth", 1), reports,
-                    new Aggregator.Layout(family.whole("Slices", 1, 1 << 24), cells,
-                            family.whole("Span", 1, cells), family.whole("Batch", 1, 1 << 16, 1)),
-                    new Aggregator.Limits(limits.flag("Cancel", false), limits.flag("MayDuplicate", false),
-                            limits.flag("MayProbe", false), limits.whole("MaxAttempts", 1, 1 << 16),
+            return new Aggregator.Settings(
+                    env.whole("Instances", 1, 1 << 20, 1),
+                    env.whole("Zone", 0, 1 << 20, 0),
+                    env.number("TickS"),
+                    asks,
+                    classes,
+                    tenants,
+                    env.number("OverShareWorth", 1),
+                    reports,
+                    new Aggregator.Layout(
+                            family.whole("Slices", 1, 1 << 24),
+                            cells,
+                            family.whole("Span", 1, cells),
+                            family.whole("Batch", 1, 1 << 16, 1)),
+                    new Aggregator.Limits(
+                            limits.flag("Cancel", false),
+                            limits.flag("MayDuplicate", false),
+                            limits.flag("MayProbe", false),
+                            limits.whole("MaxAttempts", 1, 1 << 16),
                             limits.whole("MostHeld", 1, Integer.MAX_VALUE, Integer.MAX_VALUE),
                             limits.flag("RetryAfter", false) ? limits.number("MaxRetryAfterS", 0) : 0),
-                    new Aggregator.Rules(rules.number("AnswerSlackS", 0), rules.number("StopSendingWithinS", 0),
-                            rules.number("ColdFrom", 1), rules.number("WarmUpS", 0), rules.number("FallMultiple", 1),
-                            rules.number("FallS", 0), rules.number("FreeResends", 0),
-                            rules.number("ExtraPerRequest", 0), rules.number("BudgetSpanS", 0),
+                    new Aggregator.Rules(
+                            rules.number("AnswerSlackS", 0),
+                            rules.number("StopSendingWithinS", 0),
+                            rules.number("ColdFrom", 1),
+                            rules.number("WarmUpS", 0),
+                            rules.number("FallMultiple", 1),
+                            rules.number("FallS", 0),
+                            rules.number("FreeResends", 0),
+                            rules.number("ExtraPerRequest", 0),
+                            rules.number("BudgetSpanS", 0),
                             asks ? rules.number("AskWithinS", 0) : 0));
         } catch (ConfigException e) {
             // Names its key already; it must not be taken for the module's own complaint below.
--- a/src/main/java/pepperdock/config/StoreConfig.java
+++ b/src/main/java/pepperdock/config/StoreConfig.java
@@ -9,8 +9,13 @@
  * The store's members by name, which of them leads, which one this is, and where its log lies. {@code folder} is null for
  * a copy in memory only.
  */
-public record StoreConfig(String self, String leader, Map<String, InetSocketAddress> members, Path folder,
-                          double retryS, int snapshotEvery) {
+public record StoreConfig(
+        String self,
+        String leader,
+        Map<String, InetSocketAddress> members,
+        Path folder,
+        double retryS,
+        int snapshotEvery) {
 
     static StoreConfig read(Keys keys, Reach reach) {
         Map<String, InetSocketAddress> members = new LinkedHashMap<>();
@@ -32,7 +37,12 @@
         if (!(retry > 0)) {
             throw new ConfigException(keys.key("retry_s"), "not above 0");
         }
-        return new StoreConfig(self, leader, members, keys.has("folder") ? Path.of(keys.text("folder")) : null, retry,
+        return new StoreConfig(
+                self,
+                leader,
+                members,
+                keys.has("folder") ? Path.of(keys.text("folder")) : null,
+                retry,
                 keys.whole("snapshot_every", 1, Integer.MAX_VALUE, 1000));
     }
 
--- a/src/main/java/pepperdock/core/Ask.java
+++ b/src/main/java/pepperdock/core/Ask.java
@@ -7,8 +7,8 @@
  * where its class has none, {@code text} is what each part has to carry, {@code context} is the front's own and opaque
  * to the core; it may be null.
  */
-public record Ask(String id, int queryClass, String key, double timeoutS, List<Piece> pieces, byte[] text,
-                  Object context) {
+public record Ask(
+        String id, int queryClass, String key, double timeoutS, List<Piece> pieces, byte[] text, Object context) {
 
     /** How far the weights may be from 1 together: they are rounded, each by itself. */
     private static final double ROUNDING = 0.01;
@@ -19,5 +19,5 @@
     }
 
     /** A part asked for: its shard and its share of the whole answer. */
-    public record Piece(int shard, double weight) { }
+    public record Piece(int shard, double weight) {}
 }
--- a/src/main/java/pepperdock/core/Attempt.java
+++ b/src/main/java/pepperdock/core/Attempt.java
@@ -12,6 +12,7 @@
     boolean passedOn;
     /** Its last byte was given to the system. */
     boolean written;
+
     Outcome outcome;
     private final Part part;
     private final double until;
--- a/src/main/java/pepperdock/core/Backend.java
+++ b/src/main/java/pepperdock/core/Backend.java
@@ -12,7 +12,7 @@
     void cancel(Attempt attempt);
 
     /** A value came that no answer will use: whatever it holds at the worker may be let go. */
-    default void unused(Attempt attempt, byte[] value) { }
+    default void unused(Attempt attempt, byte[] value) {}
 
     /** Asks a worker for a sign of life, told by {@link Gatherer#probed}. */
     void probe(String worker);
--- a/src/main/java/pepperdock/core/Figures.java
+++ b/src/main/java/pepperdock/core/Figures.java
@@ -12,7 +12,12 @@
 public final class Figures {
 
     /** How a query ended; one whose client left has no answer to be counted by. */
-    public enum End { SERVED, REFUSED, FAILED, LEFT }
+    public enum End {
+        SERVED,
+        REFUSED,
+        FAILED,
+        LEFT
+    }
 
     /** Names kept after their class has gone from the settings: files that are changed on and on must not fill the memory. */
     private static final int NAMES_MOST = 256;
@@ -26,6 +31,7 @@
             return size() > NAMES_MOST;
         }
     };
+
     private long taken;
     private long attempts;
 
@@ -56,14 +62,16 @@
         return ended.get(queryClass).getOrDefault(how, 0L);
     }
 
-
     /** Queries that were taken, those refused at the door included. */
     public long allTaken() {
         return taken;
     }
 
     public long allEnded() {
-        return ended.values().stream().flatMap(m -> m.values().stream()).mapToLong(Long::longValue).sum();
+        return ended.values().stream()
+                .flatMap(m -> m.values().stream())
+                .mapToLong(Long::longValue)
+                .sum();
     }
 
     /** Attempts whose last byte was given to the system. */
--- a/src/main/java/pepperdock/core/Gatherer.java
+++ b/src/main/java/pepperdock/core/Gatherer.java
@@ -32,6 +32,7 @@
     private static final int HANDED_OVER = 1000;
     /** Ids of workers are remembered so long once the list has them no more, and so many; on long days they are always new. */
     private static final double GONE_S = 3600;
+
     private static final int GONE_MOST = 4096;
 
     private Aggregator.Settings settings;
@@ -39,6 +40,7 @@
     private int processes = 1;
     /** In the order of the settings; a class beyond them goes by its number. */
     private List<String> classNames = List.of();
+
     private final Clock clock;
     private final Backend backend;
     private final Discovery discovery;
@@ -53,6 +55,7 @@
     private final Set<String> banned = new LinkedHashSet<>();
     /** Ids that have stood in the list, and when they left it, in that order. */
     private final Map<String, Double> gone = new LinkedHashMap<>();
+
     private final Figures figures = new Figures();
     private final Map<String, List<Attempt>> sends = new LinkedHashMap<>();
     private List<Runnable> inbox = new ArrayList<>();
@@ -63,8 +66,8 @@
     private long nextId = 1;
     private long nextNo = 1;
     private int held;
-    private Consumer<Collection<Host>> whenListed = hosts -> { };
-    private ObjDoubleConsumer<Attempt> whenServed = (attempt, spentS) -> { };
+    private Consumer<Collection<Host>> whenListed = hosts -> {};
+    private ObjDoubleConsumer<Attempt> whenServed = (attempt, spentS) -> {};
 
     public Gatherer(Aggregator.Settings settings, long seed, Clock clock, Backend backend, Discovery discovery) {
         this.settings = settings;
@@ -147,8 +150,14 @@
     /** Takes a query; {@code client} gets its one final answer, at the earliest after this returns. */
     public Query take(Ask ask, Client client) {
         double now = clock.now();
-        Query q = new Query(nextId++, ask, client, now + ask.timeoutS(), settings.classes().get(ask.queryClass()),
-                className(ask.queryClass()), settings.limits().maxAttempts());
+        Query q = new Query(
+                nextId++,
+                ask,
+                client,
+                now + ask.timeoutS(),
+                settings.classes().get(ask.queryClass()),
+                className(ask.queryClass()),
+                settings.limits().maxAttempts());
         figures.taken();
         int size = 1 + ask.pieces().size();
         // Full is when the count is reached, not when this query would pass it: counted so, a quarter of the room of
@@ -156,9 +165,13 @@
         if (ending || held >= settings.limits().mostHeld()) {
             q.ended = true;
             figures.end(q.className, Figures.End.REFUSED);
-            refusals.note(System.Logger.Level.INFO, () -> "query " + ask.id() + " of " + ask.pieces().size()
-                    + " parts refused at the door: " + (ending ? "the program ends"
-                    : held + " of " + settings.limits().mostHeld() + " held"));
+            refusals.note(
+                    System.Logger.Level.INFO,
+                    () -> "query " + ask.id() + " of " + ask.pieces().size()
+                            + " parts refused at the door: "
+                            + (ending
+                                    ? "the program ends"
+                                    : held + " of " + settings.limits().mostHeld() + " held"));
             clock.after(0, () -> client.refused(q, settings.limits().maxPauseS()));
             return q;
         }
@@ -195,7 +208,10 @@
     /** Guards against a query that the module has let slip: the client still gets an answer in its time. */
     private void overdue(Query q) {
         if (!q.ended) {
-            LOG.log(System.Logger.Level.WARNING, "query {0} reached its deadline undecided", q.ask().id());
+            LOG.log(
+                    System.Logger.Level.WARNING,
+                    "query {0} reached its deadline undecided",
+                    q.ask().id());
             finish(q, Figures.End.FAILED);
             tell(() -> module.aborted(q.id));
             q.client.failed(q, true);
@@ -300,15 +316,32 @@
 
     /** To the module a worker that is taken out by hand is gone: what it knew of it must not outlive the ban. */
     private Aggregator.Listed forModule(Host h) {
-        return new Aggregator.Listed(h.id(), h.zone(), h.kind(), h.cell(),
-                banned.contains(h.id()) ? Readiness.REMOVED : h.readiness(), h.weight(), h.bornAt());
+        return new Aggregator.Listed(
+                h.id(),
+                h.zone(),
+                h.kind(),
+                h.cell(),
+                banned.contains(h.id()) ? Readiness.REMOVED : h.readiness(),
+                h.weight(),
+                h.bornAt());
     }
 
     /** To the backend it drains: what is out there may still be answered, what waits ends. */
     private void tellBackend() {
         Map<String, Host> now = new HashMap<>();
-        hosts.forEach((id, h) -> now.put(id, !banned.contains(id) ? h
-                : new Host(id, h.dial(), h.zone(), h.kind(), h.cell(), Readiness.DRAINING, h.weight(), h.bornAt())));
+        hosts.forEach((id, h) -> now.put(
+                id,
+                !banned.contains(id)
+                        ? h
+                        : new Host(
+                                id,
+                                h.dial(),
+                                h.zone(),
+                                h.kind(),
+                                h.cell(),
+                                Readiness.DRAINING,
+                                h.weight(),
+                                h.bornAt())));
         backend.listed(Map.copyOf(now));
     }
 
@@ -333,7 +366,8 @@
             banned.addAll(workers);
             tellBackend();
             // Not a list that has come: whether there is a watch is as before.
-            List<Aggregator.Listed> told = hosts.values().stream().map(this::forModule).toList();
+            List<Aggregator.Listed> told =
+                    hosts.values().stream().map(this::forModule).toList();
             tell(() -> module.targets(ListKind.HELD, told));
         }
     }
@@ -345,7 +379,9 @@
 
     /** Listed workers that get nothing now, by hand or since the module avoids them. */
     public int avoided() {
-        return (int) hosts.keySet().stream().filter(id -> banned.contains(id) || module.avoids(id)).count();
+        return (int) hosts.keySet().stream()
+                .filter(id -> banned.contains(id) || module.avoids(id))
+                .count();
     }
 
     /** Tells of the workers now known whenever a list has come; each of those who ask, in order. */
@@ -444,8 +480,11 @@
     private double startBy(Part p) {
         Aggregator.Effect effect = p.query().kind.effect();
         double windowS = p.query().kind.windowS();
-        return effect == Aggregator.Effect.SAFE ? Double.POSITIVE_INFINITY
-                : p.attempts.stream().filter(a -> !a.neverRan()).findFirst()
+        return effect == Aggregator.Effect.SAFE
+                ? Double.POSITIVE_INFINITY
+                : p.attempts.stream()
+                        .filter(a -> !a.neverRan())
+                        .findFirst()
                         .map(a -> effect == Aggregator.Effect.KEYED ? a.sentAt + windowS : Double.NEGATIVE_INFINITY)
                         .orElse(Double.POSITIVE_INFINITY);
     }
@@ -498,11 +537,19 @@
 
     /** One line for each query that ends without an answer: what on-call staff look for first. */
     private void note(String how, Query q) {
-        endings.note(System.Logger.Level.INFO, () -> String.format(Locale.ROOT,
-                "query %s of class %d %s %.3f s before its time; parts %d, sent %d, in %d; %d queries in hand",
-                q.ask().id(), q.ask().queryClass(), how, q.endAt - clock.now(), q.parts.size(),
-                q.parts.stream().filter(p -> !p.attempts.isEmpty()).count(),
-                q.parts.stream().filter(p -> p.value != null).count(), queries.size()));
+        endings.note(
+                System.Logger.Level.INFO,
+                () -> String.format(
+                        Locale.ROOT,
+                        "query %s of class %d %s %.3f s before its time; parts %d, sent %d, in %d; %d queries in hand",
+                        q.ask().id(),
+                        q.ask().queryClass(),
+                        how,
+                        q.endAt - clock.now(),
+                        q.parts.size(),
+                        q.parts.stream().filter(p -> !p.attempts.isEmpty()).count(),
+                        q.parts.stream().filter(p -> p.value != null).count(),
+                        queries.size()));
     }
 
     /** Takes a query out of hand. Its parts stay known until the module has called them off in this batch. */
--- a/src/main/java/pepperdock/core/LogBudget.java
+++ b/src/main/java/pepperdock/core/LogBudget.java
@@ -11,6 +11,7 @@
 
     /** Enough to see which workers or clients it is about. */
     public static final int MOST = 20;
+
     private static final double WINDOW_S = 1;
 
     private final System.Logger log;
--- a/src/main/java/pepperdock/core/ManualClock.java
+++ b/src/main/java/pepperdock/core/ManualClock.java
@@ -6,10 +6,10 @@
 /** A clock moved by hand: for the warm-up, and wherever time must not depend on the machine. */
 public final class ManualClock implements Clock {
 
-    private record Due(double at, long no, Runnable task, boolean[] off) { }
+    private record Due(double at, long no, Runnable task, boolean[] off) {}
 
-    private final PriorityQueue<Due> timers = new PriorityQueue<>(
-            Comparator.comparingDouble(Due::at).thenComparingLong(Due::no));
+    private final PriorityQueue<Due> timers =
+            new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::no));
     private double now;
     private long count;
 
--- a/src/main/java/pepperdock/core/PooledBackend.java
+++ b/src/main/java/pepperdock/core/PooledBackend.java
@@ -99,6 +99,7 @@
                 w.open(false);
             }
         });
-        workers.entrySet().removeIf(e -> !hosts.containsKey(e.getKey()) && e.getValue().unused());
+        workers.entrySet()
+                .removeIf(e -> !hosts.containsKey(e.getKey()) && e.getValue().unused());
     }
 }
--- a/src/main/java/pepperdock/core/Query.java
+++ b/src/main/java/pepperdock/core/Query.java
@@ -12,6 +12,7 @@
     final double endAt;
     /** The rules that it was taken under, whatever the settings have become. */
     final Aggregator.QueryClass kind;
+
     final String className;
     final int maxAttempts;
     final List<Part> parts = new ArrayList<>();
@@ -19,7 +20,14 @@
     Clock.Timer guard;
     private final Ask ask;
 
-    Query(long id, Ask ask, Client client, double endAt, Aggregator.QueryClass kind, String className, int maxAttempts) {
+    Query(
+            long id,
+            Ask ask,
+            Client client,
+            double endAt,
+            Aggregator.QueryClass kind,
+            String className,
+            int maxAttempts) {
         this.kind = kind;
         this.className = className;
         this.maxAttempts = maxAttempts;
--- a/src/main/java/pepperdock/dnssd/DnsSd.java
+++ b/src/main/java/pepperdock/dnssd/DnsSd.java
@@ -49,9 +49,9 @@
 
     private static final System.Logger LOG = System.getLogger("pepperdock.dnssd");
 
-    private record Key(Name name, int type) { }
+    private record Key(Name name, int type) {}
 
-    private record Kept(List<Record> records, double until) { }
+    private record Kept(List<Record> records, double until) {}
 
     private final DnsSdConfig config;
     private final Site site;
@@ -92,17 +92,22 @@
 
     /** Browses and resolves whatever is not kept any more, tells the whole list, and sets the next round. */
     private void round() {
-        lookup(service, Type.PTR).thenCompose(instances -> {
-            List<CompletableFuture<Host>> hosts = new ArrayList<>();
-            for (Record r : instances) {
-                if (r instanceof PTRRecord ptr) {
-                    hosts.add(resolve(ptr.getTarget()));
-                }
-            }
-            return CompletableFuture.allOf(hosts.toArray(new CompletableFuture<?>[0])).thenApply(done ->
-                    hosts.stream().map(CompletableFuture::join).filter(Objects::nonNull)
-                            .sorted(Comparator.comparing(Host::id)).toList());
-        }).whenCompleteAsync(this::told, thread);
+        lookup(service, Type.PTR)
+                .thenCompose(instances -> {
+                    List<CompletableFuture<Host>> hosts = new ArrayList<>();
+                    for (Record r : instances) {
+                        if (r instanceof PTRRecord ptr) {
+                            hosts.add(resolve(ptr.getTarget()));
+                        }
+                    }
+                    return CompletableFuture.allOf(hosts.toArray(new CompletableFuture<?>[0]))
+                            .thenApply(done -> hosts.stream()
+                                    .map(CompletableFuture::join)
+                                    .filter(Objects::nonNull)
+                                    .sorted(Comparator.comparing(Host::id))
+                                    .toList());
+                })
+                .whenCompleteAsync(this::told, thread);
     }
 
     private void told(List<Host> hosts, Throwable failure) {
@@ -121,20 +126,26 @@
     /** One instance: null where its records are gone, or do not say enough to send it anything. */
     private CompletableFuture<Host> resolve(Name instance) {
         return lookup(instance, Type.SRV).thenCompose(srvs -> {
-            SRVRecord srv = srvs.stream().filter(SRVRecord.class::isInstance).map(SRVRecord.class::cast)
-                    .min(Comparator.comparingInt(SRVRecord::getPriority)).orElse(null);
+            SRVRecord srv = srvs.stream()
+                    .filter(SRVRecord.class::isInstance)
+                    .map(SRVRecord.class::cast)
+                    .min(Comparator.comparingInt(SRVRecord::getPriority))
+                    .orElse(null);
             if (srv == null || srv.getTarget().equals(Name.root)) {
                 return CompletableFuture.completedFuture(null);
             }
-            return lookup(instance, Type.TXT).thenCompose(txt -> address(srv.getTarget()).thenApply(address ->
-                    host(instance, srv, txt, address)));
+            return lookup(instance, Type.TXT)
+                    .thenCompose(
+                            txt -> address(srv.getTarget()).thenApply(address -> host(instance, srv, txt, address)));
         });
     }
 
     private CompletableFuture<InetAddress> address(Name target) {
-        return lookup(target, Type.A).thenCompose(a -> a.isEmpty()
-                ? lookup(target, Type.AAAA).thenApply(b -> b.isEmpty() ? null : ((AAAARecord) b.get(0)).getAddress())
-                : CompletableFuture.completedFuture(((ARecord) a.get(0)).getAddress()));
+        return lookup(target, Type.A)
+                .thenCompose(a -> a.isEmpty()
+                        ? lookup(target, Type.AAAA)
+                                .thenApply(b -> b.isEmpty() ? null : ((AAAARecord) b.get(0)).getAddress())
+                        : CompletableFuture.completedFuture(((ARecord) a.get(0)).getAddress()));
     }
 
     private Host host(Name instance, SRVRecord srv, List<Record> txt, InetAddress address) {
@@ -160,13 +171,18 @@
             if (!says.containsKey("block")) {
                 throw new IllegalArgumentException("TXT has no block");
             }
-            return new Host(id, dial, Math.max(0, site.zones().indexOf(says.get("site"))),
-                    Math.max(0, site.kinds().indexOf(says.get("class"))), Integer.parseInt(says.get("block")),
+            return new Host(
+                    id,
+                    dial,
+                    Math.max(0, site.zones().indexOf(says.get("site"))),
+                    Math.max(0, site.kinds().indexOf(says.get("class"))),
+                    Integer.parseInt(says.get("block")),
                     switch (says.getOrDefault("health", "in_service")) {
                         case "in_service" -> Readiness.HEALTHY;
                         case "terminating" -> Readiness.DRAINING;
                         default -> throw new IllegalArgumentException("health unknown");
-                    }, Double.parseDouble(says.getOrDefault("share", "1")),
+                    },
+                    Double.parseDouble(says.getOrDefault("share", "1")),
                     Double.parseDouble(says.getOrDefault("born_ms", "0")) / 1e3);
         } catch (IllegalArgumentException e) {
             LOG.log(System.Logger.Level.WARNING, "instance {0} left out: {1}", instance, e.getMessage());
@@ -182,7 +198,8 @@
             return CompletableFuture.completedFuture(have.records());
         }
         return resolver.sendAsync(Message.newQuery(Record.newRecord(name, type, DClass.IN)))
-                .thenApplyAsync(answer -> take(key, answer), thread).toCompletableFuture();
+                .thenApplyAsync(answer -> take(key, answer), thread)
+                .toCompletableFuture();
     }
 
     private List<Record> take(Key key, Message answer) {
@@ -196,7 +213,8 @@
         for (int section : new int[] {Section.ADDITIONAL, Section.ANSWER}) {
             for (RRset set : answer.getSectionRRsets(section)) {
                 if (set.getType() != Type.OPT) {
-                    kept.put(new Key(set.getName(), set.getType()),
+                    kept.put(
+                            new Key(set.getName(), set.getType()),
                             new Kept(List.copyOf(set.rrs()), clock.now() + set.getTTL()));
                 }
             }
--- a/src/main/java/pepperdock/drill/WireHost.java
+++ b/src/main/java/pepperdock/drill/WireHost.java
@@ -32,11 +32,22 @@
 /** Translates between JSON lines and {@link Aggregator}: one module per instance, nothing shared between them. */
 public final class WireHost {
 
-    private static final Map<String, Aggregator.ListKind> LIST_KINDS = Map.of("D", Aggregator.ListKind.CHANGES,
-            "F", Aggregator.ListKind.COMPLETE, "C", Aggregator.ListKind.HELD, "X", Aggregator.ListKind.FAILED);
+    private static final Map<String, Aggregator.ListKind> LIST_KINDS = Map.of(
+            "D",
+            Aggregator.ListKind.CHANGES,
+            "F",
+            Aggregator.ListKind.COMPLETE,
+            "C",
+            Aggregator.ListKind.HELD,
+            "X",
+            Aggregator.ListKind.FAILED);
     private static final Map<String, Aggregator.Readiness> READINESS = Map.of(
-            "healthy", Aggregator.Readiness.HEALTHY, "cordoned", Aggregator.Readiness.DRAINING,
-            "deregistered", Aggregator.Readiness.REMOVED);
+            "healthy",
+            Aggregator.Readiness.HEALTHY,
+            "cordoned",
+            Aggregator.Readiness.DRAINING,
+            "deregistered",
+            Aggregator.Readiness.REMOVED);
 
     private final BufferedReader in;
     private final PrintStream err;
@@ -138,7 +149,8 @@
         touched.remove(instances.remove(number));
         Instance made = new Instance(number);
         long salt = line.integer("Salt");
-        Aggregator.Settings settings = Site.read(Keys.of("Env", line.node("Env"))).module();
+        Aggregator.Settings settings =
+                Site.read(Keys.of("Env", line.node("Env"))).module();
         made.create(settings, salt);
         instances.put(number, made);
         touch(made);
@@ -223,9 +235,13 @@
         List<Aggregator.Listed> entries = new ArrayList<>();
         for (JsonElement e : list.getAsJsonArray()) {
             Keys k = Keys.of("NodesList", e);
-            entries.add(new Aggregator.Listed(k.text("Searcher"), (int) k.number("Campus", 0),
-                    (int) k.number("ClassOfHost", 0), (int) k.number("Place"),
-                    known(READINESS, k.text("Readiness"), "Readiness"), k.number("Weight", 1),
+            entries.add(new Aggregator.Listed(
+                    k.text("Searcher"),
+                    (int) k.number("Campus", 0),
+                    (int) k.number("ClassOfHost", 0),
+                    (int) k.number("Place"),
+                    known(READINESS, k.text("Readiness"), "Readiness"),
+                    k.number("Weight", 1),
                     k.number("BootTimeS", 0)));
         }
         return List.copyOf(entries);
--- a/src/main/java/pepperdock/frame/Frame.java
+++ b/src/main/java/pepperdock/frame/Frame.java
@@ -1,4 +1,4 @@
 package pepperdock.frame;
 
 /** One frame: its letter, and the rest. */
-public record Frame(char letter, byte[] rest) { }
+public record Frame(char letter, byte[] rest) {}
--- a/src/main/java/pepperdock/frame/FrameParser.java
+++ b/src/main/java/pepperdock/frame/FrameParser.java
@@ -20,7 +20,9 @@
         if (to - from < 4) {
             return 0;
         }
-        int length = (bytes[from] & 0xff) << 24 | (bytes[from + 1] & 0xff) << 16 | (bytes[from + 2] & 0xff) << 8
+        int length = (bytes[from] & 0xff) << 24
+                | (bytes[from + 1] & 0xff) << 16
+                | (bytes[from + 2] & 0xff) << 8
                 | bytes[from + 3] & 0xff;
         if (length < 1 || length > most) {
             throw new FrameException("frame of length " + length);
--- a/src/main/java/pepperdock/frame/Frames.java
+++ b/src/main/java/pepperdock/frame/Frames.java
@@ -15,15 +15,16 @@
     public static final char UNUSABLE = 'r';
     /** The letters that a worker sends; those of probes for load are never asked for here. */
     public static final String FROM_WORKERS = "oqr";
+
     private static final List<String> ENDS = List.of("good", "bad", "later");
 
-    private Frames() { }
+    private Frames() {}
 
     /** One part of a call; {@code key} is empty where its class has none. */
-    public record PartCall(String id, int shard, long waitMs, String key, byte[] text) { }
+    public record PartCall(String id, int shard, long waitMs, String key, byte[] text) {}
 
     /** What a worker answered for a part: {@code end} is {@code good}, {@code bad} or {@code later}; the value may be null. */
-    public record Result(String id, String end, String report, byte[] value) { }
+    public record Result(String id, String end, String report, byte[] value) {}
 
     public static byte[] call(List<PartCall> parts) {
         ByteArrayOutputStream rest = new ByteArrayOutputStream();
--- a/src/main/java/pepperdock/http/HttpMessage.java
+++ b/src/main/java/pepperdock/http/HttpMessage.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 
 /** A whole request (method and target) or response (status); header names are in lower case. */
-public record HttpMessage(String method, String target, int status, Map<String, String> headers, byte[] body,
-                          boolean keepAlive) {
+public record HttpMessage(
+        String method, String target, int status, Map<String, String> headers, byte[] body, boolean keepAlive) {
 
     /** A header's value, or null. */
     public String header(String name) {
@@ -25,8 +25,9 @@
             int is = pair.indexOf('=');
             String key = is < 0 ? pair : pair.substring(0, is);
             if (key.equals(name)) {
-                return is < 0 ? "" : java.net.URLDecoder.decode(pair.substring(is + 1),
-                        java.nio.charset.StandardCharsets.UTF_8);
+                return is < 0
+                        ? ""
+                        : java.net.URLDecoder.decode(pair.substring(is + 1), java.nio.charset.StandardCharsets.UTF_8);
             }
         }
         return null;
--- a/src/main/java/pepperdock/http/HttpParser.java
+++ b/src/main/java/pepperdock/http/HttpParser.java
@@ -17,12 +17,23 @@
     private static final int HEAD_MOST = 16384;
     /** Empty lines that may stand before a message; more are no client's habit but a head that never begins. */
     private static final int EMPTY_MOST = 4;
+
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
     private static final Pattern METHOD = Pattern.compile("[A-Za-z]+");
     private static final Pattern NAME = Pattern.compile("[!#$%&'*+.^_`|~0-9a-z-]+");
     private static final Pattern DIGITS = Pattern.compile("[0-9A-Fa-f]{1,16}");
 
-    private enum At { START, HEADERS, BODY, TO_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, DONE }
+    private enum At {
+        START,
+        HEADERS,
+        BODY,
+        TO_END,
+        CHUNK_SIZE,
+        CHUNK,
+        CHUNK_END,
+        TRAILERS,
+        DONE
+    }
 
     private final boolean responses;
     private final int bodyMost;
--- a/src/main/java/pepperdock/lab/Fleet.java
+++ b/src/main/java/pepperdock/lab/Fleet.java
@@ -32,11 +32,19 @@
      * @param slowShare share of nodes that are besides {@code slowBy} times slower all day
      * @param plan the planner in service, or null for equal shares
      */
-    public record Day(int nodes, int gatherers, double load, double[] speeds, double slowShare, double slowBy, double lengthS,
-                      long seed, PlanConfig plan) { }
+    public record Day(
+            int nodes,
+            int gatherers,
+            double load,
+            double[] speeds,
+            double slowShare,
+            double slowBy,
+            double lengthS,
+            long seed,
+            PlanConfig plan) {}
 
     /** What came of it: worth served in time over worth asked for, latencies of answers in seconds, the fullest node. */
-    public record Result(double service, double median, double p99, double utilisation, int queries, int unanswered) { }
+    public record Result(double service, double median, double p99, double utilisation, int queries, int unanswered) {}
 
     private static final int CORES = 2;
     private static final double CALL_S = 0.054;
@@ -82,19 +90,31 @@
             double speed = day.speeds()[0] + (day.speeds()[1] - day.speeds()[0]) * build.nextDouble();
             speed /= build.nextDouble() < day.slowShare() ? day.slowBy() : 1;
             capacity += CORES * speed;
-            Node node = new Node("n" + n, new Node.Kind(CORES, speed, 17 * CORES, CALL_S, 0.001, 1300, 15, 0.3, 10), clock);
+            Node node =
+                    new Node("n" + n, new Node.Kind(CORES, speed, 17 * CORES, CALL_S, 0.001, 1300, 15, 0.3, 10), clock);
             nodes.put(node.id, node);
             hosts.add(new Host(node.id, "", 0, 0, n, Readiness.HEALTHY, 1, 0));
         }
         int parts = Math.min(SEARCH_PARTS, ranges);
-        double rate = day.load() * capacity / (SHARE[0] * queryS(0, parts) + SHARE[1] * queryS(1, reportParts())
-                + SHARE[2] * queryS(2, 1));
-        int held = (int) Math.max(3 * (1 + parts), 2 * rate / day.gatherers() * (1 + SHARE[0] * parts + SHARE[1] * reportParts()));
-        Aggregator.Settings settings = new Aggregator.Settings(day.gatherers(), 0, 0.005, true, CLASSES, List.of(), 1, List.of(),
-                new Aggregator.Layout(ranges, day.nodes(), 2, BATCH), new Aggregator.Limits(true, true, false, 4, held, 1),
+        double rate = day.load()
+                * capacity
+                / (SHARE[0] * queryS(0, parts) + SHARE[1] * queryS(1, reportParts()) + SHARE[2] * queryS(2, 1));
+        int held = (int) Math.max(
+                3 * (1 + parts), 2 * rate / day.gatherers() * (1 + SHARE[0] * parts + SHARE[1] * reportParts()));
+        Aggregator.Settings settings = new Aggregator.Settings(
+                day.gatherers(),
+                0,
+                0.005,
+                true,
+                CLASSES,
+                List.of(),
+                1,
+                List.of(),
+                new Aggregator.Layout(ranges, day.nodes(), 2, BATCH),
+                new Aggregator.Limits(true, true, false, 4, held, 1),
                 new Aggregator.Rules(0.02, 0.5, 0.16, 14, 2, 1, 0, 0, 0, 10));
         for (int g = 0; g < day.gatherers(); g++) {
-            Gatherer core = new Gatherer(settings, day.seed() * 31 + g, clock, new Wire(g), () -> { });
+            Gatherer core = new Gatherer(settings, day.seed() * 31 + g, clock, new Wire(g), () -> {});
             wires.get(g).core = core;
             gatherers.add(core);
             if (day.plan() != null) {
@@ -113,16 +133,25 @@
 
     /** Work of a query with so many parts: two holders a range in a row, so a call for every {@code RANGES_A_NODE} or so. */
     private double queryS(int queryClass, int parts) {
-        return parts * PART_S[queryClass] + CALL_S * Math.min(parts, Math.min(day.nodes(), parts / (double) RANGES_A_NODE + 2));
+        return parts * PART_S[queryClass]
+                + CALL_S * Math.min(parts, Math.min(day.nodes(), parts / (double) RANGES_A_NODE + 2));
     }
 
     /** Plays a day; the same for the same day. */
     public static Result play(Day day) {
         Fleet fleet = new Fleet(day);
         fleet.clock.advance(day.lengthS() + 10);
-        double fullest = fleet.nodes.values().stream().mapToDouble(n -> n.worked() / CORES / day.lengthS()).max().orElse(0);
+        double fullest = fleet.nodes.values().stream()
+                .mapToDouble(n -> n.worked() / CORES / day.lengthS())
+                .max()
+                .orElse(0);
         double[] sorted = fleet.latencies.stream().mapToDouble(x -> x).sorted().toArray();
-        return new Result(fleet.served / Math.max(1e-9, fleet.asked), at(sorted, 0.5), at(sorted, 0.99), fullest, fleet.queries,
+        return new Result(
+                fleet.served / Math.max(1e-9, fleet.asked),
+                at(sorted, 0.5),
+                at(sorted, 0.99),
+                fullest,
+                fleet.queries,
                 fleet.unanswered);
     }
 
@@ -162,27 +191,35 @@
             asked += c.worth() * count;
         }
         String id = "q" + nextId++;
-        core.take(new Ask(id, queryClass, queryClass == 2 ? id : "", c.deadlineS(), pieces, new byte[0], null), new Client() {
-            @Override
-            public void answered(Query q, boolean whole) {
-                if (counted) {
-                    double in = q.parts().stream().filter(p -> p.value() != null).mapToDouble(p -> p.weight()).sum();
-                    double took = clock.now() - at;
-                    latencies.add(took);
-                    served += c.worth() * count * (took <= c.aimS() ? 1 : c.lateWorth()) * (whole ? 1 : c.partialWorth() * in);
-                }
-            }
+        core.take(
+                new Ask(id, queryClass, queryClass == 2 ? id : "", c.deadlineS(), pieces, new byte[0], null),
+                new Client() {
+                    @Override
+                    public void answered(Query q, boolean whole) {
+                        if (counted) {
+                            double in = q.parts().stream()
+                                    .filter(p -> p.value() != null)
+                                    .mapToDouble(p -> p.weight())
+                                    .sum();
+                            double took = clock.now() - at;
+                            latencies.add(took);
+                            served += c.worth()
+                                    * count
+                                    * (took <= c.aimS() ? 1 : c.lateWorth())
+                                    * (whole ? 1 : c.partialWorth() * in);
+                        }
+                    }
 
-            @Override
-            public void refused(Query q, double pauseS) {
-                unanswered += counted ? 1 : 0;
-            }
+                    @Override
+                    public void refused(Query q, double pauseS) {
+                        unanswered += counted ? 1 : 0;
+                    }
 
-            @Override
-            public void failed(Query q, boolean overdue) {
-                unanswered += counted ? 1 : 0;
-            }
-        });
+                    @Override
+                    public void failed(Query q, boolean overdue) {
+                        unanswered += counted ? 1 : 0;
+                    }
+                });
     }
 
     /** One gatherer's way to the nodes. */
@@ -203,8 +240,16 @@
                 partsS += PART_S[a.part().query().ask().queryClass()] * Math.exp(sigma * normal() - sigma * sigma / 2);
             }
             double workS = partsS;
-            clock.after(DELAY_S, () -> nodes.get(worker).call(gatherer, workS, outcome -> clock.after(DELAY_S,
-                    () -> call.forEach(a -> core.ended(a, outcome, null, outcome == Outcome.OK ? new byte[1] : null)))));
+            clock.after(
+                    DELAY_S,
+                    () -> nodes.get(worker)
+                            .call(
+                                    gatherer,
+                                    workS,
+                                    outcome -> clock.after(
+                                            DELAY_S,
+                                            () -> call.forEach(a -> core.ended(
+                                                    a, outcome, null, outcome == Outcome.OK ? new byte[1] : null)))));
         }
 
         private double normal() {
@@ -212,15 +257,15 @@
         }
 
         @Override
-        public void cancel(Attempt attempt) { }
+        public void cancel(Attempt attempt) {}
 
         @Override
-        public void probe(String worker) { }
+        public void probe(String worker) {}
 
         @Override
-        public void dropConnections(String worker) { }
+        public void dropConnections(String worker) {}
 
         @Override
-        public void listed(Map<String, Host> hosts) { }
+        public void listed(Map<String, Host> hosts) {}
     }
 }
--- a/src/main/java/pepperdock/lab/Node.java
+++ b/src/main/java/pepperdock/lab/Node.java
@@ -13,11 +13,19 @@
 final class Node {
 
     /** What a node is like. Times in seconds; {@code cold} is the share of its speed with which it starts. */
-    record Kind(int cores, double speed, int room, double callS, double connectS, int connections, double idleS, double cold,
-                double warmS) { }
+    record Kind(
+            int cores,
+            double speed,
+            int room,
+            double callS,
+            double connectS,
+            int connections,
+            double idleS,
+            double cold,
+            double warmS) {}
 
     /** A call under way; {@code done} hears of its one end. */
-    private record Call(double workS, java.util.function.Consumer<Outcome> done) { }
+    private record Call(double workS, java.util.function.Consumer<Outcome> done) {}
 
     final String id;
     final Kind kind;
@@ -25,6 +33,7 @@
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
     /** When each gatherer last used its connection; ends with the fleet, one entry a gatherer. */
     private final Map<Integer, Double> usedAt = new HashMap<>();
+
     private double slow = 1;
     private double stillUntil;
     private double startedAt = Double.NEGATIVE_INFINITY;
@@ -64,7 +73,9 @@
         double work = partsS + kind.callS();
         double last = usedAt.getOrDefault(gatherer, Double.NEGATIVE_INFINITY);
         if (clock.now() - last > kind.idleS()) {
-            long open = usedAt.values().stream().filter(t -> clock.now() - t <= kind.idleS()).count();
+            long open = usedAt.values().stream()
+                    .filter(t -> clock.now() - t <= kind.idleS())
+                    .count();
             if (open >= kind.connections()) {
                 done.accept(Outcome.CONNECT_FAILED);
                 return;
--- a/src/main/java/pepperdock/lab/fleet/Checker.java
+++ b/src/main/java/pepperdock/lab/fleet/Checker.java
@@ -10,7 +10,7 @@
 interface Checker {
 
     /** A finding, the number of the event that showed it (counted from 1), and what was wrong, in a sentence. */
-    record Finding(String checker, long event, String what) { }
+    record Finding(String checker, long event, String what) {}
 
     void see(long number, Event event);
 
--- a/src/main/java/pepperdock/lab/fleet/Checkers.java
+++ b/src/main/java/pepperdock/lab/fleet/Checkers.java
@@ -10,8 +10,13 @@
 /** The checkers by name, and several taken together. */
 final class Checkers {
 
-    private static final Map<String, Supplier<Checker>> ALL = Map.of("processes", ProcessChecker::new,
-            "members", () -> new MembersChecker(false), "members-strict", () -> new MembersChecker(true));
+    private static final Map<String, Supplier<Checker>> ALL = Map.of(
+            "processes",
+            ProcessChecker::new,
+            "members",
+            () -> new MembersChecker(false),
+            "members-strict",
+            () -> new MembersChecker(true));
 
     private final List<Checker> of = new ArrayList<>();
     private long events;
@@ -19,7 +24,10 @@
     Checkers(List<String> names) {
         for (String name : names) {
             if (!ALL.containsKey(name)) {
-                throw new ConfigException("checkers", "no checker " + name + ", only " + ALL.keySet().stream().sorted().toList());
+                throw new ConfigException(
+                        "checkers",
+                        "no checker " + name + ", only "
+                                + ALL.keySet().stream().sorted().toList());
             }
             of.add(ALL.get(name).get());
         }
@@ -52,7 +60,10 @@
 
     /** Those of membership; null where none of its checkers runs. */
     MemberFigures memberFigures() {
-        return of.stream().filter(c -> c instanceof MembersChecker).map(c -> ((MembersChecker) c).total()).findFirst()
+        return of.stream()
+                .filter(c -> c instanceof MembersChecker)
+                .map(c -> ((MembersChecker) c).total())
+                .findFirst()
                 .orElse(null);
     }
 
--- a/src/main/java/pepperdock/lab/fleet/Children.java
+++ b/src/main/java/pepperdock/lab/fleet/Children.java
@@ -33,7 +33,8 @@
     private static final int STARTS_MOST = 5000;
     private static final long END_S = 30;
     private static final int FIRST_PORT = 7300;
-    private static final Pattern HOLE = Pattern.compile("\\{(name|number|host_of|host|zone|machine|folder|port_of|port)(?::([^{}]*))?}");
+    private static final Pattern HOLE =
+            Pattern.compile("\\{(name|number|host_of|host|zone|machine|folder|port_of|port)(?::([^{}]*))?}");
 
     private static final class Child {
         private Process process;
@@ -104,7 +105,13 @@
         if (down.isEmpty()) {
             return;
         }
-        history.rig("start", "members", String.join(",", down), "folder", emptyFolder ? "empty" : "kept", "ports",
+        history.rig(
+                "start",
+                "members",
+                String.join(",", down),
+                "folder",
+                emptyFolder ? "empty" : "kept",
+                "ports",
                 newPorts ? "new" : "kept");
         for (String name : down) {
             launch(name, children.get(name));
@@ -117,7 +124,8 @@
         }
         Path own = folder.resolve(name);
         Files.createDirectories(own.resolve(FaultyDisk.TOUCHED));
-        JsonObject config = filled(script.configOf(name), hole -> filling(name, hole)).getAsJsonObject();
+        JsonObject config =
+                filled(script.configOf(name), hole -> filling(name, hole)).getAsJsonObject();
         JsonObject reach = new JsonObject();
         int from = Relay.number(name);
         for (String other : script.names()) {
@@ -131,13 +139,18 @@
         Files.writeString(own.resolve("config.json"), config.toString());
         List<String> words = new ArrayList<>(command);
         if (disks) {
-            words.addAll(1, List.of("-Djava.nio.file.spi.DefaultFileSystemProvider=" + FaultyDisk.class.getName(),
-                    "-D" + FaultyDisk.FOLDER + '=' + own));
+            words.addAll(
+                    1,
+                    List.of(
+                            "-Djava.nio.file.spi.DefaultFileSystemProvider=" + FaultyDisk.class.getName(),
+                            "-D" + FaultyDisk.FOLDER + '=' + own));
         }
         ProcessBuilder builder = new ProcessBuilder(words);
         builder.environment().keySet().removeIf(k -> k.startsWith("EDGE_"));
         builder.environment().put("EDGE_CONFIG", own.resolve("config.json").toString());
-        Process p = builder.redirectError(ProcessBuilder.Redirect.appendTo(own.resolve("log").toFile())).start();
+        Process p = builder.redirectError(
+                        ProcessBuilder.Redirect.appendTo(own.resolve("log").toFile()))
+                .start();
         guard.add(p.pid());
         c.process = p;
         c.ending = false;
@@ -148,7 +161,8 @@
     }
 
     private void read(String name, Process p) {
-        try (BufferedReader lines = new BufferedReader(new InputStreamReader(p.getInputStream(), StandardCharsets.UTF_8))) {
+        try (BufferedReader lines =
+                new BufferedReader(new InputStreamReader(p.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
                 history.line(name, line);
             }
@@ -173,7 +187,8 @@
             if (signal == Timetable.Sent.KILL || signal == Timetable.Sent.TERM) {
                 up.forEach(n -> children.get(n).ending = true);
             }
-            guard.signal(word, up.stream().map(n -> children.get(n).process.pid()).toList());
+            guard.signal(
+                    word, up.stream().map(n -> children.get(n).process.pid()).toList());
         }
     }
 
@@ -198,7 +213,13 @@
             if (up(name)) {
                 ProcessHandle.Info info = c.process.info();
                 if (info.totalCpuDuration().isPresent()) {
-                    history.rig("processor", "member", name, "used_s", info.totalCpuDuration().get().toMillis() / 1e3, "up_s",
+                    history.rig(
+                            "processor",
+                            "member",
+                            name,
+                            "used_s",
+                            info.totalCpuDuration().get().toMillis() / 1e3,
+                            "up_s",
                             Math.round((history.now() - c.startedAt) * 1e3) / 1e3);
                 }
             }
@@ -209,7 +230,9 @@
     private int port(String member, String name) {
         for (int i = 0; i < script.ports().size(); i++) {
             if (script.ports().get(i).name().equals(name)) {
-                return FIRST_PORT + i + children.get(member).ports * script.ports().size();
+                return FIRST_PORT
+                        + i
+                        + children.get(member).ports * script.ports().size();
             }
         }
         throw new IllegalArgumentException("{port:" + name + "} is not among the ports");
--- a/src/main/java/pepperdock/lab/fleet/Event.java
+++ b/src/main/java/pepperdock/lab/fleet/Event.java
@@ -15,7 +15,11 @@
     static Event read(String line) {
         try {
             JsonObject o = JsonParser.parseString(line).getAsJsonObject();
-            return new Event(o.get("at").getAsDouble(), o.get("who").getAsString(), o.get("what").getAsString(), o);
+            return new Event(
+                    o.get("at").getAsDouble(),
+                    o.get("who").getAsString(),
+                    o.get("what").getAsString(),
+                    o);
         } catch (JsonParseException | IllegalStateException | NullPointerException | NumberFormatException e) {
             throw new IllegalArgumentException("not an event: " + line, e);
         }
--- a/src/main/java/pepperdock/lab/fleet/FaultyDisk.java
+++ b/src/main/java/pepperdock/lab/fleet/FaultyDisk.java
@@ -46,6 +46,7 @@
 
     /** The system property that names the member's folder. */
     static final String FOLDER = "pepperdock.lab.disk";
+
     static final String SAYS = "disk";
     static final String TOUCHED = "state";
 
@@ -75,7 +76,9 @@
         try (SeekableByteChannel c = under.newByteChannel(says, Set.of(StandardOpenOption.READ))) {
             ByteBuffer b = ByteBuffer.allocate(64);
             c.read(b);
-            return new String(b.array(), 0, b.position(), StandardCharsets.US_ASCII).strip().split(" ");
+            return new String(b.array(), 0, b.position(), StandardCharsets.US_ASCII)
+                    .strip()
+                    .split(" ");
         } catch (NoSuchFileException e) {
             return new String[] {""};
         }
@@ -104,7 +107,8 @@
         }
     }
 
-    // ---- Paths: those of the system underneath, that say that they are ours ------------------------------------------------
+    // ---- Paths: those of the system underneath, that say that they are ours
+    // ------------------------------------------------
 
     private record Outer(FaultyDisk disk, Path of) implements InvocationHandler {
 
@@ -123,13 +127,17 @@
             } catch (InvocationTargetException e) {
                 throw e.getCause();
             }
-            return result instanceof Path p ? disk.outer(p) : result instanceof Iterator<?> all ? disk.outer(all) : result;
+            return result instanceof Path p
+                    ? disk.outer(p)
+                    : result instanceof Iterator<?> all ? disk.outer(all) : result;
         }
     }
 
     private Path outer(Path p) {
-        return p == null ? null
-                : (Path) Proxy.newProxyInstance(FaultyDisk.class.getClassLoader(), new Class<?>[] {Path.class}, new Outer(this, p));
+        return p == null
+                ? null
+                : (Path) Proxy.newProxyInstance(
+                        FaultyDisk.class.getClassLoader(), new Class<?>[] {Path.class}, new Outer(this, p));
     }
 
     private Iterator<Path> outer(Iterator<?> all) {
@@ -184,7 +192,9 @@
 
         @Override
         public Iterable<Path> getRootDirectories() {
-            return StreamSupport.stream(of.getRootDirectories().spliterator(), false).map(FaultyDisk.this::outer).toList();
+            return StreamSupport.stream(of.getRootDirectories().spliterator(), false)
+                    .map(FaultyDisk.this::outer)
+                    .toList();
         }
 
         @Override
@@ -324,8 +334,11 @@
     }
 
     @Override
-    public FileChannel newFileChannel(Path p, Set<? extends OpenOption> how, FileAttribute<?>... with) throws IOException {
-        Path inner = how.contains(StandardOpenOption.WRITE) || how.contains(StandardOpenOption.APPEND) ? forWriting(p) : inner(p);
+    public FileChannel newFileChannel(Path p, Set<? extends OpenOption> how, FileAttribute<?>... with)
+            throws IOException {
+        Path inner = how.contains(StandardOpenOption.WRITE) || how.contains(StandardOpenOption.APPEND)
+                ? forWriting(p)
+                : inner(p);
         return new Channel(under.newFileChannel(inner, how, with), inner);
     }
 
@@ -342,12 +355,14 @@
     @Override
     public SeekableByteChannel newByteChannel(Path p, Set<? extends OpenOption> how, FileAttribute<?>... with)
             throws IOException {
-        return how.contains(StandardOpenOption.WRITE) || how.contains(StandardOpenOption.APPEND) ? newFileChannel(p, how, with)
+        return how.contains(StandardOpenOption.WRITE) || how.contains(StandardOpenOption.APPEND)
+                ? newFileChannel(p, how, with)
                 : under.newByteChannel(inner(p), how, with);
     }
 
     @Override
-    public DirectoryStream<Path> newDirectoryStream(Path p, DirectoryStream.Filter<? super Path> filter) throws IOException {
+    public DirectoryStream<Path> newDirectoryStream(Path p, DirectoryStream.Filter<? super Path> filter)
+            throws IOException {
         DirectoryStream<Path> of = under.newDirectoryStream(inner(p), x -> filter.accept(outer(x)));
         return new DirectoryStream<>() {
             @Override
@@ -408,7 +423,8 @@
     }
 
     @Override
-    public <A extends BasicFileAttributes> A readAttributes(Path p, Class<A> type, LinkOption... how) throws IOException {
+    public <A extends BasicFileAttributes> A readAttributes(Path p, Class<A> type, LinkOption... how)
+            throws IOException {
         return under.readAttributes(inner(p), type, how);
     }
 
--- a/src/main/java/pepperdock/lab/fleet/Guard.java
+++ b/src/main/java/pepperdock/lab/fleet/Guard.java
@@ -33,7 +33,9 @@
     private final BufferedReader out;
 
     Guard() throws IOException {
-        shell = new ProcessBuilder("sh", "-c", SHELL).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+        shell = new ProcessBuilder("sh", "-c", SHELL)
+                .redirectError(ProcessBuilder.Redirect.DISCARD)
+                .start();
         in = shell.outputWriter(StandardCharsets.US_ASCII);
         out = new BufferedReader(new InputStreamReader(shell.getInputStream(), StandardCharsets.US_ASCII));
     }
--- a/src/main/java/pepperdock/lab/fleet/Links.java
+++ b/src/main/java/pepperdock/lab/fleet/Links.java
@@ -14,7 +14,7 @@
 final class Links {
 
     /** From one member to another; the way back is another pair. */
-    record Pair(String from, String to) { }
+    record Pair(String from, String to) {}
 
     enum Kind {
         /** Nothing gets through, of datagrams or streams; what was sent on a stream waits. */
@@ -49,11 +49,19 @@
     }
 
     /** {@code amount} is a share, seconds or bytes a second, by kind; {@code spread} is in seconds. */
-    record Fault(Kind kind, Set<Pair> pairs, double amount, double spread) { }
+    record Fault(Kind kind, Set<Pair> pairs, double amount, double spread) {}
 
     /** The sum of all faults on a pair. {@code rate} is in bytes a second, infinite where nothing throttles. */
-    record Effect(boolean cut, boolean stalled, double loss, double twice, double delay, double jitter, double late,
-                  double lateBy, double rate) {
+    record Effect(
+            boolean cut,
+            boolean stalled,
+            double loss,
+            double twice,
+            double delay,
+            double jitter,
+            double late,
+            double lateBy,
+            double rate) {
 
         static final Effect NONE = new Effect(false, false, 0, 0, 0, 0, 0, 0, Double.POSITIVE_INFINITY);
 
@@ -67,11 +75,21 @@
                 case STALL -> new Effect(cut, true, loss, twice, delay, jitter, late, lateBy, rate);
                 case LOSS -> new Effect(cut, stalled, either(loss, f), twice, delay, jitter, late, lateBy, rate);
                 case DUPLICATE -> new Effect(cut, stalled, loss, either(twice, f), delay, jitter, late, lateBy, rate);
-                case DELAY -> new Effect(cut, stalled, loss, twice, delay + f.amount(), jitter + f.spread(), late, lateBy, rate);
-                case REORDER -> new Effect(cut, stalled, loss, twice, delay, jitter, either(late, f),
-                        Math.max(lateBy, f.spread()), rate);
-                case THROTTLE -> new Effect(cut, stalled, loss, twice, delay, jitter, late, lateBy,
-                        Math.min(rate, f.amount()));
+                case DELAY ->
+                    new Effect(cut, stalled, loss, twice, delay + f.amount(), jitter + f.spread(), late, lateBy, rate);
+                case REORDER ->
+                    new Effect(
+                            cut,
+                            stalled,
+                            loss,
+                            twice,
+                            delay,
+                            jitter,
+                            either(late, f),
+                            Math.max(lateBy, f.spread()),
+                            rate);
+                case THROTTLE ->
+                    new Effect(cut, stalled, loss, twice, delay, jitter, late, lateBy, Math.min(rate, f.amount()));
             };
         }
 
--- a/src/main/java/pepperdock/lab/fleet/MemberFigures.java
+++ b/src/main/java/pepperdock/lab/fleet/MemberFigures.java
@@ -16,12 +16,14 @@
     final Histogram bytes = new Histogram(3);
     /** Different rosters seen by anybody since the fleet was first together, in each run. */
     final Histogram rosters = new Histogram(3);
+
     double memberSeconds;
     long changes;
     long faults;
     long falseGone;
     /** Of these, by what had befallen the member. */
     final Map<String, Long> because = new TreeMap<>();
+
     long refuted;
 
     void falseGone(String why) {
@@ -46,9 +48,18 @@
     List<String> lines() {
         return List.of(
                 "true deaths noticed " + seconds(noticed),
-                String.format(Locale.ROOT, "running members called gone %d times in %.3f member-hours, refuted %d times%s",
-                        falseGone, memberSeconds / 3600, refuted, because.isEmpty() ? "" : ": " + because.entrySet().stream()
-                                .map(b -> b.getKey() + ' ' + b.getValue()).collect(Collectors.joining(", "))),
+                String.format(
+                        Locale.ROOT,
+                        "running members called gone %d times in %.3f member-hours, refuted %d times%s",
+                        falseGone,
+                        memberSeconds / 3600,
+                        refuted,
+                        because.isEmpty()
+                                ? ""
+                                : ": "
+                                        + because.entrySet().stream()
+                                                .map(b -> b.getKey() + ' ' + b.getValue())
+                                                .collect(Collectors.joining(", "))),
                 String.format(Locale.ROOT, "changes told %d, faults and ends of faults %d", changes, faults),
                 "all agreed after the last fault " + seconds(agreement),
                 "rosters seen in a run, once together: " + plain(rosters),
@@ -57,12 +68,21 @@
     }
 
     private static String seconds(Histogram h) {
-        return String.format(Locale.ROOT, "%d times: median %.2f s, p99 %.2f s, worst %.2f s", h.getTotalCount(),
-                h.getValueAtPercentile(50) / 1e3, h.getValueAtPercentile(99) / 1e3, h.getMaxValue() / 1e3);
+        return String.format(
+                Locale.ROOT,
+                "%d times: median %.2f s, p99 %.2f s, worst %.2f s",
+                h.getTotalCount(),
+                h.getValueAtPercentile(50) / 1e3,
+                h.getValueAtPercentile(99) / 1e3,
+                h.getMaxValue() / 1e3);
     }
 
     private static String plain(Histogram h) {
-        return String.format(Locale.ROOT, "median %d, p99 %d, most %d", h.getValueAtPercentile(50),
-                h.getValueAtPercentile(99), h.getMaxValue());
+        return String.format(
+                Locale.ROOT,
+                "median %d, p99 %d, most %d",
+                h.getValueAtPercentile(50),
+                h.getValueAtPercentile(99),
+                h.getMaxValue());
     }
 }
--- a/src/main/java/pepperdock/lab/fleet/MembersChecker.java
+++ b/src/main/java/pepperdock/lab/fleet/MembersChecker.java
@@ -27,11 +27,12 @@
     private static final double SAVED_S = 1.1;
     /** Of datagrams, lost at any member, without anybody being called gone. */
     private static final double LOSS_BORNE = 0.3;
+
     private static final String BORNE = "only what is borne";
 
     private static final Hasher64 HASH = Hashing.xxh3_64();
 
-    private record Held(String life, long incarnation, String standing) { }
+    private record Held(String life, long incarnation, String standing) {}
 
     /** One process's view, as it told it. */
     private static final class Seen {
@@ -82,8 +83,11 @@
         /** Why others may have called it gone, the strongest reason there was. */
         String why(double at, double borneS, int others) {
             double stop = Double.isNaN(stoppedAt) ? longestStop : Math.max(longestStop, at - stoppedAt);
-            return stop >= borneS ? "stopped longer than is borne" : 2 * mostCut > others ? "most links out of it cut"
-                    : mostLoss > LOSS_BORNE + 1e-9 ? "more lost than is borne" : BORNE;
+            return stop >= borneS
+                    ? "stopped longer than is borne"
+                    : 2 * mostCut > others
+                            ? "most links out of it cut"
+                            : mostLoss > LOSS_BORNE + 1e-9 ? "more lost than is borne" : BORNE;
         }
     }
 
@@ -92,11 +96,13 @@
     private final Map<String, Seen> views = new TreeMap<>();
     /** The name that each process has had, its own as a rule; and each process's newest life. */
     private final Map<String, String> names = new TreeMap<>();
+
     private final Map<String, String> lives = new TreeMap<>();
     /** By name: lives of processes that run. */
     private final Map<String, Set<String>> running = new TreeMap<>();
     /** By name: all lives ever begun, and those that anybody told of. */
     private final Map<String, Set<String>> begun = new HashMap<>();
+
     private final Map<String, Set<String>> toldOf = new HashMap<>();
     private final Map<String, Hurt> hurts = new HashMap<>();
     private final Map<String, Double> borneS = new HashMap<>();
@@ -106,11 +112,13 @@
     private final MemberFigures figures = new MemberFigures();
     /** Seen since the fleet was first together. */
     private final Set<Long> rosters = new HashSet<>();
+
     private boolean gathered;
     /** By viewer: whom it sees otherwise than it is. */
     private final Map<String, Set<String>> wrong = new TreeMap<>();
     /** By name: how many see it otherwise than it is; and the sum of them. */
     private final Map<String, Integer> wrongOf = new HashMap<>();
+
     private int wrongs;
     private long last;
     private double at;
@@ -179,7 +187,7 @@
                     }
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
@@ -243,7 +251,7 @@
             }
             case "refuted" -> figures.refuted++;
             case "change" -> change(number, e);
-            default -> { }
+            default -> {}
         }
         if (!agreed && e.what().equals("change") && !Double.isNaN(faultAt) && wrongs == 0 && divided() == null) {
             agreed = true;
@@ -256,18 +264,26 @@
         String name = e.text("name");
         figures.changes++;
         if (e.whole("no") != seen.number + 1) {
-            found.add(new Finding("members", number, e.who() + " told change " + e.whole("no") + " after " + seen.number));
+            found.add(new Finding(
+                    "members", number, e.who() + " told change " + e.whole("no") + " after " + seen.number));
         }
         seen.number = e.whole("no");
         Held before = seen.of.get(name);
         boolean gone = e.text("to").equals("GONE");
-        if (before != null && !before.standing().equals(e.text("from")) || before == null && !e.text("from").isEmpty()) {
-            found.add(new Finding("members", number, e.who() + " told a change of " + name + " from " + e.text("from")
-                    + ", which it had told as " + (before == null ? "unknown" : before.standing())));
+        if (before != null && !before.standing().equals(e.text("from"))
+                || before == null && !e.text("from").isEmpty()) {
+            found.add(new Finding(
+                    "members",
+                    number,
+                    e.who() + " told a change of " + name + " from " + e.text("from") + ", which it had told as "
+                            + (before == null ? "unknown" : before.standing())));
         }
         if (before != null && e.whole("incarnation") < before.incarnation()) {
-            found.add(new Finding("members", number, e.who() + " saw the incarnation of " + name + " go back from "
-                    + before.incarnation() + " to " + e.whole("incarnation")));
+            found.add(new Finding(
+                    "members",
+                    number,
+                    e.who() + " saw the incarnation of " + name + " go back from " + before.incarnation() + " to "
+                            + e.whole("incarnation")));
         }
         seen.of.put(name, new Held(e.text("life"), e.whole("incarnation"), e.text("to")));
         toldOf.computeIfAbsent(name, n -> new HashSet<>()).add(e.text("life"));
@@ -276,13 +292,17 @@
         }
         if (gone && !e.text("why").startsWith("another life")) {
             if (running.getOrDefault(name, Set.of()).contains(e.text("life"))) {
-                String process = up.stream().filter(p -> e.text("life").equals(lives.get(p))).findFirst().orElseThrow();
+                String process = up.stream()
+                        .filter(p -> e.text("life").equals(lives.get(p)))
+                        .findFirst()
+                        .orElseThrow();
                 String why = hurts.getOrDefault(process, new Hurt()).why(e.at(), borneS.get(process), names.size() - 1);
                 figures.falseGone(why);
                 if (strict || why.equals(BORNE)) {
                     found.add(new Finding("members", number, e.who() + " called " + name + " gone, which was running"));
                 }
-            } else if (endedAt.containsKey(name) && running.getOrDefault(name, Set.of()).isEmpty()) {
+            } else if (endedAt.containsKey(name)
+                    && running.getOrDefault(name, Set.of()).isEmpty()) {
                 figures.noticed.recordValue(Math.round((e.at() - endedAt.get(name)) * 1e3));
             }
         }
@@ -305,9 +325,10 @@
                 String m = w.getValue().iterator().next();
                 Held h = views.get(w.getKey()).of.get(m);
                 Set<String> of = running.getOrDefault(m, Set.of());
-                return w.getKey() + " sees " + m + ' ' + (h == null ? "not at all" : h.standing().toLowerCase(Locale.ROOT)
-                        + " in life " + h.life()) + ", and it is " + (of.isEmpty() ? "not running" : "running in life "
-                        + String.join(" and ", of));
+                return w.getKey() + " sees " + m + ' '
+                        + (h == null ? "not at all" : h.standing().toLowerCase(Locale.ROOT) + " in life " + h.life())
+                        + ", and it is "
+                        + (of.isEmpty() ? "not running" : "running in life " + String.join(" and ", of));
             }
         }
         return divided();
@@ -318,7 +339,10 @@
         for (Map.Entry<String, Set<String>> r : running.entrySet()) {
             if (r.getValue().size() > 1) {
                 Set<String> held = new TreeSet<>();
-                up.forEach(v -> held.add(views.get(v).of.containsKey(r.getKey()) ? views.get(v).of.get(r.getKey()).life() : ""));
+                up.forEach(v -> held.add(
+                        views.get(v).of.containsKey(r.getKey())
+                                ? views.get(v).of.get(r.getKey()).life()
+                                : ""));
                 if (held.size() > 1) {
                     return r.getKey() + " is one process in some views and another in others: lives " + held;
                 }
@@ -330,7 +354,8 @@
     private boolean isWrong(String viewer, String name) {
         Held h = views.get(viewer).of.get(name);
         Set<String> of = running.getOrDefault(name, Set.of());
-        return of.isEmpty() ? h != null && !away(h.standing())
+        return of.isEmpty()
+                ? h != null && !away(h.standing())
                 : h == null || !h.standing().equals("HERE") || !of.contains(h.life());
     }
 
@@ -362,18 +387,28 @@
     public Boolean holds(String condition, Set<String> members) {
         return switch (condition) {
             case "settled" -> wrongs == 0 && divided() == null;
-            case "gone" -> up.stream().filter(v -> !members.contains(v)).allMatch(v -> members.stream().allMatch(m -> {
-                Held h = held(v, m);
-                return h != null && away(h.standing());
-            }));
-            case "cut off" -> members.stream().allMatch(m -> up.stream().filter(v -> !v.equals(m)).allMatch(v -> {
-                Held h = held(v, m);
-                return h != null && h.standing().equals("CUT_OFF");
-            }));
-            case "replaced" -> up.stream().filter(v -> !members.contains(v)).allMatch(v -> members.stream().allMatch(m -> {
-                Held h = held(v, m);
-                return h != null && h.standing().equals("HERE") && !h.life().equals(lives.get(m));
-            }));
+            case "gone" ->
+                up.stream()
+                        .filter(v -> !members.contains(v))
+                        .allMatch(v -> members.stream().allMatch(m -> {
+                            Held h = held(v, m);
+                            return h != null && away(h.standing());
+                        }));
+            case "cut off" ->
+                members.stream()
+                        .allMatch(m -> up.stream().filter(v -> !v.equals(m)).allMatch(v -> {
+                            Held h = held(v, m);
+                            return h != null && h.standing().equals("CUT_OFF");
+                        }));
+            case "replaced" ->
+                up.stream()
+                        .filter(v -> !members.contains(v))
+                        .allMatch(v -> members.stream().allMatch(m -> {
+                            Held h = held(v, m);
+                            return h != null
+                                    && h.standing().equals("HERE")
+                                    && !h.life().equals(lives.get(m));
+                        }));
             default -> null;
         };
     }
@@ -390,9 +425,12 @@
             all.add(new Finding("members", last, "views never met: " + disagreement));
         }
         if (atEnd) {
-            toldOf.forEach((name, told) -> told.stream().filter(l -> !begun.getOrDefault(name, Set.of()).contains(l))
-                    .forEach(l -> all.add(new Finding("members", last, name + " was told of in life " + l
-                            + ", which no process of that name has had"))));
+            toldOf.forEach((name, told) -> told.stream()
+                    .filter(l -> !begun.getOrDefault(name, Set.of()).contains(l))
+                    .forEach(l -> all.add(new Finding(
+                            "members",
+                            last,
+                            name + " was told of in life " + l + ", which no process of that name has had"))));
         }
         return all;
     }
--- a/src/main/java/pepperdock/lab/fleet/ProcessChecker.java
+++ b/src/main/java/pepperdock/lab/fleet/ProcessChecker.java
@@ -12,7 +12,12 @@
  */
 final class ProcessChecker implements Checker {
 
-    private enum At { STARTED, READY, ENDING, ENDED }
+    private enum At {
+        STARTED,
+        READY,
+        ENDING,
+        ENDED
+    }
 
     private final Map<String, At> at = new LinkedHashMap<>();
     private final List<Finding> found = new ArrayList<>();
@@ -33,11 +38,12 @@
             case "exit" -> {
                 String member = e.text("member");
                 if (at.get(member) != At.ENDING) {
-                    found.add(new Finding("processes", number, member + " ended by itself, with status " + e.text("status")));
+                    found.add(new Finding(
+                            "processes", number, member + " ended by itself, with status " + e.text("status")));
                 }
                 at.put(member, At.ENDED);
             }
-            default -> { }
+            default -> {}
         }
     }
 
--- a/src/main/java/pepperdock/lab/fleet/Relay.java
+++ b/src/main/java/pepperdock/lab/fleet/Relay.java
@@ -51,9 +51,9 @@
     }
 
     /** A port to lay links to, for streams or for datagrams. */
-    record Laid(int number, boolean stream) { }
+    record Laid(int number, boolean stream) {}
 
-    private record Delayed(double due, long no, Runnable then) { }
+    private record Delayed(double due, long no, Runnable then) {}
 
     private interface Ready {
         void ready(SelectionKey key) throws IOException;
@@ -65,8 +65,8 @@
     private final Selector selector;
     private final Thread thread;
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
-    private final PriorityQueue<Delayed> delayed = new PriorityQueue<>(
-            Comparator.comparingDouble(Delayed::due).thenComparingLong(Delayed::no));
+    private final PriorityQueue<Delayed> delayed =
+            new PriorityQueue<>(Comparator.comparingDouble(Delayed::due).thenComparingLong(Delayed::no));
     private final Map<String, List<SelectableChannel>> into = new HashMap<>();
     private final Map<String, List<Laid>> laid = new HashMap<>();
     private final Set<Stream> streams = new LinkedHashSet<>();
@@ -119,7 +119,9 @@
     }
 
     void reset(Set<Pair> pairs) {
-        execute(() -> List.copyOf(streams).stream().filter(s -> pairs.contains(s.there.pair)).forEach(Stream::reset));
+        execute(() -> List.copyOf(streams).stream()
+                .filter(s -> pairs.contains(s.there.pair))
+                .forEach(Stream::reset));
     }
 
     /** Each member's traffic since the last call, given on the relay's thread. */
@@ -166,8 +168,10 @@
                 channel.configureBlocking(false);
                 execute(() -> {
                     try {
-                        channel.register(selector, channel instanceof DatagramChannel ? SelectionKey.OP_READ
-                                : SelectionKey.OP_ACCEPT, ready);
+                        channel.register(
+                                selector,
+                                channel instanceof DatagramChannel ? SelectionKey.OP_READ : SelectionKey.OP_ACCEPT,
+                                ready);
                     } catch (IOException e) {
                         close(channel);
                     }
@@ -375,7 +379,7 @@
         }
     }
 
-    private record Chunk(double due, ByteBuffer bytes) { }
+    private record Chunk(double due, ByteBuffer bytes) {}
 
     /** One way of a stream. */
     private final class Half {
@@ -442,7 +446,10 @@
         private void interests() {
             boolean stands = links.on(pair).streamStands();
             set(from, SelectionKey.OP_READ, !stands && !ended && waiting < HELD_BY_STREAM);
-            set(into, SelectionKey.OP_WRITE, !stands && !chunks.isEmpty() && chunks.peek().due() <= now());
+            set(
+                    into,
+                    SelectionKey.OP_WRITE,
+                    !stands && !chunks.isEmpty() && chunks.peek().due() <= now());
         }
 
         private void set(SocketChannel c, int bit, boolean on) {
--- a/src/main/java/pepperdock/lab/fleet/Report.java
+++ b/src/main/java/pepperdock/lab/fleet/Report.java
@@ -23,7 +23,7 @@
     /** The program's events that would only fill a page. */
     private static final List<String> UNMARKED = List.of("count");
 
-    private Report() { }
+    private Report() {}
 
     public static List<String> text(Path history, Outcome outcome) throws IOException {
         List<String> lines = new ArrayList<>();
@@ -47,8 +47,10 @@
         e.keys().entrySet().forEach(k -> {
             if (!List.of("at", "who", "what").contains(k.getKey())) {
                 String value = k.getValue().getAsString();
-                words.append("  ").append(k.getKey()).append('=').append(value.length() > 100 ? value.substring(0, 100) + "..."
-                        : value);
+                words.append("  ")
+                        .append(k.getKey())
+                        .append('=')
+                        .append(value.length() > 100 ? value.substring(0, 100) + "..." : value);
             }
         });
         return words.toString();
@@ -75,11 +77,12 @@
                 continue;
             }
             switch (e.what()) {
-                case "script" -> List.of(e.members()).forEach(m -> {
-                    members.add(m);
-                    since.put(m, e.at());
-                    now.put(m, "down");
-                });
+                case "script" ->
+                    List.of(e.members()).forEach(m -> {
+                        members.add(m);
+                        since.put(m, e.at());
+                        now.put(m, "down");
+                    });
                 case "start" -> turns(e, "starting", since, now, bars);
                 case "stop" -> turns(e, "stopped", since, now, bars);
                 case "cont" -> turns(e, "up", since, now, bars);
@@ -87,7 +90,7 @@
                 case "fault on" -> faults.put(e.whole("number"), e);
                 case "fault off" -> fault(faults.remove(e.whole("number")), e.at(), bars);
                 case "reset", "late", "reached", "not reached" -> marks.add(mark(e, "faults"));
-                default -> { }
+                default -> {}
             }
         }
         faults.values().forEach(f -> fault(f, end, bars));
@@ -101,18 +104,20 @@
         outcome.findings().forEach(words::add);
         outcome.figures().forEach(words::add);
         data.add("words", words);
-        return resource("/pepperdock/lab/fleet/report.html").replace("/*PLOTS*/", resource('/' + PLOTS))
+        return resource("/pepperdock/lab/fleet/report.html")
+                .replace("/*PLOTS*/", resource('/' + PLOTS))
                 .replace("/*DATA*/null", data.toString().replace("</", "<\\/"));
     }
 
-    private static void turns(Event e, String next, Map<String, Double> since, Map<String, String> now, JsonArray bars) {
+    private static void turns(
+            Event e, String next, Map<String, Double> since, Map<String, String> now, JsonArray bars) {
         for (String m : e.members()) {
             turn(m, next, e.at(), since, now, bars);
         }
     }
 
-    private static void turn(String member, String next, double at, Map<String, Double> since, Map<String, String> now,
-                             JsonArray bars) {
+    private static void turn(
+            String member, String next, double at, Map<String, Double> since, Map<String, String> now, JsonArray bars) {
         bars.add(bar(member, now.getOrDefault(member, "down"), since.getOrDefault(member, 0.0), at, ""));
         since.put(member, at);
         now.put(member, next);
--- a/src/main/java/pepperdock/lab/fleet/Rig.java
+++ b/src/main/java/pepperdock/lab/fleet/Rig.java
@@ -55,9 +55,14 @@
     /** Judges a history again, by these checkers; null for those that its run had. */
     public static Outcome check(Path history, List<String> checkers) throws IOException {
         List<Event> events = History.read(history);
-        Checkers judge = new Checkers(checkers != null ? checkers : events.stream()
-                .filter(e -> e.ofRig() && e.what().equals("script")).findFirst().map(e -> List.of(e.text("checkers").split(",")))
-                .orElseThrow(() -> new ConfigException(history.toString(), "no history of a run")));
+        Checkers judge = new Checkers(
+                checkers != null
+                        ? checkers
+                        : events.stream()
+                                .filter(e -> e.ofRig() && e.what().equals("script"))
+                                .findFirst()
+                                .map(e -> List.of(e.text("checkers").split(",")))
+                                .orElseThrow(() -> new ConfigException(history.toString(), "no history of a run")));
         events.forEach(judge::see);
         double late = 0;
         boolean counts = true;
@@ -69,13 +74,16 @@
             }
         }
         List<String> findings = new ArrayList<>(words(judge.findings(true)));
-        events.stream().filter(e -> e.ofRig() && e.what().equals("not reached")).forEach(e -> findings.add(notReached(
-                e.text("awaited"), e.text("members"))));
+        events.stream()
+                .filter(e -> e.ofRig() && e.what().equals("not reached"))
+                .forEach(e -> findings.add(notReached(e.text("awaited"), e.text("members"))));
         return new Outcome(counts, findings, judge.figures(), late);
     }
 
     private static List<String> words(List<Checker.Finding> findings) {
-        return findings.stream().map(f -> f.checker() + ": event " + f.event() + ": " + f.what()).toList();
+        return findings.stream()
+                .map(f -> f.checker() + ": event " + f.event() + ": " + f.what())
+                .toList();
     }
 
     private static String notReached(String condition, String members) {
@@ -90,10 +98,10 @@
         Checkers judge = new Checkers(script.checkers());
         List<String> unmet = new ArrayList<>();
         try (Claim claim = Claim.any();
-             History history = new History(folder.resolve(HISTORY), judge::see);
-             Relay relay = new Relay(claim.block, script.seed());
-             Children children = new Children(script, claim.block, folder, command, timetable.any(Timetable.Disk.class),
-                     history, relay)) {
+                History history = new History(folder.resolve(HISTORY), judge::see);
+                Relay relay = new Relay(claim.block, script.seed());
+                Children children = new Children(
+                        script, claim.block, folder, command, timetable.any(Timetable.Disk.class), history, relay)) {
             Thread hook = new Thread(() -> {
                 try {
                     children.end();
@@ -102,7 +110,13 @@
                 }
             });
             Runtime.getRuntime().addShutdownHook(hook);
-            history.rig("script", "seed", script.seed(), "members", String.join(",", script.names()), "checkers",
+            history.rig(
+                    "script",
+                    "seed",
+                    script.seed(),
+                    "members",
+                    String.join(",", script.names()),
+                    "checkers",
                     String.join(",", script.checkers()));
             double late;
             try (Heartbeat heart = new Heartbeat(history)) {
@@ -126,20 +140,24 @@
         }
     }
 
-    private void play(Timetable timetable, Checkers judge, History history, Relay relay, Children children,
-                      List<String> unmet) throws IOException, InterruptedException {
+    private void play(
+            Timetable timetable, Checkers judge, History history, Relay relay, Children children, List<String> unmet)
+            throws IOException, InterruptedException {
         double traffic = history.now();
         children.start(script.names(), false, false);
         for (Timetable.Phase phase : timetable.phases()) {
             double base = history.now();
             for (Timetable.Timed timed : phase.steps()) {
-                for (double wait = base + timed.at() - history.now(); wait > 0; wait = base + timed.at() - history.now()) {
+                for (double wait = base + timed.at() - history.now();
+                        wait > 0;
+                        wait = base + timed.at() - history.now()) {
                     Thread.sleep((long) Math.min(wait * 1e3 + 1, 200));
                     traffic = traffic(history, relay, traffic);
                 }
                 step(timed.step(), history, relay, children);
             }
-            Script.Await then = phase.then() != null ? phase.then()
+            Script.Await then = phase.then() != null
+                    ? phase.then()
                     : new Script.Await("settled", new Script.Whom(script.names(), 0));
             Set<String> whom = Set.copyOf(then.whom().names());
             double until = Math.min(history.now() + script.settleS(), script.mostS());
@@ -164,9 +182,22 @@
         if (now - last < 1) {
             return last;
         }
-        relay.taken(all -> all.forEach((member, t) -> history.rig("traffic", "member", member, "over_s",
-                Math.round((now - last) * 1e3) / 1e3, "datagrams", t.datagrams, "bytes", t.bytes, "lost", t.lost, "streams",
-                t.streams, "stream_bytes", t.streamBytes)));
+        relay.taken(all -> all.forEach((member, t) -> history.rig(
+                "traffic",
+                "member",
+                member,
+                "over_s",
+                Math.round((now - last) * 1e3) / 1e3,
+                "datagrams",
+                t.datagrams,
+                "bytes",
+                t.bytes,
+                "lost",
+                t.lost,
+                "streams",
+                t.streams,
+                "stream_bytes",
+                t.streamBytes)));
         return now;
     }
 
@@ -174,8 +205,18 @@
             throws IOException, InterruptedException {
         if (step instanceof Timetable.On on) {
             Links.Fault f = on.fault();
-            history.rig("fault on", "number", on.number(), "kind", f.kind().name().toLowerCase(Locale.ROOT), "amount",
-                    f.amount(), "spread", f.spread(), "links", Links.text(f.pairs()));
+            history.rig(
+                    "fault on",
+                    "number",
+                    on.number(),
+                    "kind",
+                    f.kind().name().toLowerCase(Locale.ROOT),
+                    "amount",
+                    f.amount(),
+                    "spread",
+                    f.spread(),
+                    "links",
+                    Links.text(f.pairs()));
             relay.on(on.number(), f);
         } else if (step instanceof Timetable.Off off) {
             history.rig("fault off", "number", off.number());
@@ -200,7 +241,8 @@
             for (int i = 0; i < BLOCKS; i++) {
                 int block = FIRST_BLOCK + (first + i) % BLOCKS;
                 try {
-                    return new Claim(block, new ServerSocket(CLAIM_PORT, 1, InetAddress.getByName(Relay.host(block, 254))));
+                    return new Claim(
+                            block, new ServerSocket(CLAIM_PORT, 1, InetAddress.getByName(Relay.host(block, 254))));
                 } catch (IOException taken) {
                     // The next.
                 }
