--- a/src/main/java/pepperdock/lab/fleet/Script.java
+++ b/src/main/java/pepperdock/lab/fleet/Script.java
@@ -24,18 +24,30 @@
  * @param config the configuration of a member, with {@code {name}} and the like in its texts
  * @param own by member, what goes before the same keys of {@code config}
  */
-record Script(long seed, List<String> names, List<String> zones, int machines, JsonObject config, JsonObject own,
-              List<Port> ports, List<String> checkers, double mostS, double settleS, double lateMost, List<Act> acts) {
+record Script(
+        long seed,
+        List<String> names,
+        List<String> zones,
+        int machines,
+        JsonObject config,
+        JsonObject own,
+        List<Port> ports,
+        List<String> checkers,
+        double mostS,
+        double settleS,
+        double lateMost,
+        List<Act> acts) {
 
     /** Bounds of any run, and of one with real processes: this is a rig for one machine. */
     static final int MEMBERS_MOST = 2000;
+
     static final int PROCESSES_MOST = 60;
     static final double SECONDS_MOST = 7200;
     private static final int ACTS_MOST = 10_000;
     private static final List<String> DISKS = List.of("full", "broken", "slow");
 
     /** A port that each member listens on, in the configuration as {@code {port:NAME}}, for streams, datagrams or both. */
-    record Port(String name, boolean streams, boolean datagrams) { }
+    record Port(String name, boolean streams, boolean datagrams) {}
 
     /** Whom: by name, or so many drawn; every member where both are empty. A share of them is read as a number. */
     record Whom(List<String> names, int drawn) {
@@ -43,42 +55,58 @@
     }
 
     /** One line of the script. */
-    sealed interface Act permits Await, OnLinks, Partition, Reset, Heal, OnProcesses, OnDisks, OnClocks, Draw { }
+    sealed interface Act permits Await, OnLinks, Partition, Reset, Heal, OnProcesses, OnDisks, OnClocks, Draw {}
 
     /** Go on only once the checkers say that this holds, of these members; times count anew from here. */
-    record Await(String condition, Whom whom) implements Act { }
+    record Await(String condition, Whom whom) implements Act {}
 
     /** A fault on links. {@code lastS} infinite: to the end. {@code flipS} above 0: on and off by turns of that length. */
-    record OnLinks(double at, Links.Kind kind, double amount, double spread, Whom from, Whom to, boolean both, double lastS,
-                   double flipS) implements Act { }
+    record OnLinks(
+            double at,
+            Links.Kind kind,
+            double amount,
+            double spread,
+            Whom from,
+            Whom to,
+            boolean both,
+            double lastS,
+            double flipS)
+            implements Act {}
 
     /** Groups that do not reach each other; named, or so many of the same size, drawn. {@code moveS}: drawn anew so often. */
-    record Partition(double at, List<List<String>> groups, int drawn, double lastS, double moveS) implements Act { }
+    record Partition(double at, List<List<String>> groups, int drawn, double lastS, double moveS) implements Act {}
 
     /** Streams of these links are reset. */
-    record Reset(double at, Whom from, Whom to, boolean both) implements Act { }
+    record Reset(double at, Whom from, Whom to, boolean both) implements Act {}
 
     /** All faults on links that have no end of their own end. */
-    record Heal(double at) implements Act { }
+    record Heal(double at) implements Act {}
 
-    enum What { STOP, CONTINUE, KILL, TERM, START }
+    enum What {
+        STOP,
+        CONTINUE,
+        KILL,
+        TERM,
+        START
+    }
 
     /**
      * What befalls processes. A stop, kill or term of some length ends with going on, or a start. {@code apartS}: one after
      * the other, so far apart.
      */
-    record OnProcesses(double at, What what, Whom whom, double lastS, double apartS, boolean emptyFolder, boolean newPorts)
-            implements Act { }
+    record OnProcesses(
+            double at, What what, Whom whom, double lastS, double apartS, boolean emptyFolder, boolean newPorts)
+            implements Act {}
 
     /** What is with the disks of members: {@code full}, {@code broken}, or {@code slow}, each sync by so many seconds. */
-    record OnDisks(double at, String is, double byS, Whom whom, double lastS) implements Act { }
+    record OnDisks(double at, String is, double byS, Whom whom, double lastS) implements Act {}
 
     /** The clocks by which members measure time go forward at once; in simulated time only. */
-    record OnClocks(double at, Whom whom, double byS) implements Act { }
+    record OnClocks(double at, Whom whom, double byS) implements Act {}
 
     /** Faults drawn for so long: one every so often, each of a kind from the list, lasting between the two. */
     record Draw(double at, double forS, double everyS, List<String> kinds, double leastS, double mostS, int mostMembers)
-            implements Act { }
+            implements Act {}
 
     static Script read(Path file) {
         return read(file, 0);
@@ -88,29 +116,47 @@
     static Script read(Path file, int members) {
         try {
             Keys all = Keys.of("", Config.parse(Files.readString(file), file.toString()));
-            return read(members > 0 ? all.with("members", new JsonPrimitive(members)) : all, file.toAbsolutePath().getParent());
+            return read(
+                    members > 0 ? all.with("members", new JsonPrimitive(members)) : all,
+                    file.toAbsolutePath().getParent());
         } catch (IOException e) {
             throw new ConfigException(file.toString(), "can't be read");
         }
     }
 
     static Script read(Keys k, Path beside) {
-        k.only("seed", "members", "zones", "machines", "base", "config", "own", "ports", "checkers", "most_s", "settle_s",
-                "late_most_s", "script");
+        k.only(
+                "seed",
+                "members",
+                "zones",
+                "machines",
+                "base",
+                "config",
+                "own",
+                "ports",
+                "checkers",
+                "most_s",
+                "settle_s",
+                "late_most_s",
+                "script");
         int n = k.whole("members", 1, MEMBERS_MOST);
         List<String> names = IntStream.rangeClosed(1, n).mapToObj(i -> "g" + i).toList();
         JsonObject config = new JsonObject();
         if (k.has("base")) {
             Path base = beside.resolve(k.text("base"));
             try {
-                Config.parse(Files.readString(base), k.key("base")).getAsJsonObject().entrySet()
+                Config.parse(Files.readString(base), k.key("base"))
+                        .getAsJsonObject()
+                        .entrySet()
                         .forEach(e -> config.add(e.getKey(), e.getValue()));
             } catch (IOException | IllegalStateException e) {
                 throw new ConfigException(k.key("base"), "no configuration can be read from " + base);
             }
         }
         if (k.has("config")) {
-            Config.parse(k.json("config"), k.key("config")).getAsJsonObject().entrySet()
+            Config.parse(k.json("config"), k.key("config"))
+                    .getAsJsonObject()
+                    .entrySet()
                     .forEach(e -> config.add(e.getKey(), e.getValue()));
         }
         Keys own = k.within("own");
@@ -120,14 +166,16 @@
             }
             own.within(name);
         }
-        List<Port> ports = k.objects("ports").stream().map(p -> {
-            p.only("name", "for");
-            String kind = p.text("for");
-            if (!List.of("streams", "datagrams", "both").contains(kind)) {
-                throw new ConfigException(p.key("for"), "neither streams, datagrams nor both");
-            }
-            return new Port(p.text("name"), !kind.equals("datagrams"), !kind.equals("streams"));
-        }).toList();
+        List<Port> ports = k.objects("ports").stream()
+                .map(p -> {
+                    p.only("name", "for");
+                    String kind = p.text("for");
+                    if (!List.of("streams", "datagrams", "both").contains(kind)) {
+                        throw new ConfigException(p.key("for"), "neither streams, datagrams nor both");
+                    }
+                    return new Port(p.text("name"), !kind.equals("datagrams"), !kind.equals("streams"));
+                })
+                .toList();
         List<Act> acts = new ArrayList<>();
         for (Keys act : k.objects("script")) {
             acts.add(act(act, names));
@@ -135,11 +183,19 @@
         if (acts.size() > ACTS_MOST) {
             throw new ConfigException(k.key("script"), "more than " + ACTS_MOST + " acts");
         }
-        return new Script((long) k.number("seed", 1), names, k.has("zones") ? List.copyOf(k.texts("zones")) : List.of("z"),
-                k.whole("machines", 1, MEMBERS_MOST, n), config,
-                k.has("own") ? Config.parse(k.json("own"), k.key("own")).getAsJsonObject() : new JsonObject(), ports,
-                List.copyOf(k.texts("checkers")), seconds(k, "most_s", 300, SECONDS_MOST),
-                seconds(k, "settle_s", 60, SECONDS_MOST), seconds(k, "late_most_s", 1, SECONDS_MOST), List.copyOf(acts));
+        return new Script(
+                (long) k.number("seed", 1),
+                names,
+                k.has("zones") ? List.copyOf(k.texts("zones")) : List.of("z"),
+                k.whole("machines", 1, MEMBERS_MOST, n),
+                config,
+                k.has("own") ? Config.parse(k.json("own"), k.key("own")).getAsJsonObject() : new JsonObject(),
+                ports,
+                List.copyOf(k.texts("checkers")),
+                seconds(k, "most_s", 300, SECONDS_MOST),
+                seconds(k, "settle_s", 60, SECONDS_MOST),
+                seconds(k, "late_most_s", 1, SECONDS_MOST),
+                List.copyOf(acts));
     }
 
     /** The same with another seed. */
@@ -158,7 +214,9 @@
 
     private static void put(JsonObject into, JsonObject from) {
         for (Map.Entry<String, JsonElement> e : from.entrySet()) {
-            if (e.getValue().isJsonObject() && into.has(e.getKey()) && into.get(e.getKey()).isJsonObject()) {
+            if (e.getValue().isJsonObject()
+                    && into.has(e.getKey())
+                    && into.get(e.getKey()).isJsonObject()) {
                 put(into.getAsJsonObject(e.getKey()), e.getValue().getAsJsonObject());
             } else {
                 into.add(e.getKey(), e.getValue());
@@ -169,7 +227,8 @@
     /** The name that a member has in the fleet: another's where its own keys say so. */
     String named(String member) {
         return own.has(member) && own.getAsJsonObject(member).has("name")
-                ? own.getAsJsonObject(member).get("name").getAsString() : member;
+                ? own.getAsJsonObject(member).get("name").getAsString()
+                : member;
     }
 
     private static Act act(Keys a, List<String> names) {
@@ -183,7 +242,18 @@
         String fault = a.text("fault");
         switch (fault) {
             case "cut", "loss", "duplicate", "delay", "reorder", "throttle", "stall" -> {
-                a.only("at", "for", "flip_s", "fault", "from", "to", "both", "share", "by_s", "spread_s", "bytes_per_s");
+                a.only(
+                        "at",
+                        "for",
+                        "flip_s",
+                        "fault",
+                        "from",
+                        "to",
+                        "both",
+                        "share",
+                        "by_s",
+                        "spread_s",
+                        "bytes_per_s");
                 Links.Kind kind = Links.Kind.valueOf(fault.toUpperCase(Locale.ROOT));
                 double amount = switch (kind) {
                     case LOSS, DUPLICATE, REORDER -> share(a);
@@ -194,8 +264,16 @@
                 if (flip > 0 && Double.isInfinite(last)) {
                     throw new ConfigException(a.key("for"), "needed with flip_s");
                 }
-                return new OnLinks(at, kind, amount, seconds(a, "spread_s", 0, SECONDS_MOST), whom(a, "from", names),
-                        whom(a, "to", names), a.flag("both", false), last, flip);
+                return new OnLinks(
+                        at,
+                        kind,
+                        amount,
+                        seconds(a, "spread_s", 0, SECONDS_MOST),
+                        whom(a, "from", names),
+                        whom(a, "to", names),
+                        a.flag("both", false),
+                        last,
+                        flip);
             }
             case "partition" -> {
                 a.only("at", "for", "fault", "groups", "into", "move_s");
@@ -212,8 +290,14 @@
             case "stop", "continue", "kill", "term", "start" -> {
                 a.only("at", "for", "fault", "members", "apart_s", "folder", "ports");
                 What what = What.valueOf(fault.toUpperCase(Locale.ROOT));
-                return new OnProcesses(at, what, whom(a, "members", names), last, seconds(a, "apart_s", 0, SECONDS_MOST),
-                        word(a, "folder", "kept", "empty"), word(a, "ports", "kept", "new"));
+                return new OnProcesses(
+                        at,
+                        what,
+                        whom(a, "members", names),
+                        last,
+                        seconds(a, "apart_s", 0, SECONDS_MOST),
+                        word(a, "folder", "kept", "empty"),
+                        word(a, "ports", "kept", "new"));
             }
             case "disk" -> {
                 a.only("at", "for", "fault", "is", "by_s", "members");
@@ -221,8 +305,12 @@
                 if (!DISKS.contains(is)) {
                     throw new ConfigException(a.key("is"), "none of " + DISKS);
                 }
-                return new OnDisks(at, is, is.equals("slow") ? seconds(a, "by_s", 0.1, SECONDS_MOST) : 0,
-                        whom(a, "members", names), last);
+                return new OnDisks(
+                        at,
+                        is,
+                        is.equals("slow") ? seconds(a, "by_s", 0.1, SECONDS_MOST) : 0,
+                        whom(a, "members", names),
+                        last);
             }
             case "clock" -> {
                 a.only("at", "fault", "by_s", "members");
@@ -242,8 +330,13 @@
                         throw new ConfigException(a.key("kinds"), "no kind " + kind + ", only " + Timetable.DRAWN);
                     }
                 }
-                return new Draw(at, last, every, a.has("kinds") ? List.copyOf(a.texts("kinds")) : Timetable.DRAWN,
-                        seconds(a, "least_s", 1, SECONDS_MOST), seconds(a, "most_s", 10, SECONDS_MOST),
+                return new Draw(
+                        at,
+                        last,
+                        every,
+                        a.has("kinds") ? List.copyOf(a.texts("kinds")) : Timetable.DRAWN,
+                        seconds(a, "least_s", 1, SECONDS_MOST),
+                        seconds(a, "most_s", 10, SECONDS_MOST),
                         a.whole("most_members", 1, MEMBERS_MOST, 1));
             }
             default -> throw new ConfigException(a.key("fault"), "no fault " + fault);
@@ -277,8 +370,9 @@
             return new Whom(known(k, name, names), 0);
         }
         double share = k.number(name);
-        return new Whom(List.of(), share > 0 && share < 1 ? (int) Math.ceil(share * names.size())
-                : k.whole(name, 1, names.size()));
+        return new Whom(
+                List.of(),
+                share > 0 && share < 1 ? (int) Math.ceil(share * names.size()) : k.whole(name, 1, names.size()));
     }
 
     private static List<String> known(Keys k, String name, List<String> names) {
--- a/src/main/java/pepperdock/lab/fleet/Seeds.java
+++ b/src/main/java/pepperdock/lab/fleet/Seeds.java
@@ -19,19 +19,34 @@
 
     /** What is left out of membership, to see its worth. */
     public enum Arm {
-        FULL, NO_SELF_DOUBT, ONE_OBSERVER, PLAIN;
+        FULL,
+        NO_SELF_DOUBT,
+        ONE_OBSERVER,
+        PLAIN;
 
         Settings of(Settings s) {
             boolean one = this == ONE_OBSERVER || this == PLAIN;
-            return new Settings(s.probeS(), s.doubtS(), s.confirmS(), s.observers(), one ? 0.01 : s.high(), one ? 1 : s.low(),
-                    s.helpers(), s.slowS(), s.syncS(), s.forgetS(), s.datagramsPerS(), s.bytesPerS(), s.membersMost(),
+            return new Settings(
+                    s.probeS(),
+                    s.doubtS(),
+                    s.confirmS(),
+                    s.observers(),
+                    one ? 0.01 : s.high(),
+                    one ? 1 : s.low(),
+                    s.helpers(),
+                    s.slowS(),
+                    s.syncS(),
+                    s.forgetS(),
+                    s.datagramsPerS(),
+                    s.bytesPerS(),
+                    s.membersMost(),
                     this == FULL || this == ONE_OBSERVER);
         }
     }
 
-    private record Run(long seed, List<String> findings, MemberFigures figures) { }
+    private record Run(long seed, List<String> findings, MemberFigures figures) {}
 
-    private Seeds() { }
+    private Seeds() {}
 
     /** Plays so many seeds from the first on; {@code members} goes before the script's own count where it is above 0. */
     public static Outcome run(Path file, long first, int count, int members, Arm arm, int threads)
@@ -46,7 +61,9 @@
                 runs.add(pool.submit(() -> {
                     Checkers judge = new Checkers(drawn.checkers());
                     String unmet = new Sim(drawn, settings, judge::see).play(judge);
-                    List<String> findings = new ArrayList<>(judge.findings(true).stream().map(Checker.Finding::what).toList());
+                    List<String> findings = new ArrayList<>(judge.findings(true).stream()
+                            .map(Checker.Finding::what)
+                            .toList());
                     if (unmet != null) {
                         findings.add(unmet);
                     }
@@ -65,8 +82,14 @@
                 r.findings().stream().limit(2).forEach(x -> findings.add("seed " + r.seed() + ": " + x));
             }
             List<String> figures = new ArrayList<>();
-            figures.add(String.format(Locale.ROOT, "%d seeds from %d, %d members, arm %s: %d failed", count, first,
-                    script.names().size(), arm.name().toLowerCase(Locale.ROOT), failed));
+            figures.add(String.format(
+                    Locale.ROOT,
+                    "%d seeds from %d, %d members, arm %s: %d failed",
+                    count,
+                    first,
+                    script.names().size(),
+                    arm.name().toLowerCase(Locale.ROOT),
+                    failed));
             figures.addAll(all.lines());
             return new Outcome(true, findings, figures, 0);
         } catch (ExecutionException e) {
--- a/src/main/java/pepperdock/lab/fleet/Sim.java
+++ b/src/main/java/pepperdock/lab/fleet/Sim.java
@@ -37,7 +37,7 @@
     /** What a stopped process's socket holds; more is lost, as in a kernel. */
     private static final int HELD_MOST = 500;
 
-    private record Due(double at, long no, Runnable task) { }
+    private record Due(double at, long no, Runnable task) {}
 
     /** A process. */
     private final class Node {
@@ -51,6 +51,7 @@
         private double countedAt;
         /** Its clock: as fast as ours within a thousandth, and begun whenever. */
         private double clockAhead = 1e6 * chance.nextDouble();
+
         private final double clockRate = 1 + 0.002 * (chance.nextDouble() - 0.5);
         private final Deque<Runnable> held = new ArrayDeque<>();
         private final Events events;
@@ -101,7 +102,6 @@
             }
             MemberEvents.told(events, all);
         }
-
     }
 
     private final Script script;
@@ -110,7 +110,8 @@
     private final Random chance;
     private final Links links = new Links();
     private final Map<String, Node> nodes = new LinkedHashMap<>();
-    private final PriorityQueue<Due> queue = new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::no));
+    private final PriorityQueue<Due> queue =
+            new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::no));
     private final Map<String, Node> addresses = new HashMap<>();
     private long count;
     private double now;
@@ -153,22 +154,27 @@
             return;
         }
         for (double in : links.on(new Pair(from.name, to.name)).fate(chance)) {
-            at(now + LEAST_S + SPREAD_S * chance.nextDouble() + in, () -> to.on(() -> to.machine.received(s.message(), to.clock())));
+            at(
+                    now + LEAST_S + SPREAD_S * chance.nextDouble() + in,
+                    () -> to.on(() -> to.machine.received(s.message(), to.clock())));
         }
     }
 
     /** One message of a stream; the answer goes back the same way. A stream that stands is given up. */
     private void stream(Node from, Node to, Message m) {
         Pair way = new Pair(from.name, to.name);
-        if (links.on(way).streamStands() || links.on(new Pair(to.name, from.name)).streamStands()) {
+        if (links.on(way).streamStands()
+                || links.on(new Pair(to.name, from.name)).streamStands()) {
             return;
         }
-        at(now + LEAST_S + SPREAD_S * chance.nextDouble() + links.on(way).delay(), () -> to.on(() -> {
-            Message back = to.machine.exchanged(m, to.clock());
-            if (back != null) {
-                stream(to, from, back);
-            }
-        }));
+        at(
+                now + LEAST_S + SPREAD_S * chance.nextDouble() + links.on(way).delay(),
+                () -> to.on(() -> {
+                    Message back = to.machine.exchanged(m, to.clock());
+                    if (back != null) {
+                        stream(to, from, back);
+                    }
+                }));
     }
 
     private void start(List<String> names, String folder) {
@@ -185,10 +191,20 @@
             n.life++;
             n.machine = null;
             int number = Relay.number(name);
-            Card card = new Card(script.named(name), chance.nextLong(), 0, Status.HERE, n.address,
-                    script.zones().get((number - 1) % script.zones().size()), "m" + ((number - 1) % script.machines() + 1));
-            List<String> seeds = script.names().subList(0, Math.min(3, script.names().size())).stream()
-                    .map(s -> nodes.get(s).address).toList();
+            Card card = new Card(
+                    script.named(name),
+                    chance.nextLong(),
+                    0,
+                    Status.HERE,
+                    n.address,
+                    script.zones().get((number - 1) % script.zones().size()),
+                    "m" + ((number - 1) % script.machines() + 1));
+            List<String> seeds = script
+                    .names()
+                    .subList(0, Math.min(3, script.names().size()))
+                    .stream()
+                    .map(s -> nodes.get(s).address)
+                    .toList();
             // A start takes a while, and never the same.
             double begins = now + 0.3 + 0.2 * chance.nextDouble();
             long life = n.life;
@@ -199,7 +215,7 @@
                     n.countedAt = now;
                     MemberEvents.begins(n.events, card, settings);
                     n.events.tell("ready");
-                    n.on(() -> { });
+                    n.on(() -> {});
                     ticks(n, life);
                 }
             });
@@ -220,7 +236,15 @@
             n.on(() -> n.machine.tick(n.clock()));
             if (now - n.countedAt >= 1) {
                 long[] c = n.machine.counts();
-                rig("traffic", "member", n.name, "over_s", now - n.countedAt, "datagrams", c[0] - n.counted[0], "bytes",
+                rig(
+                        "traffic",
+                        "member",
+                        n.name,
+                        "over_s",
+                        now - n.countedAt,
+                        "datagrams",
+                        c[0] - n.counted[0],
+                        "bytes",
                         c[1] - n.counted[1]);
                 n.counted = c;
                 n.countedAt = now;
@@ -262,8 +286,16 @@
 
     private void step(Timetable.Step step) {
         if (step instanceof Timetable.On on) {
-            rig("fault on", "number", on.number(), "kind", on.fault().kind().name().toLowerCase(Locale.ROOT),
-                    "amount", on.fault().amount(), "links", Links.text(on.fault().pairs()));
+            rig(
+                    "fault on",
+                    "number",
+                    on.number(),
+                    "kind",
+                    on.fault().kind().name().toLowerCase(Locale.ROOT),
+                    "amount",
+                    on.fault().amount(),
+                    "links",
+                    Links.text(on.fault().pairs()));
             links.on(on.number(), on.fault());
         } else if (step instanceof Timetable.Off off) {
             rig("fault off", "number", off.number());
@@ -280,7 +312,13 @@
 
     /** Plays all; returns what was never reached, in words, or null. */
     String play(Checkers judge) {
-        rig("script", "seed", script.seed(), "members", String.join(",", script.names()), "checkers",
+        rig(
+                "script",
+                "seed",
+                script.seed(),
+                "members",
+                String.join(",", script.names()),
+                "checkers",
                 String.join(",", script.checkers()));
         start(script.names(), "kept");
         for (Timetable.Phase phase : Timetable.of(script).phases()) {
@@ -289,7 +327,8 @@
                 run(base + t.at());
                 step(t.step());
             }
-            Script.Await then = phase.then() != null ? phase.then()
+            Script.Await then = phase.then() != null
+                    ? phase.then()
                     : new Script.Await("settled", new Script.Whom(script.names(), 0));
             Set<String> whom = Set.copyOf(then.whom().names());
             double until = Math.min(now + script.settleS(), script.mostS());
--- a/src/main/java/pepperdock/lab/fleet/Timetable.java
+++ b/src/main/java/pepperdock/lab/fleet/Timetable.java
@@ -20,36 +20,43 @@
 record Timetable(List<Phase> phases) {
 
     /** Kinds that a {@code drawn} act may take. */
-    static final List<String> DRAWN = List.of("stop", "kill", "lost", "cut", "one-way", "loss", "delay", "partition", "reset");
+    static final List<String> DRAWN =
+            List.of("stop", "kill", "lost", "cut", "one-way", "loss", "delay", "partition", "reset");
+
     private static final double DRAWN_LOSS = 0.3;
     private static final double DRAWN_DELAY_S = 0.2;
 
     /** What is awaited is null at the end of the last phase, where the rig awaits what its checkers want. */
-    record Phase(List<Timed> steps, Script.Await then) { }
+    record Phase(List<Timed> steps, Script.Await then) {}
 
     /** Seconds from the start of the phase. */
-    record Timed(double at, Step step) { }
+    record Timed(double at, Step step) {}
 
-    sealed interface Step permits On, Off, Cut, Signal, Start, Disk, Clock { }
+    sealed interface Step permits On, Off, Cut, Signal, Start, Disk, Clock {}
 
     /** Fault number so-and-so begins. */
-    record On(int number, Links.Fault fault) implements Step { }
+    record On(int number, Links.Fault fault) implements Step {}
 
-    record Off(int number) implements Step { }
+    record Off(int number) implements Step {}
 
     /** Streams on these pairs are reset. */
-    record Cut(Set<Pair> pairs) implements Step { }
+    record Cut(Set<Pair> pairs) implements Step {}
 
-    enum Sent { STOP, CONT, KILL, TERM }
+    enum Sent {
+        STOP,
+        CONT,
+        KILL,
+        TERM
+    }
 
-    record Signal(Sent what, List<String> members) implements Step { }
+    record Signal(Sent what, List<String> members) implements Step {}
 
-    record Start(List<String> members, boolean emptyFolder, boolean newPorts) implements Step { }
+    record Start(List<String> members, boolean emptyFolder, boolean newPorts) implements Step {}
 
     /** What is with these members' disks from now on, as {@link FaultyDisk} reads it; empty where nothing is. */
-    record Disk(List<String> members, String is) implements Step { }
+    record Disk(List<String> members, String is) implements Step {}
 
-    record Clock(List<String> members, double byS) implements Step { }
+    record Clock(List<String> members, double byS) implements Step {}
 
     boolean any(Class<? extends Step> kind) {
         return phases.stream().flatMap(p -> p.steps().stream()).anyMatch(s -> kind.isInstance(s.step()));
@@ -61,8 +68,11 @@
         List<Phase> phases = new ArrayList<>();
         for (Act act : script.acts()) {
             if (act instanceof Script.Await await) {
-                phases.add(new Phase(writer.taken(), new Script.Await(await.condition(),
-                        new Whom(await.whom() == Whom.ALL ? script.names() : writer.drawn(await.whom()), 0))));
+                phases.add(new Phase(
+                        writer.taken(),
+                        new Script.Await(
+                                await.condition(),
+                                new Whom(await.whom() == Whom.ALL ? script.names() : writer.drawn(await.whom()), 0))));
             } else {
                 writer.add(act);
             }
@@ -119,8 +129,12 @@
 
         private void add(Act act) {
             if (act instanceof Script.OnLinks a) {
-                fault(a.at(), a.lastS(), a.flipS(), new Links.Fault(a.kind(),
-                        pairs(drawn(a.from()), drawn(a.to()), a.both()), a.amount(), a.spread()));
+                fault(
+                        a.at(),
+                        a.lastS(),
+                        a.flipS(),
+                        new Links.Fault(
+                                a.kind(), pairs(drawn(a.from()), drawn(a.to()), a.both()), a.amount(), a.spread()));
             } else if (act instanceof Script.Reset r) {
                 steps.add(new Timed(r.at(), new Cut(pairs(drawn(r.from()), drawn(r.to()), r.both()))));
             } else if (act instanceof Script.Heal h) {
@@ -217,7 +231,8 @@
             double[] freeAt = new double[names.size()];
             for (double t = d.at(); t < d.at() + d.forS(); t += d.everyS()) {
                 String kind = d.kinds().get(chance.nextInt(d.kinds().size()));
-                double last = Math.min(d.leastS() + chance.nextDouble() * (d.mostS() - d.leastS()), d.at() + d.forS() - t);
+                double last =
+                        Math.min(d.leastS() + chance.nextDouble() * (d.mostS() - d.leastS()), d.at() + d.forS() - t);
                 int count = 1 + chance.nextInt(Math.min(d.mostMembers(), names.size()));
                 List<String> whom = new ArrayList<>();
                 for (String m : some(names.size())) {
@@ -239,16 +254,38 @@
                             freeAt[names.indexOf(m)] = t + last;
                         }
                         if (!whom.isEmpty()) {
-                            befall(t, new Script.OnProcesses(t, kind.equals("stop") ? What.STOP : What.KILL, Whom.ALL, last,
-                                    0, kind.equals("lost"), false), List.copyOf(whom));
+                            befall(
+                                    t,
+                                    new Script.OnProcesses(
+                                            t,
+                                            kind.equals("stop") ? What.STOP : What.KILL,
+                                            Whom.ALL,
+                                            last,
+                                            0,
+                                            kind.equals("lost"),
+                                            false),
+                                    List.copyOf(whom));
                         }
                     }
                     case "cut" -> fault(t, last, 0, new Links.Fault(Kind.CUT, pairs(whom, names, true), 0, 0));
-                    case "one-way" -> fault(t, last, 0, new Links.Fault(Kind.CUT, chance.nextBoolean()
-                            ? pairs(whom, names, false) : pairs(names, whom, false), 0, 0));
-                    case "loss" -> fault(t, last, 0, new Links.Fault(Kind.LOSS, pairs(names, names, false), DRAWN_LOSS, 0));
-                    case "delay" -> fault(t, last, 0, new Links.Fault(Kind.DELAY, pairs(whom, names, true), DRAWN_DELAY_S,
-                            DRAWN_DELAY_S));
+                    case "one-way" ->
+                        fault(
+                                t,
+                                last,
+                                0,
+                                new Links.Fault(
+                                        Kind.CUT,
+                                        chance.nextBoolean() ? pairs(whom, names, false) : pairs(names, whom, false),
+                                        0,
+                                        0));
+                    case "loss" ->
+                        fault(t, last, 0, new Links.Fault(Kind.LOSS, pairs(names, names, false), DRAWN_LOSS, 0));
+                    case "delay" ->
+                        fault(
+                                t,
+                                last,
+                                0,
+                                new Links.Fault(Kind.DELAY, pairs(whom, names, true), DRAWN_DELAY_S, DRAWN_DELAY_S));
                     case "partition" -> partition(new Script.Partition(t, List.of(), 2, last, 0));
                     case "reset" -> steps.add(new Timed(t, new Cut(pairs(whom, names, true))));
                     default -> throw new IllegalArgumentException(kind);
--- a/src/main/java/pepperdock/lab/keepers/Disk.java
+++ b/src/main/java/pepperdock/lab/keepers/Disk.java
@@ -70,6 +70,8 @@
     }
 
     long lastIndex() {
-        return entries.isEmpty() ? snapshot.index() : Math.max(snapshot.index(), entries.get(entries.size() - 1).index());
+        return entries.isEmpty()
+                ? snapshot.index()
+                : Math.max(snapshot.index(), entries.get(entries.size() - 1).index());
     }
 }
--- a/src/main/java/pepperdock/lab/keepers/Explorer.java
+++ b/src/main/java/pepperdock/lab/keepers/Explorer.java
@@ -13,19 +13,68 @@
     /** How often each kind of step comes, as parts of the sum of all. */
     public enum Mix {
         /** A bit of everything. */
-        ALL(Map.ofEntries(Map.entry(Step.Kind.TICK, 90), Map.entry(Step.Kind.DELIVER, 500), Map.entry(Step.Kind.SYNC, 250),
-                Map.entry(Step.Kind.DROP, 12), Map.entry(Step.Kind.TWICE, 12), Map.entry(Step.Kind.PROPOSE, 150),
-                Map.entry(Step.Kind.READ, 30), Map.entry(Step.Kind.COMPACT, 8), Map.entry(Step.Kind.CRASH, 3),
-                Map.entry(Step.Kind.START, 20), Map.entry(Step.Kind.LOSE, 1), Map.entry(Step.Kind.FAIL, 1),
-                Map.entry(Step.Kind.CUT, 4), Map.entry(Step.Kind.HEAL, 4), Map.entry(Step.Kind.TRANSFER, 3),
-                Map.entry(Step.Kind.ADD, 8), Map.entry(Step.Kind.PROMOTE, 8), Map.entry(Step.Kind.REMOVE, 3),
-                Map.entry(Step.Kind.CALM, 40), Map.entry(Step.Kind.HASTE, 12), Map.entry(Step.Kind.AGAIN, 12))),
+        ALL(Map.ofEntries(
+                Map.entry(Step.Kind.TICK, 90),
+                Map.entry(Step.Kind.DELIVER, 500),
+                Map.entry(Step.Kind.SYNC, 250),
+                Map.entry(Step.Kind.DROP, 12),
+                Map.entry(Step.Kind.TWICE, 12),
+                Map.entry(Step.Kind.PROPOSE, 150),
+                Map.entry(Step.Kind.READ, 30),
+                Map.entry(Step.Kind.COMPACT, 8),
+                Map.entry(Step.Kind.CRASH, 3),
+                Map.entry(Step.Kind.START, 20),
+                Map.entry(Step.Kind.LOSE, 1),
+                Map.entry(Step.Kind.FAIL, 1),
+                Map.entry(Step.Kind.CUT, 4),
+                Map.entry(Step.Kind.HEAL, 4),
+                Map.entry(Step.Kind.TRANSFER, 3),
+                Map.entry(Step.Kind.ADD, 8),
+                Map.entry(Step.Kind.PROMOTE, 8),
+                Map.entry(Step.Kind.REMOVE, 3),
+                Map.entry(Step.Kind.CALM, 40),
+                Map.entry(Step.Kind.HASTE, 12),
+                Map.entry(Step.Kind.AGAIN, 12))),
         /** One leader after the other, most of whom don't get far. */
-        ELECTIONS(Map.of(Step.Kind.HASTE, 10, Step.Kind.DELIVER, 60, Step.Kind.SYNC, 50, Step.Kind.DROP, 20, Step.Kind.AGAIN, 6,
-                Step.Kind.CRASH, 3, Step.Kind.START, 6, Step.Kind.TICK, 4)),
+        ELECTIONS(Map.of(
+                Step.Kind.HASTE,
+                10,
+                Step.Kind.DELIVER,
+                60,
+                Step.Kind.SYNC,
+                50,
+                Step.Kind.DROP,
+                20,
+                Step.Kind.AGAIN,
+                6,
+                Step.Kind.CRASH,
+                3,
+                Step.Kind.START,
+                6,
+                Step.Kind.TICK,
+                4)),
         /** Peers that fall behind what is kept, and answers that come late. */
-        SNAPSHOTS(Map.of(Step.Kind.PROPOSE, 60, Step.Kind.DELIVER, 100, Step.Kind.SYNC, 60, Step.Kind.DROP, 30, Step.Kind.TWICE, 10,
-                Step.Kind.COMPACT, 30, Step.Kind.TICK, 60, Step.Kind.HASTE, 1, Step.Kind.CALM, 6, Step.Kind.AGAIN, 2));
+        SNAPSHOTS(Map.of(
+                Step.Kind.PROPOSE,
+                60,
+                Step.Kind.DELIVER,
+                100,
+                Step.Kind.SYNC,
+                60,
+                Step.Kind.DROP,
+                30,
+                Step.Kind.TWICE,
+                10,
+                Step.Kind.COMPACT,
+                30,
+                Step.Kind.TICK,
+                60,
+                Step.Kind.HASTE,
+                1,
+                Step.Kind.CALM,
+                6,
+                Step.Kind.AGAIN,
+                2));
 
         private final EnumMap<Step.Kind, Integer> parts;
         private final int sum;
@@ -51,7 +100,7 @@
     private static final int SHORTER_TRIES = 4000;
 
     /** What a walk found, empty where nothing; its steps up to there; and what it saw. */
-    public record Walk(long seed, List<String> found, List<Step> steps, long[] counts) { }
+    public record Walk(long seed, List<String> found, List<Step> steps, long[] counts) {}
 
     private final LongFunction<World> worlds;
     private final Mix mix;
@@ -93,9 +142,12 @@
         Walk best = failing;
         int tries = 0;
         for (int part = best.steps().size() / 2; part >= 1; part /= 2) {
-            for (int from = 0; from < best.steps().size() && tries < SHORTER_TRIES;) {
+            for (int from = 0; from < best.steps().size() && tries < SHORTER_TRIES; ) {
                 List<Step> rest = new ArrayList<>(best.steps().subList(0, from));
-                rest.addAll(best.steps().subList(Math.min(from + part, best.steps().size()), best.steps().size()));
+                rest.addAll(best.steps()
+                        .subList(
+                                Math.min(from + part, best.steps().size()),
+                                best.steps().size()));
                 Walk w = play(best.seed(), rest);
                 tries++;
                 if (w.found().isEmpty()) {
--- a/src/main/java/pepperdock/lab/keepers/Step.java
+++ b/src/main/java/pepperdock/lab/keepers/Step.java
@@ -8,7 +8,24 @@
 
     /** What happens; {@code a} says to whom, {@code b} what of it. */
     public enum Kind {
-        TICK, DELIVER, DROP, TWICE, SYNC, PROPOSE, READ, COMPACT, CRASH, START, LOSE, FAIL, CUT, HEAL, TRANSFER, ADD, PROMOTE, REMOVE,
+        TICK,
+        DELIVER,
+        DROP,
+        TWICE,
+        SYNC,
+        PROPOSE,
+        READ,
+        COMPACT,
+        CRASH,
+        START,
+        LOSE,
+        FAIL,
+        CUT,
+        HEAL,
+        TRANSFER,
+        ADD,
+        PROMOTE,
+        REMOVE,
         /** Everybody ticks once, and all that is under way arrives and is synced. */
         CALM,
         /** One ticks as often as it takes to lose its patience. */
--- a/src/main/java/pepperdock/lab/keepers/World.java
+++ b/src/main/java/pepperdock/lab/keepers/World.java
@@ -41,6 +41,7 @@
         Raft raft;
         /** Its own fold over what it applied, and how far that goes. */
         long state;
+
         long applied;
 
         Slot(int number, Disk disk, long id) {
@@ -50,9 +51,9 @@
         }
     }
 
-    private record OnTheWay(long from, long to, Message message) { }
+    private record OnTheWay(long from, long to, Message message) {}
 
-    private record Applied(long term, long state) { }
+    private record Applied(long term, long state) {}
 
     private final Settings settings;
     private final Random seeds;
@@ -81,7 +82,8 @@
             first = first.with(new Peer(nextId + i, "k" + (i + 1), "", true));
         }
         for (int i = 0; i < slots; i++) {
-            Saved begins = i >= voters ? Saved.NOTHING
+            Saved begins = i >= voters
+                    ? Saved.NOTHING
                     : new Saved(Saved.NOTHING.hard(), new Snapshot(0, 0, first, bytes(0)), List.of());
             this.slots.add(new Slot(i, new Disk(begins), nextId++));
         }
@@ -185,7 +187,8 @@
 
     private boolean snapshotBehind(Slot slot) {
         return slot.disk.saved().snapshot().index() < slot.applied
-                && slot.disk.open.stream().noneMatch(w -> w.snapshot() != null && w.snapshot().index() >= slot.applied);
+                && slot.disk.open.stream()
+                        .noneMatch(w -> w.snapshot() != null && w.snapshot().index() >= slot.applied);
     }
 
     private void change(Raft raft, Step s) {
@@ -197,11 +200,16 @@
                     raft.change(now.with(new Peer(other.id, "k", "", false)));
                 }
             }
-            case PROMOTE -> now.all().stream().filter(p -> !p.votes()).findFirst()
-                    .ifPresent(p -> raft.change(now.with(new Peer(p.id(), p.name(), p.address(), true))));
+            case PROMOTE ->
+                now.all().stream()
+                        .filter(p -> !p.votes())
+                        .findFirst()
+                        .ifPresent(p -> raft.change(now.with(new Peer(p.id(), p.name(), p.address(), true))));
             case REMOVE -> {
                 if (now.all().size() > 1) {
-                    raft.change(now.without(now.all().get(Math.floorMod(s.b(), now.all().size())).id()));
+                    raft.change(now.without(now.all()
+                            .get(Math.floorMod(s.b(), now.all().size()))
+                            .id()));
                 }
             }
             default -> throw new IllegalArgumentException(s.toString());
@@ -229,7 +237,9 @@
      */
     boolean pass(Step.Kind how, int from, int to, Class<? extends Message> kind, Predicate<Message> which) {
         for (OnTheWay m : way) {
-            if (m.from() == slots.get(from).id && m.to() == slots.get(to).id && kind.isInstance(m.message())
+            if (m.from() == slots.get(from).id
+                    && m.to() == slots.get(to).id
+                    && kind.isInstance(m.message())
                     && which.test(m.message())) {
                 deliver(new Step(how, way.indexOf(m), 0));
                 return true;
@@ -250,7 +260,9 @@
         Saved saved = found(slot.disk.saved());
         slot.raft = machine(slot.id, settings, saved, seeds.nextLong());
         slot.applied = saved.snapshot().index();
-        slot.state = saved.snapshot().state().length == 0 ? 0 : ByteBuffer.wrap(saved.snapshot().state()).getLong();
+        slot.state = saved.snapshot().state().length == 0
+                ? 0
+                : ByteBuffer.wrap(saved.snapshot().state()).getLong();
         after(slot);
     }
 
@@ -288,7 +300,9 @@
                 slot.applied = r.snapshot().index();
                 slot.state = ByteBuffer.wrap(r.snapshot().state()).getLong();
                 Applied known = applied.get(slot.applied);
-                if (known == null || known.state() != slot.state || known.term() != r.snapshot().term()) {
+                if (known == null
+                        || known.state() != slot.state
+                        || known.term() != r.snapshot().term()) {
                     found.add("a snapshot of " + slot.applied + " that is not what was applied");
                 }
             } else if (o instanceof Output.Role r) {
@@ -328,7 +342,9 @@
                 found.add(slot.id + " has voted in term " + v.term() + ", of which its disk does not know");
             }
         }
-        if (send.message() instanceof Message.Appended a && a.ok() && a.term() == slot.raft.term()
+        if (send.message() instanceof Message.Appended a
+                && a.ok()
+                && a.term() == slot.raft.term()
                 && slot.disk.lastIndex() < a.index()) {
             found.add(slot.id + " says that it holds " + a.index() + ", and its disk holds " + slot.disk.lastIndex());
         }
@@ -336,7 +352,8 @@
 
     private void wrote(Slot slot, Output.Write w) {
         for (Entry e : w.entries()) {
-            int sum = java.util.Arrays.hashCode(e.data()) * 31 + (e.members() == null ? 0 : e.members().hashCode());
+            int sum = java.util.Arrays.hashCode(e.data()) * 31
+                    + (e.members() == null ? 0 : e.members().hashCode());
             long before = slot.raft.termAt(e.index() - 1);
             if (before >= 0) {
                 Integer known = entries.putIfAbsent(List.of(e.index(), e.term(), before), sum);
@@ -345,7 +362,9 @@
                 }
             }
             if (e.members() != null && e.term() == slot.raft.term() && slot.raft.standing() == Standing.LEADER) {
-                long unsettled = w.entries().stream().filter(x -> x.members() != null && x.index() > slot.raft.commit()).count();
+                long unsettled = w.entries().stream()
+                        .filter(x -> x.members() != null && x.index() > slot.raft.commit())
+                        .count();
                 if (unsettled > 1 || !settledBefore(slot, e.index())) {
                     found.add("two changes of members at once, the second at " + e.index());
                 }
@@ -355,10 +374,14 @@
 
     /** Whether no other entry that changes members lies between what is committed and this one. */
     private boolean settledBefore(Slot slot, long index) {
-        return slot.disk.saved().entries().stream().noneMatch(x -> x.members() != null && x.index() > slot.raft.commit()
-                && x.index() < index) && slot.disk.open.stream().flatMap(w -> w.entries().stream()).noneMatch(x ->
-                x.members() != null && x.index() > slot.raft.commit() && x.index() < index
-                        && slot.raft.termAt(x.index()) == x.term());
+        return slot.disk.saved().entries().stream()
+                        .noneMatch(x -> x.members() != null && x.index() > slot.raft.commit() && x.index() < index)
+                && slot.disk.open.stream()
+                        .flatMap(w -> w.entries().stream())
+                        .noneMatch(x -> x.members() != null
+                                && x.index() > slot.raft.commit()
+                                && x.index() < index
+                                && slot.raft.termAt(x.index()) == x.term());
     }
 
     private void applied(Slot slot, Entry e) {
@@ -366,11 +389,12 @@
             found.add(slot.id + " applied " + e.index() + " after " + slot.applied);
         }
         slot.applied = e.index();
-        slot.state = slot.state * 31 + (e.data().length == 0 ? e.term() : ByteBuffer.wrap(e.data()).getLong());
+        slot.state = slot.state * 31
+                + (e.data().length == 0 ? e.term() : ByteBuffer.wrap(e.data()).getLong());
         Applied known = applied.putIfAbsent(e.index(), new Applied(e.term(), slot.state));
         if (known != null && (known.term() != e.term() || known.state() != slot.state)) {
-            found.add(slot.id + " applied an entry of term " + e.term() + " at " + e.index() + ", where another of term "
-                    + known.term() + " was applied");
+            found.add(slot.id + " applied an entry of term " + e.term() + " at " + e.index()
+                    + ", where another of term " + known.term() + " was applied");
         }
     }
 
@@ -422,7 +446,10 @@
         for (int r = 0; r < rounds; r++) {
             calm();
         }
-        Slot leader = slots.stream().filter(s -> s.raft.standing() == Standing.LEADER).findFirst().orElse(null);
+        Slot leader = slots.stream()
+                .filter(s -> s.raft.standing() == Standing.LEADER)
+                .findFirst()
+                .orElse(null);
         if (leader == null) {
             if (electable()) {
                 found.add("nobody leads in the end, though a majority is there");
@@ -430,7 +457,9 @@
             return;
         }
         for (Slot s : slots) {
-            if (leader.raft.members().of(s.id) != null && s.raft.standing() != Standing.MUTE && s.applied != leader.applied) {
+            if (leader.raft.members().of(s.id) != null
+                    && s.raft.standing() != Standing.MUTE
+                    && s.applied != leader.applied) {
                 found.add(s.id + " has applied up to " + s.applied + " in the end, its leader up to " + leader.applied);
             }
         }
@@ -443,10 +472,13 @@
     private boolean electable() {
         Set<Long> sound = new HashSet<>();
         slots.stream().filter(s -> s.raft.standing() != Standing.MUTE).forEach(s -> sound.add(s.id));
-        return slots.stream().filter(s -> sound.contains(s.id) && s.raft.members().votes(s.id)).anyMatch(s ->
-                s.raft.members().most(sound::contains) && slots.stream().filter(o -> sound.contains(o.id)).allMatch(o ->
-                        o.raft.lastTerm() < s.raft.lastTerm()
-                                || o.raft.lastTerm() == s.raft.lastTerm() && o.raft.last() <= s.raft.last()));
+        return slots.stream()
+                .filter(s -> sound.contains(s.id) && s.raft.members().votes(s.id))
+                .anyMatch(s -> s.raft.members().most(sound::contains)
+                        && slots.stream()
+                                .filter(o -> sound.contains(o.id))
+                                .allMatch(o -> o.raft.lastTerm() < s.raft.lastTerm()
+                                        || o.raft.lastTerm() == s.raft.lastTerm() && o.raft.last() <= s.raft.last()));
     }
 
     public List<String> found() {
--- a/src/main/java/pepperdock/members/Asked.java
+++ b/src/main/java/pepperdock/members/Asked.java
@@ -29,7 +29,7 @@
             throw new HttpException(405, "only GET");
         }
         reply.send(200, "application/json", "", json().toString().getBytes(StandardCharsets.UTF_8));
-        return () -> { };
+        return () -> {};
     }
 
     @Override
--- a/src/main/java/pepperdock/members/Codec.java
+++ b/src/main/java/pepperdock/members/Codec.java
@@ -30,6 +30,7 @@
     static final int VERSION = 1;
     /** Entries of a list that a stream may bring, and of one in a datagram. */
     private static final int LIST_MOST = 100_000;
+
     private static final int PING = 1;
     private static final int ACK = 2;
     private static final int OTHER = 3;
@@ -41,11 +42,17 @@
     private static final int CARD = 1;
     private static final int LINKS = 2;
     private static final Pattern NAME = Pattern.compile(Card.NAME);
-    private static final Pattern ADDRESS = Pattern.compile("([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[?[0-9A-Fa-f:.]{2,45}]?):[0-9]{1,5}");
-    private static final CBORFactory CBOR = CBORFactory.builder().streamReadConstraints(StreamReadConstraints.builder()
-            .maxNestingDepth(8).maxStringLength(256).maxNumberLength(32).build()).build();
+    private static final Pattern ADDRESS =
+            Pattern.compile("([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[?[0-9A-Fa-f:.]{2,45}]?):[0-9]{1,5}");
+    private static final CBORFactory CBOR = CBORFactory.builder()
+            .streamReadConstraints(StreamReadConstraints.builder()
+                    .maxNestingDepth(8)
+                    .maxStringLength(256)
+                    .maxNumberLength(32)
+                    .build())
+            .build();
 
-    private Codec() { }
+    private Codec() {}
 
     /** Whether it can be announced to others. */
     static boolean address(String text) {
@@ -234,7 +241,8 @@
                     throw new IllegalArgumentException("no kind of item");
                 }
                 switch (p.getIntValue()) {
-                    case CARD -> items.add(new Card(name(), whole(), count(), one(Status.values()), address(), name(), name()));
+                    case CARD ->
+                        items.add(new Card(name(), whole(), count(), one(Status.values()), address(), name(), name()));
                     case LINKS -> items.add(new Links(name(), whole(), count(), truth(), said()));
                     default -> throw new IllegalArgumentException("kind of item");
                 }
@@ -289,7 +297,8 @@
         }
 
         private String current(Pattern like) throws IOException {
-            if (p.currentToken() != JsonToken.VALUE_STRING || !like.matcher(p.getText()).matches()) {
+            if (p.currentToken() != JsonToken.VALUE_STRING
+                    || !like.matcher(p.getText()).matches()) {
                 throw new IllegalArgumentException("a text not as it should be");
             }
             return p.getText();
--- a/src/main/java/pepperdock/members/MemberEvents.java
+++ b/src/main/java/pepperdock/members/MemberEvents.java
@@ -10,12 +10,22 @@
 /** What the membership tells, as events; the same words from a real process and from simulated time. */
 public final class MemberEvents {
 
-    private MemberEvents() { }
+    private MemberEvents() {}
 
     /** A process begins, with this budget. */
     public static void begins(Events events, Card self, Settings settings) {
-        events.tell("life", "name", self.name(), "life", Long.toHexString(self.life()), "datagrams_per_s",
-                settings.datagramsPerS(), "bytes_per_s", settings.bytesPerS(), "bears_s", settings.pauseS());
+        events.tell(
+                "life",
+                "name",
+                self.name(),
+                "life",
+                Long.toHexString(self.life()),
+                "datagrams_per_s",
+                settings.datagramsPerS(),
+                "bytes_per_s",
+                settings.bytesPerS(),
+                "bears_s",
+                settings.pauseS());
     }
 
     /** All that came at once has been told: what now stands is a view, what stood between two changes of it is none. */
@@ -29,8 +39,22 @@
     public static void tell(Events events, Output o) {
         if (o instanceof Output.Changed c) {
             View.Change x = c.change();
-            events.tell("change", "no", x.number(), "name", x.name(), "life", Long.toHexString(x.life()), "incarnation",
-                    x.incarnation(), "from", x.from() == null ? "" : x.from(), "to", x.to(), "why", x.why());
+            events.tell(
+                    "change",
+                    "no",
+                    x.number(),
+                    "name",
+                    x.name(),
+                    "life",
+                    Long.toHexString(x.life()),
+                    "incarnation",
+                    x.incarnation(),
+                    "from",
+                    x.from() == null ? "" : x.from(),
+                    "to",
+                    x.to(),
+                    "why",
+                    x.why());
         } else if (o instanceof Output.Sure s) {
             events.tell("sure", "sure", s.sure(), "reached", s.reached(), "fleet", s.fleet());
         } else if (o instanceof Output.Noted n) {
--- a/src/main/java/pepperdock/members/Members.java
+++ b/src/main/java/pepperdock/members/Members.java
@@ -69,8 +69,10 @@
         this.events = events;
         SecureRandom random = new SecureRandom();
         String address = Config.text(config.address());
-        Card self = new Card(config.name(), random.nextLong(), 0, Status.HERE, address, config.zone(), config.machine());
-        machine = new Membership(config.settings(), config.fleet(), self, config.seeds(), random.nextLong(), loop.now());
+        Card self =
+                new Card(config.name(), random.nextLong(), 0, Status.HERE, address, config.zone(), config.machine());
+        machine =
+                new Membership(config.settings(), config.fleet(), self, config.seeds(), random.nextLong(), loop.now());
         notes = new LogBudget(LOG, loop, "messages of members not taken");
         datagrams = loop.datagrams(config.address(), this::datagram);
         loop.listen(config.address(), () -> begun && streams < STREAMS_MOST, Exchange::new);
@@ -149,19 +151,37 @@
     private void log(Output o) {
         if (o instanceof Output.Changed c) {
             View.Change x = c.change();
-            LOG.log(x.to() == Standing.HERE || x.to() == Standing.LEFT ? System.Logger.Level.INFO : System.Logger.Level.WARNING,
-                    "member {0} {1}{2}", x.name(), words(x.to()), x.why().isEmpty() ? "" : ": " + x.why());
+            LOG.log(
+                    x.to() == Standing.HERE || x.to() == Standing.LEFT
+                            ? System.Logger.Level.INFO
+                            : System.Logger.Level.WARNING,
+                    "member {0} {1}{2}",
+                    x.name(),
+                    words(x.to()),
+                    x.why().isEmpty() ? "" : ": " + x.why());
         } else if (o instanceof Output.Sure s) {
-            LOG.log(s.sure() ? System.Logger.Level.INFO : System.Logger.Level.WARNING, s.sure()
-                    ? "reaching {0} of {1} members again" : "may be cut off: reaching {0} of {1} members, nobody is called gone",
-                    s.reached(), s.fleet());
+            LOG.log(
+                    s.sure() ? System.Logger.Level.INFO : System.Logger.Level.WARNING,
+                    s.sure()
+                            ? "reaching {0} of {1} members again"
+                            : "may be cut off: reaching {0} of {1} members, nobody is called gone",
+                    s.reached(),
+                    s.fleet());
         } else if (o instanceof Output.Noted n) {
             switch (n.what()) {
-                case "taken" -> LOG.log(System.Logger.Level.ERROR, "name {0} is used twice, by {1} too: this one stays out",
-                        config.name(), n.why());
-                case "claimed" -> LOG.log(System.Logger.Level.WARNING, "name {0} is this one''s again: {1}", config.name(), n.why());
-                case "paused" -> LOG.log(System.Logger.Level.WARNING, "was paused for {0} s, says nothing of others for a while",
-                        String.format(Locale.ROOT, "%.1f", n.amount()));
+                case "taken" ->
+                    LOG.log(
+                            System.Logger.Level.ERROR,
+                            "name {0} is used twice, by {1} too: this one stays out",
+                            config.name(),
+                            n.why());
+                case "claimed" ->
+                    LOG.log(System.Logger.Level.WARNING, "name {0} is this one''s again: {1}", config.name(), n.why());
+                case "paused" ->
+                    LOG.log(
+                            System.Logger.Level.WARNING,
+                            "was paused for {0} s, says nothing of others for a while",
+                            String.format(Locale.ROOT, "%.1f", n.amount()));
                 default -> LOG.log(System.Logger.Level.INFO, "{0}: {1}", n.what(), n.why());
             }
         }
--- a/src/main/java/pepperdock/membership/Gossip.java
+++ b/src/main/java/pepperdock/membership/Gossip.java
@@ -16,12 +16,14 @@
     private static final double ROUNDS = 3;
     /** Items looked at in vain for one datagram: those left are too large for what room is left. */
     private static final int MISFITS = 8;
+
     private static final int LEAST_ITEM = 48;
 
-    private record Key(String name, boolean card) { }
+    private record Key(String name, boolean card) {}
 
     /** By how often they were sent, each in the order in which they came there. */
     private final List<LinkedHashMap<Key, Item>> bySent = new ArrayList<>();
+
     private final Map<Key, Integer> sent = new HashMap<>();
 
     void add(Item item) {
@@ -56,7 +58,7 @@
         int misfits = 0;
         for (int times = 0; times < bySent.size() && left >= LEAST_ITEM && misfits < MISFITS; times++) {
             for (Iterator<Map.Entry<Key, Item>> i = bySent.get(times).entrySet().iterator();
-                    i.hasNext() && left >= LEAST_ITEM && misfits < MISFITS;) {
+                    i.hasNext() && left >= LEAST_ITEM && misfits < MISFITS; ) {
                 Map.Entry<Key, Item> e = i.next();
                 int size = e.getValue().size();
                 if (size > left) {
--- a/src/main/java/pepperdock/membership/Judge.java
+++ b/src/main/java/pepperdock/membership/Judge.java
@@ -19,6 +19,7 @@
 
     /** So many times {@code confirmS} a verdict waits for others that are half way. */
     private static final double WAIT = 3;
+
     private static final int RELAPSES_MOST = 3;
 
     /**
@@ -27,7 +28,7 @@
      * @param fleet those here, and those gone a short while ago
      * @param gone to be called gone, once enough of the others have been heard after this was so
      */
-    record Verdicts(boolean sure, int reached, int fleet, List<String> gone) { }
+    record Verdicts(boolean sure, int reached, int fleet, List<String> gone) {}
 
     private final Settings settings;
     private final Table table;
@@ -45,7 +46,9 @@
     private Set<String> unreachedBy(String subject, Set<String> observers) {
         Set<String> all = new HashSet<>();
         table.saidOf(subject).forEach((o, w) -> {
-            if (w == Word.UNREACHED && observers.contains(o) && !table.get(o).links().ill()) {
+            if (w == Word.UNREACHED
+                    && observers.contains(o)
+                    && !table.get(o).links().ill()) {
                 all.add(o);
             }
         });
@@ -152,6 +155,7 @@
 
     /** Longer for one that came back from gone in this life: it was called so wrongly before. */
     private double needed(String name) {
-        return settings.confirmS() * (1 << Math.min(RELAPSES_MOST, table.get(name).relapses()));
+        return settings.confirmS()
+                * (1 << Math.min(RELAPSES_MOST, table.get(name).relapses()));
     }
 }
--- a/src/main/java/pepperdock/membership/Links.java
+++ b/src/main/java/pepperdock/membership/Links.java
@@ -15,7 +15,7 @@
 public record Links(String name, long life, long revision, boolean ill, Map<String, Said> said) implements Item {
 
     /** Of which life of the subject, and what. */
-    public record Said(long life, Word word) { }
+    public record Said(long life, Word word) {}
 
     public Links {
         said = Map.copyOf(said);
@@ -31,6 +31,8 @@
 
     @Override
     public int size() {
-        return 32 + name.length() + said.keySet().stream().mapToInt(s -> 16 + s.length()).sum();
+        return 32
+                + name.length()
+                + said.keySet().stream().mapToInt(s -> 16 + s.length()).sum();
     }
 }
--- a/src/main/java/pepperdock/membership/Membership.java
+++ b/src/main/java/pepperdock/membership/Membership.java
@@ -34,14 +34,16 @@
 
     /** Numbers of pings sent for others, apart from those of our own. */
     private static final long ERRANDS = 1L << 40;
+
     private static final int ERRANDS_MOST = 256;
     private static final int LATE_MOST = 8;
     private static final double STRETCH = 0.25;
     /** Of the budget, what only answers may use. */
     private static final double RESERVE = 0.25;
+
     private static final int UDP_AND_IP = 28;
 
-    private record Errand(String asker, String subject, long life, long seq, double until) { }
+    private record Errand(String asker, String subject, long life, long seq, double until) {}
 
     private final Settings settings;
     private final String fleet;
@@ -62,16 +64,19 @@
     private boolean leaving;
     /** Has heard from another what is held of this name: until then whoever has it was there first. */
     private boolean joined;
+
     private long number;
     private long errand = ERRANDS;
     /** Whom the judge wants called gone, and since when just these. */
     private List<String> due = List.of();
+
     private double dueSince;
     private boolean sure = true;
     private int reached = 1;
     private int known = 1;
     /** The table's version when subjects were last looked up. */
     private long observedAt = -1;
+
     private double lastTick;
     private int late;
     private int onTime;
@@ -124,8 +129,16 @@
         List<View.Member> members = new ArrayList<>();
         for (Table.Entry e : table.all()) {
             Card c = e.card();
-            members.add(new View.Member(c.name(), c.zone(), c.machine(), c.address(), c.life(), c.incarnation(),
-                    standings.getOrDefault(c.name(), Standing.HERE), e.since(), Map.copyOf(table.saidOf(c.name()))));
+            members.add(new View.Member(
+                    c.name(),
+                    c.zone(),
+                    c.machine(),
+                    c.address(),
+                    c.life(),
+                    c.incarnation(),
+                    standings.getOrDefault(c.name(), Standing.HERE),
+                    e.since(),
+                    Map.copyOf(table.saidOf(c.name()))));
         }
         return new View(number, self.name(), sure, reached, known, rival == null ? "" : rival.address(), members);
     }
@@ -215,7 +228,9 @@
             nextSeed = now + settings.probeS() * (alone ? 2 : 20) * (0.75 + chance.nextDouble() / 2);
             List<String> open = new ArrayList<>(seeds);
             if (!alone) {
-                table.all().stream().filter(Table.Entry::here).forEach(e -> open.remove(e.card().address()));
+                table.all().stream()
+                        .filter(Table.Entry::here)
+                        .forEach(e -> open.remove(e.card().address()));
             }
             if (!open.isEmpty()) {
                 exchange(open.get(chance.nextInt(open.size())), now);
@@ -226,7 +241,11 @@
             List<String> others = new ArrayList<>(table.rings().names());
             others.remove(self.name());
             if (!others.isEmpty()) {
-                exchange(table.get(others.get(chance.nextInt(others.size()))).card().address(), now);
+                exchange(
+                        table.get(others.get(chance.nextInt(others.size())))
+                                .card()
+                                .address(),
+                        now);
             }
         }
         if (now >= nextGone) {
@@ -250,11 +269,18 @@
         if (table.version() != observedAt) {
             observedAt = table.version();
             Set<String> subjects = table.rings().subjectsOf(self.name());
-            probes.entrySet().removeIf(p -> !subjects.contains(p.getKey())
-                    || p.getValue().life() != table.get(p.getKey()).card().life());
+            probes.entrySet()
+                    .removeIf(p -> !subjects.contains(p.getKey())
+                            || p.getValue().life()
+                                    != table.get(p.getKey()).card().life());
             for (String s : subjects) {
-                probes.computeIfAbsent(s, x -> new Probe(settings, table.get(s).card().life(), now,
-                        now + settings.probeS() * chance.nextDouble()));
+                probes.computeIfAbsent(
+                        s,
+                        x -> new Probe(
+                                settings,
+                                table.get(s).card().life(),
+                                now,
+                                now + settings.probeS() * chance.nextDouble()));
             }
         }
         probes.forEach((subject, p) -> probe(p, table.get(subject).card(), now));
@@ -270,8 +296,11 @@
             others.remove(subject.name());
             for (int i = 0; i < settings.helpers() && !others.isEmpty(); i++) {
                 String helper = others.remove(chance.nextInt(others.size()));
-                send(table.get(helper).card().address(),
-                        new Ask(head(), subject.name(), subject.life(), subject.address(), p.lastSeq()), 0, now);
+                send(
+                        table.get(helper).card().address(),
+                        new Ask(head(), subject.name(), subject.life(), subject.address(), p.lastSeq()),
+                        0,
+                        now);
             }
         }
     }
@@ -296,7 +325,8 @@
     }
 
     private void verdicts(double now) {
-        Judge.Verdicts v = judge.judge(self.name(), table.get(self.name()).links().ill(), now);
+        Judge.Verdicts v =
+                judge.judge(self.name(), table.get(self.name()).links().ill(), now);
         if (v.sure() != sure) {
             outputs.add(new Output.Sure(v.sure(), v.reached(), v.fleet()));
         }
@@ -342,7 +372,8 @@
         if (rivalProbe == null || rivalProbe.life() != rival.life()) {
             rivalProbe = new Probe(settings, rival.life(), now, now);
         }
-        if (rival.status() != Status.HERE || rival.address().equals(self.address())
+        if (rival.status() != Status.HERE
+                || rival.address().equals(self.address())
                 || rivalProbe.word(now, stretch()) == Word.UNREACHED) {
             claim(rival.incarnation() + 1, now);
         } else {
@@ -448,12 +479,16 @@
     private void acked(Ack a, double now) {
         if (a.seq() >= ERRANDS) {
             Errand e = errands.remove(a.seq());
-            if (e != null && e.subject().equals(a.head().name()) && e.life() == a.head().life()) {
+            if (e != null
+                    && e.subject().equals(a.head().name())
+                    && e.life() == a.head().life()) {
                 send(e.asker(), new Told(head(), e.subject(), e.life(), e.seq()), RESERVE, now);
             }
             return;
         }
-        Probe p = a.head().name().equals(self.name()) ? rivalProbe : probes.get(a.head().name());
+        Probe p = a.head().name().equals(self.name())
+                ? rivalProbe
+                : probes.get(a.head().name());
         if (p != null && p.life() == a.head().life()) {
             p.acked(a.seq(), now);
         }
@@ -461,14 +496,15 @@
 
     private void help(Ask a, double now) {
         if (errands.size() >= ERRANDS_MOST) {
-            for (Iterator<Errand> i = errands.values().iterator(); i.hasNext();) {
+            for (Iterator<Errand> i = errands.values().iterator(); i.hasNext(); ) {
                 if (i.next().until() < now) {
                     i.remove();
                 }
             }
         }
         if (errands.size() < ERRANDS_MOST) {
-            errands.put(++errand, new Errand(a.head().address(), a.subject(), a.life(), a.seq(), now + settings.doubtS()));
+            errands.put(
+                    ++errand, new Errand(a.head().address(), a.subject(), a.life(), a.seq(), now + settings.doubtS()));
             send(a.address(), new Ping(head(), a.subject(), a.life(), errand, List.of()), 0, now);
         }
     }
@@ -476,7 +512,10 @@
     /** Where a sender holds other than this member, for longer than gossip takes, all is exchanged with it. */
     private void compare(Head h, double now) {
         Table.Entry e = table.get(h.name());
-        boolean stranger = e == null || !e.here() || e.card().life() != h.life() || e.card().incarnation() < h.incarnation();
+        boolean stranger = e == null
+                || !e.here()
+                || e.card().life() != h.life()
+                || e.card().incarnation() < h.incarnation();
         if (h.state() == table.state() && !stranger) {
             mismatchSince = Double.NaN;
             return;
@@ -537,8 +576,14 @@
         Message back = null;
         if (m instanceof Digest d) {
             List<Item> items = table.against(d.sums());
-            back = new Message.Reply(head(), joined ? items
-                    : items.stream().filter(i -> !i.name().equals(self.name())).toList(), table.lacking(d.sums()));
+            back = new Message.Reply(
+                    head(),
+                    joined
+                            ? items
+                            : items.stream()
+                                    .filter(i -> !i.name().equals(self.name()))
+                                    .toList(),
+                    table.lacking(d.sums()));
         } else if (m instanceof Message.Reply r) {
             items(r.items(), now);
             joined = true;
@@ -608,16 +653,21 @@
                 slow++;
             }
         }
-        return slow > 0 && 2 * slow >= table.rings().observersOf(e.card().name()).size() ? Standing.SLOW : Standing.HERE;
+        return slow > 0
+                        && 2 * slow
+                                >= table.rings().observersOf(e.card().name()).size()
+                ? Standing.SLOW
+                : Standing.HERE;
     }
 
     private String why(Table.Entry e, Standing is) {
         return switch (is) {
             case HERE -> e.card().incarnation() > 0 ? "incarnation " + e.card().incarnation() : "";
             case LEFT -> "it said so";
-            case SLOW, CUT_OFF, GONE -> table.saidOf(e.card().name()).entrySet().stream()
-                    .map(s -> s.getKey() + ' ' + s.getValue().name().toLowerCase(java.util.Locale.ROOT))
-                    .collect(java.util.stream.Collectors.joining(", "));
+            case SLOW, CUT_OFF, GONE ->
+                table.saidOf(e.card().name()).entrySet().stream()
+                        .map(s -> s.getKey() + ' ' + s.getValue().name().toLowerCase(java.util.Locale.ROOT))
+                        .collect(java.util.stream.Collectors.joining(", "));
         };
     }
 
@@ -639,7 +689,8 @@
         if (bytes < RESERVE * settings.bytesPerS()) {
             return List.of();
         }
-        return gossip.take(Settings.DATAGRAM_BYTES - head().size(), table.rings().names().size());
+        return gossip.take(
+                Settings.DATAGRAM_BYTES - head().size(), table.rings().names().size());
     }
 
     /** {@code reserve} is how much of the reserve this may use: all of it, or none. */
--- a/src/main/java/pepperdock/membership/Message.java
+++ b/src/main/java/pepperdock/membership/Message.java
@@ -29,24 +29,24 @@
     Head head();
 
     /** Are you there, you of this name and life? Sequence numbers are the sender's own, by subject. */
-    record Ping(Head head, String to, long life, long seq, List<Item> gossip) implements Message { }
+    record Ping(Head head, String to, long life, long seq, List<Item> gossip) implements Message {}
 
-    record Ack(Head head, long seq, List<Item> gossip) implements Message { }
+    record Ack(Head head, long seq, List<Item> gossip) implements Message {}
 
     /** Answers a ping that wanted another life, or another name, at this address: the one asked for is not here. */
-    record Other(Head head, String wanted, long life) implements Message { }
+    record Other(Head head, String wanted, long life) implements Message {}
 
     /** Ping this subject for me. */
-    record Ask(Head head, String subject, long life, String address, long seq) implements Message { }
+    record Ask(Head head, String subject, long life, String address, long seq) implements Message {}
 
     /** The subject that I was asked to ping has answered. */
-    record Told(Head head, String subject, long life, long seq) implements Message { }
+    record Told(Head head, String subject, long life, long seq) implements Message {}
 
     /** All that the sender holds, by name, as sums. */
-    record Digest(Head head, Map<String, Long> sums) implements Message { }
+    record Digest(Head head, Map<String, Long> sums) implements Message {}
 
     /** What the other lacks or holds otherwise, and the names of which the sender wants the same. */
-    record Reply(Head head, List<Item> items, List<String> wanted) implements Message { }
+    record Reply(Head head, List<Item> items, List<String> wanted) implements Message {}
 
-    record Rest(Head head, List<Item> items) implements Message { }
+    record Rest(Head head, List<Item> items) implements Message {}
 }
--- a/src/main/java/pepperdock/membership/Probe.java
+++ b/src/main/java/pepperdock/membership/Probe.java
@@ -26,6 +26,7 @@
     private double spoke = Double.NEGATIVE_INFINITY;
     /** Since when it has been reached directly without a break. */
     private double steadySince;
+
     private double mean;
     private boolean notThere;
     private Word word;
@@ -124,9 +125,11 @@
     /** What is to be said now; null where the subject is simply reached. {@code stretch} is at least 1. */
     Word word(double now, double stretch) {
         double limit = settings.doubtS() * stretch;
-        Word is = notThere ? Word.UNREACHED
-                : now - direct <= limit ? mean > (word == Word.SLOW ? settings.slowS() / 2 : settings.slowS()) ? Word.SLOW : null
-                : now - indirect <= limit ? Word.INDIRECT : now - heard <= limit ? Word.DEAF : Word.UNREACHED;
+        Word is = notThere
+                ? Word.UNREACHED
+                : now - direct <= limit
+                        ? mean > (word == Word.SLOW ? settings.slowS() / 2 : settings.slowS()) ? Word.SLOW : null
+                        : now - indirect <= limit ? Word.INDIRECT : now - heard <= limit ? Word.DEAF : Word.UNREACHED;
         if (is == word) {
             return word;
         }
--- a/src/main/java/pepperdock/membership/Rings.java
+++ b/src/main/java/pepperdock/membership/Rings.java
@@ -25,6 +25,7 @@
     private final Set<String> names = new TreeSet<>();
     /** Worked out already, until the next change. */
     private final Map<String, Set<String>> observers = new HashMap<>();
+
     private final Map<String, Set<String>> subjects = new HashMap<>();
 
     Rings(int count) {
--- a/src/main/java/pepperdock/membership/Settings.java
+++ b/src/main/java/pepperdock/membership/Settings.java
@@ -18,9 +18,21 @@
  * @param membersMost kept in the table; more are refused
  * @param selfDoubt whether a member that is late or reaches few doubts itself before others; off only to measure its worth
  */
-public record Settings(double probeS, double doubtS, double confirmS, int observers, double high, int low, int helpers,
-                       double slowS, double syncS, double forgetS, int datagramsPerS, int bytesPerS, int membersMost,
-                       boolean selfDoubt) {
+public record Settings(
+        double probeS,
+        double doubtS,
+        double confirmS,
+        int observers,
+        double high,
+        int low,
+        int helpers,
+        double slowS,
+        double syncS,
+        double forgetS,
+        int datagramsPerS,
+        int bytesPerS,
+        int membersMost,
+        boolean selfDoubt) {
 
     /** Bytes of one datagram, headers of UDP and IP aside: fits any path that carries IPv6's least, with room. */
     public static final int DATAGRAM_BYTES = 1200;
--- a/src/main/java/pepperdock/membership/Table.java
+++ b/src/main/java/pepperdock/membership/Table.java
@@ -28,6 +28,7 @@
         private Links links;
         /** When it came to its status here. */
         private double since;
+
         private long sum;
         /** How often it came back from gone, in this life. */
         private int relapses;
@@ -72,6 +73,7 @@
     private final Set<String> gone = new TreeSet<>();
     /** Observers that say anything. */
     private final Set<String> speaking = new TreeSet<>();
+
     private long state;
     private long version;
     private long refused;
@@ -240,13 +242,13 @@
 
     private static long sum(Entry e) {
         Card c = e.card;
-        return HASH.hashCharsToLong(c.name() + ' ' + c.life() + ' ' + c.incarnation() + ' ' + c.status() + ' '
-                + e.links.revision());
+        return HASH.hashCharsToLong(
+                c.name() + ' ' + c.life() + ' ' + c.incarnation() + ' ' + c.status() + ' ' + e.links.revision());
     }
 
     /** Forgets those that went long ago, one excepted. */
     void forget(double before, String except) {
-        for (Iterator<Entry> i = entries.values().iterator(); i.hasNext();) {
+        for (Iterator<Entry> i = entries.values().iterator(); i.hasNext(); ) {
             Entry e = i.next();
             if (!e.here() && e.since < before && !e.card.name().equals(except)) {
                 unsay(e.links);
@@ -280,10 +282,13 @@
 
     /** Names that another holds, and this does not or holds otherwise. */
     List<String> lacking(Map<String, Long> sums) {
-        return sums.entrySet().stream().filter(s -> {
-            Entry e = entries.get(s.getKey());
-            return e == null || sum(e) != s.getValue();
-        }).map(Map.Entry::getKey).toList();
+        return sums.entrySet().stream()
+                .filter(s -> {
+                    Entry e = entries.get(s.getKey());
+                    return e == null || sum(e) != s.getValue();
+                })
+                .map(Map.Entry::getKey)
+                .toList();
     }
 
     /** A member's card, and what it said where it said anything. */
--- a/src/main/java/pepperdock/membership/View.java
+++ b/src/main/java/pepperdock/membership/View.java
@@ -13,9 +13,18 @@
 public record View(long number, String self, boolean sure, int reached, int fleet, String taken, List<Member> members) {
 
     /** {@code since} by the clock of whoever asks; {@code said} is what observers say, by their names. */
-    public record Member(String name, String zone, String machine, String address, long life, long incarnation,
-                         Standing standing, double since, Map<String, Word> said) { }
+    public record Member(
+            String name,
+            String zone,
+            String machine,
+            String address,
+            long life,
+            long incarnation,
+            Standing standing,
+            double since,
+            Map<String, Word> said) {}
 
     /** One change; {@code from} is null for a member that was not known. */
-    public record Change(long number, String name, long life, long incarnation, Standing from, Standing to, String why) { }
+    public record Change(
+            long number, String name, long life, long incarnation, Standing from, Standing to, String why) {}
 }
--- a/src/main/java/pepperdock/net/Connection.java
+++ b/src/main/java/pepperdock/net/Connection.java
@@ -22,10 +22,10 @@
         void ended(Connection c);
 
         /** All that was given to {@link #write} is with the kernel. */
-        default void flushed(Connection c) { }
+        default void flushed(Connection c) {}
 
         /** The peer has sent far more than {@link #limitUnread} lets stand here; told once, before what follows is thrown away. */
-        default void flooded(Connection c) { }
+        default void flooded(Connection c) {}
     }
 
     /** Reads at one turn of the loop: a peer that sends at full speed must leave the others theirs. */
--- a/src/main/java/pepperdock/net/Datagrams.java
+++ b/src/main/java/pepperdock/net/Datagrams.java
@@ -20,6 +20,7 @@
 
     /** Larger ones are no messages of ours; they are cut, and refused by whoever reads them. */
     private static final int LARGEST = 2048;
+
     private static final int TURN = 64;
 
     private final MulticastMessageChannel channel;
--- a/src/main/java/pepperdock/net/HttpClient.java
+++ b/src/main/java/pepperdock/net/HttpClient.java
@@ -10,7 +10,11 @@
 public final class HttpClient implements Connection.Handler {
 
     /** Why no response came; {@link #UNSENT} proves that the server never had the whole request. */
-    public enum Failure { UNSENT, BROKEN, TIMED_OUT }
+    public enum Failure {
+        UNSENT,
+        BROKEN,
+        TIMED_OUT
+    }
 
     /** What comes of a request: one of the two, once, at the earliest after {@link #ask} returns. */
     public interface Then {
@@ -150,7 +154,8 @@
             return;
         }
         if (!c.broken()) {
-            // A reset ends nothing: taken for the end of an answer without a length, half of one would pass for the whole.
+            // A reset ends nothing: taken for the end of an answer without a length, half of one would pass for the
+            // whole.
             parser.end();
         }
         if (parser.done()) {
--- a/src/main/java/pepperdock/net/HttpServer.java
+++ b/src/main/java/pepperdock/net/HttpServer.java
@@ -25,9 +25,11 @@
     public static final double REQUEST_S = 2.5;
     /** For a client to read what it was sent, and to close after an error. */
     private static final double FLUSH_S = 2.5;
+
     private static final double LINGER_S = 1;
     /** A connection kept between requests may be closed after 2 s, and is when others need its room; else after this. */
     private static final double IDLE_S = 60;
+
     private static final double EVICT_S = 2;
     private static final double SWEEP_S = 0.1;
     /** Between the word to stop listening and its being done. */
@@ -60,6 +62,7 @@
     private final Loop.Listening listening;
     /** In the order in which they came to the state they are in, so that the longest waiting is found first. */
     private final Set<Serving> all = new LinkedHashSet<>();
+
     private boolean draining;
     private boolean stopped;
     private final LogBudget notes;
@@ -71,8 +74,15 @@
     }
 
     /** {@code requestS} is how long a request may take to come; on an address apart each reply closes its connection. */
-    public HttpServer(Loop loop, InetSocketAddress at, Loop.Kind kind, double requestS, int bodyMost, IntSupplier most,
-                      Service service) throws IOException {
+    public HttpServer(
+            Loop loop,
+            InetSocketAddress at,
+            Loop.Kind kind,
+            double requestS,
+            int bodyMost,
+            IntSupplier most,
+            Service service)
+            throws IOException {
         this.loop = loop;
         this.kind = kind;
         this.requestS = requestS;
@@ -144,8 +154,10 @@
 
     /** Connections with a request in hand, or with a reply not wholly written. */
     public int busy() {
-        return (int) all.stream().filter(s -> !s.connection.closed())
-                .filter(s -> s.at == At.SERVING || s.at == At.READING || s.connection.unwritten()).count();
+        return (int) all.stream()
+                .filter(s -> !s.connection.closed())
+                .filter(s -> s.at == At.SERVING || s.at == At.READING || s.connection.unwritten())
+                .count();
     }
 
     /**
@@ -157,8 +169,10 @@
             return true;
         }
         double now = loop.now();
-        return evict(s -> s.at == At.LEAVING) || evict(s -> s.at == At.IDLE && now - s.since > EVICT_S)
-                || evict(s -> s.at == At.FRESH) || evict(s -> s.at == At.READING && s.asked == 0)
+        return evict(s -> s.at == At.LEAVING)
+                || evict(s -> s.at == At.IDLE && now - s.since > EVICT_S)
+                || evict(s -> s.at == At.FRESH)
+                || evict(s -> s.at == At.READING && s.asked == 0)
                 || evict(s -> s.at == At.IDLE);
     }
 
@@ -185,7 +199,13 @@
     }
 
     /** Nothing came yet; a part of a request did; it is being served; kept between requests; closing after an error. */
-    private enum At { FRESH, READING, SERVING, IDLE, LEAVING }
+    private enum At {
+        FRESH,
+        READING,
+        SERVING,
+        IDLE,
+        LEAVING
+    }
 
     /** One client connection. */
     private final class Serving implements Connection.Handler {
@@ -223,7 +243,8 @@
             }
             double stood = now - since;
             boolean unread = connection.unwritten() && now - writtenAt > FLUSH_S;
-            if (unread || at == At.LEAVING && !connection.unwritten() && stood > LINGER_S
+            if (unread
+                    || at == At.LEAVING && !connection.unwritten() && stood > LINGER_S
                     || at == At.IDLE && stood > IDLE_S && connection.unwritten()) {
                 connection.close();
                 ended(connection);
@@ -265,15 +286,17 @@
         /** What follows something malformed can't be told from it: answered, and not read on. */
         private void malformed(HttpException e) {
             long no = ++asked;
-            inHand = () -> { };
+            inHand = () -> {};
             notes.note(System.Logger.Level.INFO, () -> "malformed request: " + e.getMessage());
-            service.malformed(e.status(), e.getMessage(), (status, type, extra, body) ->
-                    reply(no, false, status, type, extra, body));
+            service.malformed(
+                    e.status(),
+                    e.getMessage(),
+                    (status, type, extra, body) -> reply(no, false, status, type, extra, body));
         }
 
         private void serve(HttpMessage m) {
             long no = ++asked;
-            inHand = () -> { };
+            inHand = () -> {};
             now(At.SERVING);
             head = m.method().equals("HEAD");
             Reply reply = (status, type, extra, body) -> reply(no, m.keepAlive(), status, type, extra, body);
@@ -283,8 +306,9 @@
                     inHand = gone;
                 }
             } catch (HttpException e) {
-                notes.note(System.Logger.Level.INFO, () -> "request for " + m.path() + " not taken: " + e.status() + ' '
-                        + e.getMessage());
+                notes.note(
+                        System.Logger.Level.INFO,
+                        () -> "request for " + m.path() + " not taken: " + e.status() + ' ' + e.getMessage());
                 service.malformed(e.status(), e.getMessage(), reply);
             } catch (RuntimeException e) {
                 LOG.log(System.Logger.Level.ERROR, "request failed", e);
--- a/src/main/java/pepperdock/net/Loop.java
+++ b/src/main/java/pepperdock/net/Loop.java
@@ -36,6 +36,7 @@
     private int socketCap;
     /** The cap when no other process has a part of it, and that part's bound while one has. */
     private int wholeCap;
+
     private int sharedCap = Integer.MAX_VALUE;
     private final Set<Connection> open = new HashSet<>();
     private final double startedAt = System.currentTimeMillis() / 1e3;
@@ -50,10 +51,14 @@
         wholeCap = socketCap;
         this.bufferCap = bufferCap;
         NoManagement.install();
-        worker = Xnio.getInstance("nio", Loop.class.getClassLoader()).createWorker(OptionMap.builder()
-                .set(Options.WORKER_NAME, "loop").set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.THREAD_DAEMON, false).getMap());
+        worker = Xnio.getInstance("nio", Loop.class.getClassLoader())
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_NAME, "loop")
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.THREAD_DAEMON, false)
+                        .getMap());
         thread = worker.getIoThread();
     }
 
@@ -74,12 +79,12 @@
             return () -> off[0] = true;
         }
         try {
-            XnioExecutor.Key key = thread.executeAfter(() -> guarded(task), (long) (seconds * 1e6) + 1,
-                    TimeUnit.MICROSECONDS);
+            XnioExecutor.Key key =
+                    thread.executeAfter(() -> guarded(task), (long) (seconds * 1e6) + 1, TimeUnit.MICROSECONDS);
             return key::remove;
         } catch (RejectedExecutionException e) {
             // The loop has been closed: nothing falls due any more.
-            return () -> { };
+            return () -> {};
         }
     }
 
@@ -151,7 +156,8 @@
      * else, or where the cap leaves no socket, the new one is closed unserved. Decided for each one as it is accepted:
      * hundreds that come at once must not all be held before the first is looked at.
      */
-    public Listening listen(InetSocketAddress at, BooleanSupplier room, Consumer<Connection> opened) throws IOException {
+    public Listening listen(InetSocketAddress at, BooleanSupplier room, Consumer<Connection> opened)
+            throws IOException {
         return listen(at, Kind.OWN, room, opened);
     }
 
@@ -171,8 +177,11 @@
                 away.note(System.Logger.Level.WARNING, () -> "accept failed: " + e.getMessage());
             }
         };
-        OptionMap options = OptionMap.builder().set(Options.BACKLOG, BACKLOG).set(Options.REUSE_ADDRESSES, true)
-                .set(Options.TCP_NODELAY, true).getMap();
+        OptionMap options = OptionMap.builder()
+                .set(Options.BACKLOG, BACKLOG)
+                .set(Options.REUSE_ADDRESSES, true)
+                .set(Options.TCP_NODELAY, true)
+                .getMap();
         AcceptingChannel<StreamConnection> server = kind != Kind.SHARED
                 ? worker.createStreamConnectionServer(at, accept, options)
                 : SharedAddress.listen(worker, at, BACKLOG, options, accept);
@@ -198,8 +207,9 @@
 
     /** A UDP socket; what comes is handed over on the loop. */
     public Datagrams datagrams(InetSocketAddress at, Datagrams.Receiver to) throws IOException {
-        return new Datagrams(worker.createUdpServer(at, OptionMap.EMPTY), (bytes, length) ->
-                guarded(() -> to.received(bytes, length)));
+        return new Datagrams(
+                worker.createUdpServer(at, OptionMap.EMPTY),
+                (bytes, length) -> guarded(() -> to.received(bytes, length)));
     }
 
     private void accepted(StreamConnection taken, Kind kind, BooleanSupplier room, Consumer<Connection> opened) {
@@ -238,21 +248,23 @@
                 then.failed();
             }
         });
-        future.addNotifier((f, unused) -> execute(() -> {
-            StreamConnection made = f.getStatus() == IoFuture.Status.DONE ? result(f) : null;
-            if (over[0]) {
-                IoUtils.safeClose(made);
-                return;
-            }
-            over[0] = true;
-            dialling--;
-            limit.cancel();
-            if (made == null) {
-                then.failed();
-            } else {
-                then.up(adopt(made, true));
-            }
-        }), null);
+        future.addNotifier(
+                (f, unused) -> execute(() -> {
+                    StreamConnection made = f.getStatus() == IoFuture.Status.DONE ? result(f) : null;
+                    if (over[0]) {
+                        IoUtils.safeClose(made);
+                        return;
+                    }
+                    over[0] = true;
+                    dialling--;
+                    limit.cancel();
+                    if (made == null) {
+                        then.failed();
+                    } else {
+                        then.up(adopt(made, true));
+                    }
+                }),
+                null);
     }
 
     private static StreamConnection result(IoFuture<? extends StreamConnection> f) {
--- a/src/main/java/pepperdock/net/SharedAddress.java
+++ b/src/main/java/pepperdock/net/SharedAddress.java
@@ -20,11 +20,16 @@
  */
 final class SharedAddress {
 
-    private SharedAddress() { }
+    private SharedAddress() {}
 
     /** Accepts straight from the system, so that whoever closes it can first take in all that wait. */
-    static AcceptingChannel<StreamConnection> listen(XnioWorker worker, InetSocketAddress at, int backlog, OptionMap options,
-            ChannelListener<AcceptingChannel<StreamConnection>> accept) throws IOException {
+    static AcceptingChannel<StreamConnection> listen(
+            XnioWorker worker,
+            InetSocketAddress at,
+            int backlog,
+            OptionMap options,
+            ChannelListener<AcceptingChannel<StreamConnection>> accept)
+            throws IOException {
         ServerSocketChannel channel = ServerSocketChannel.open();
         try {
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -41,11 +46,15 @@
     }
 
     @SuppressWarnings("unchecked")
-    private static AcceptingChannel<StreamConnection> server(XnioWorker worker, ServerSocketChannel channel, OptionMap options)
-            throws IOException {
+    private static AcceptingChannel<StreamConnection> server(
+            XnioWorker worker, ServerSocketChannel channel, OptionMap options) throws IOException {
         try {
-            Constructor<?> made = Class.forName("org.xnio.nio.NioTcpServer").getDeclaredConstructor(
-                    Class.forName("org.xnio.nio.NioXnioWorker"), ServerSocketChannel.class, OptionMap.class, boolean.class);
+            Constructor<?> made = Class.forName("org.xnio.nio.NioTcpServer")
+                    .getDeclaredConstructor(
+                            Class.forName("org.xnio.nio.NioXnioWorker"),
+                            ServerSocketChannel.class,
+                            OptionMap.class,
+                            boolean.class);
             made.setAccessible(true);
             return (AcceptingChannel<StreamConnection>) made.newInstance(worker, channel, options, false);
         } catch (ReflectiveOperationException e) {
--- a/src/main/java/pepperdock/opensearch/Hit.java
+++ b/src/main/java/pepperdock/opensearch/Hit.java
@@ -41,7 +41,9 @@
         var field = key.getAsJsonObject().entrySet().iterator().next();
         JsonElement how = field.getValue();
         JsonElement order = how.isJsonObject() ? how.getAsJsonObject().get("order") : how;
-        return order == null ? field.getKey().equals("_score") : order.getAsString().equalsIgnoreCase("desc");
+        return order == null
+                ? field.getKey().equals("_score")
+                : order.getAsString().equalsIgnoreCase("desc");
     }
 
     private double score() {
@@ -50,7 +52,9 @@
     }
 
     private JsonElement sortValue(int at) {
-        return json.has("sort") && at < json.getAsJsonArray("sort").size() ? json.getAsJsonArray("sort").get(at) : null;
+        return json.has("sort") && at < json.getAsJsonArray("sort").size()
+                ? json.getAsJsonArray("sort").get(at)
+                : null;
     }
 
     /** Numbers as numbers, else as text; what is missing comes last. */
@@ -60,8 +64,12 @@
         if (noA || noB) {
             return Boolean.compare(noA, noB);
         }
-        boolean numbers = a.isJsonPrimitive() && a.getAsJsonPrimitive().isNumber() && b.isJsonPrimitive()
+        boolean numbers = a.isJsonPrimitive()
+                && a.getAsJsonPrimitive().isNumber()
+                && b.isJsonPrimitive()
                 && b.getAsJsonPrimitive().isNumber();
-        return numbers ? Double.compare(a.getAsDouble(), b.getAsDouble()) : a.getAsString().compareTo(b.getAsString());
+        return numbers
+                ? Double.compare(a.getAsDouble(), b.getAsDouble())
+                : a.getAsString().compareTo(b.getAsString());
     }
 }
--- a/src/main/java/pepperdock/opensearch/Replies.java
+++ b/src/main/java/pepperdock/opensearch/Replies.java
@@ -12,10 +12,10 @@
 
     private static final String JSON = "application/json; charset=UTF-8";
 
-    private Replies() { }
+    private Replies() {}
 
     /** A shard that is not in the answer, and why. */
-    record Missing(int shard, String type, String reason) { }
+    record Missing(int shard, String type, String reason) {}
 
     static void error(HttpServer.Reply to, int status, String type, String reason, String extra) {
         JsonObject cause = new JsonObject();
@@ -41,8 +41,15 @@
         to.send(200, JSON, "", body);
     }
 
-    static JsonObject search(String index, long tookMs, boolean timedOut, int shards, List<Missing> missing,
-                             long total, List<Hit> hits, String scrollId) {
+    static JsonObject search(
+            String index,
+            long tookMs,
+            boolean timedOut,
+            int shards,
+            List<Missing> missing,
+            long total,
+            List<Hit> hits,
+            String scrollId) {
         JsonObject body = new JsonObject();
         if (scrollId != null) {
             body.addProperty("_scroll_id", scrollId);
--- a/src/main/java/pepperdock/opensearch/RequestReader.java
+++ b/src/main/java/pepperdock/opensearch/RequestReader.java
@@ -34,8 +34,8 @@
     private static final Pattern UPDATE = Pattern.compile("/([^/]+)/_update/([^/]+)");
     private static final int WINDOW_MOST = 10_000;
     /** What one search can't merge from its shards' answers is refused rather than answered wrongly. */
-    private static final Set<String> UNMERGED = Set.of("aggs", "aggregations", "suggest", "collapse", "rescore",
-            "knn", "pit");
+    private static final Set<String> UNMERGED =
+            Set.of("aggs", "aggregations", "suggest", "collapse", "rescore", "knn", "pit");
 
     private final Site site;
     private final OpenSearchConfig config;
@@ -75,7 +75,8 @@
             throw ApiException.illegal("a scroll takes no [from], and a [size] above 0");
         }
         JsonElement timeout = body.remove("timeout");
-        String time = m.parameter("timeout") != null ? m.parameter("timeout")
+        String time = m.parameter("timeout") != null
+                ? m.parameter("timeout")
                 : timeout == null ? null : timeout.getAsString();
         double most = kind(queryClass).deadlineS();
         List<Ask.Piece> pieces = pieces(m, body);
@@ -84,8 +85,8 @@
         body.addProperty("size", from + size);
         byte[] text = body.toString().getBytes(StandardCharsets.UTF_8);
         SearchRequest request = new SearchRequest(index, null, body, from, size, scrollS, Hit.order(body.get("sort")));
-        return new Ask(id(m), queryClass, "", time == null ? most : Math.min(most, seconds(time)), pieces, text,
-                request);
+        return new Ask(
+                id(m), queryClass, "", time == null ? most : Math.min(most, seconds(time)), pieces, text, request);
     }
 
     Ask update(HttpMessage m) throws ApiException {
@@ -115,8 +116,13 @@
             throw ApiException.illegal("Idempotency-Key is not a plain word");
         }
         byte[] text = body.toString().getBytes(StandardCharsets.UTF_8);
-        return new Ask(id(m), queryClass, key, time == null ? most : Math.min(most, seconds(time)),
-                List.of(new Ask.Piece(shard, 1)), text,
+        return new Ask(
+                id(m),
+                queryClass,
+                key,
+                time == null ? most : Math.min(most, seconds(time)),
+                List.of(new Ask.Piece(shard, 1)),
+                text,
                 new SearchRequest(path.group(1), docId, body, 0, 1, 0, Hit.order(null)));
     }
 
@@ -145,12 +151,13 @@
         if (!m.matches() || Long.parseLong(m.group(1)) == 0) {
             throw ApiException.illegal("failed to parse [" + time + "] as a time value");
         }
-        return Long.parseLong(m.group(1)) * switch (m.group(2)) {
-            case "ms" -> 0.001;
-            case "s" -> 1.0;
-            case "m" -> 60.0;
-            default -> 3600.0;
-        };
+        return Long.parseLong(m.group(1))
+                * switch (m.group(2)) {
+                    case "ms" -> 0.001;
+                    case "s" -> 1.0;
+                    case "m" -> 60.0;
+                    default -> 3600.0;
+                };
     }
 
     private int queryClass(String index) throws ApiException {
@@ -167,8 +174,7 @@
 
     private static JsonObject body(HttpMessage m) throws ApiException {
         try {
-            return m.body().length == 0 ? new JsonObject()
-                    : strict(m.body());
+            return m.body().length == 0 ? new JsonObject() : strict(m.body());
         } catch (IOException | RuntimeException e) {
             throw new ApiException(400, "parsing_exception", "the body is not a JSON object");
         }
@@ -176,8 +182,10 @@
 
     /** What is repaired on the way in would be searched for as though its client had asked for it. */
     private static JsonObject strict(byte[] body) throws IOException {
-        try (JsonReader in = new JsonReader(new StringReader(
-                StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body)).toString()))) {
+        try (JsonReader in = new JsonReader(new StringReader(StandardCharsets.UTF_8
+                .newDecoder()
+                .decode(ByteBuffer.wrap(body))
+                .toString()))) {
             in.setStrictness(Strictness.STRICT);
             JsonObject read = ANY.read(in).getAsJsonObject();
             if (in.peek() != JsonToken.END_DOCUMENT) {
@@ -188,7 +196,8 @@
     }
 
     private static int whole(HttpMessage m, JsonObject body, String name, int otherwise) throws ApiException {
-        String text = m.parameter(name) != null ? m.parameter(name)
+        String text = m.parameter(name) != null
+                ? m.parameter(name)
                 : body.has(name) ? body.get(name).getAsString() : Integer.toString(otherwise);
         if (!text.matches("[0-9]{1,6}")) {
             throw ApiException.illegal("[" + name + "] must be a whole number of at least 0");
@@ -212,7 +221,8 @@
                 pieces.add(new Ask.Piece(shard(o.get("range").getAsString()), weight));
             }
         } else if (preference != null && preference.startsWith("_shards:")) {
-            String[] shards = preference.substring("_shards:".length()).split("\\|")[0].split(",");
+            String[] shards =
+                    preference.substring("_shards:".length()).split("\\|")[0].split(",");
             for (String s : shards) {
                 pieces.add(new Ask.Piece(shard(s), 1.0 / shards.length));
             }
@@ -232,10 +242,11 @@
     }
 
     private int shard(String text) throws ApiException {
-        if (text == null || !text.matches("[0-9]{1,8}")
+        if (text == null
+                || !text.matches("[0-9]{1,8}")
                 || Integer.parseInt(text) >= site.module().layout().shards()) {
-            throw ApiException.illegal("[" + text + "] is not one of the " + site.module().layout().shards()
-                    + " account ranges");
+            throw ApiException.illegal(
+                    "[" + text + "] is not one of the " + site.module().layout().shards() + " account ranges");
         }
         return Integer.parseInt(text);
     }
--- a/src/main/java/pepperdock/opensearch/Scrolls.java
+++ b/src/main/java/pepperdock/opensearch/Scrolls.java
@@ -44,6 +44,7 @@
         final SearchRequest request;
         /** The class whose rules its pages go by, as the settings were when it was opened. */
         final QueryClass kind;
+
         final List<Shard> shards;
         final List<Missing> missing;
         final long total;
@@ -74,8 +75,8 @@
             while (page.size() < request.size()) {
                 Shard best = null;
                 for (Shard s : shards) {
-                    if (!s.buffer.isEmpty() && (best == null
-                            || request.order().compare(s.buffer.peek(), best.buffer.peek()) < 0)) {
+                    if (!s.buffer.isEmpty()
+                            && (best == null || request.order().compare(s.buffer.peek(), best.buffer.peek()) < 0)) {
                         best = s;
                     }
                 }
--- a/src/main/java/pepperdock/opensearch/SearchBackend.java
+++ b/src/main/java/pepperdock/opensearch/SearchBackend.java
@@ -35,7 +35,8 @@
     @Override
     public void unused(Attempt attempt, byte[] value) {
         if (attempt.part().query().ask().context() instanceof SearchRequest r && r.scroll()) {
-            String scrollId = ShardAnswer.lenient(attempt.part().shard(), r.index(), value).scrollId();
+            String scrollId = ShardAnswer.lenient(attempt.part().shard(), r.index(), value)
+                    .scrollId();
             if (scrollId != null) {
                 free(attempt.worker(), scrollId);
             }
@@ -43,8 +44,8 @@
     }
 
     /** The next page of a shard's scroll, from the one worker that holds its context; null says it can't be had. */
-    void nextPage(String worker, int shard, String scrollId, double keepS, double timeoutS,
-                  Consumer<ShardAnswer> then) {
+    void nextPage(
+            String worker, int shard, String scrollId, double keepS, double timeoutS, Consumer<ShardAnswer> then) {
         SearchWorker w = worker(worker);
         if (w == null) {
             loop.execute(() -> then.accept(null));
--- a/src/main/java/pepperdock/opensearch/SearchFront.java
+++ b/src/main/java/pepperdock/opensearch/SearchFront.java
@@ -83,7 +83,7 @@
         } catch (ApiException e) {
             Replies.error(reply, e.status(), e.type(), e.getMessage(), "");
         }
-        return () -> { };
+        return () -> {};
     }
 
     private static void allow(HttpMessage m, String... methods) throws ApiException {
@@ -102,8 +102,8 @@
                 throw ApiException.illegal("there are no scrolls on this deployment");
             }
             if (scrolls.size() + opening >= scrollsMost) {
-                throw new ApiException(429, "rejected_execution_exception",
-                        "too many scroll contexts, at most " + scrollsMost);
+                throw new ApiException(
+                        429, "rejected_execution_exception", "too many scroll contexts, at most " + scrollsMost);
             }
             opening++;
         }
@@ -121,7 +121,8 @@
         if (request.scroll()) {
             for (Part p : q.parts()) {
                 if (p.value() != null) {
-                    String id = ShardAnswer.lenient(p.shard(), request.index(), p.value()).scrollId();
+                    String id = ShardAnswer.lenient(p.shard(), request.index(), p.value())
+                            .scrollId();
                     if (id != null) {
                         backend.free(p.servedBy(), id);
                     }
@@ -180,8 +181,12 @@
             }
             if (!partial && !missing.isEmpty()) {
                 closed(q);
-                Replies.error(reply, timedOut ? 504 : 500, "search_phase_execution_exception",
-                        "partial shards failure, and partial results are not allowed", "");
+                Replies.error(
+                        reply,
+                        timedOut ? 504 : 500,
+                        "search_phase_execution_exception",
+                        "partial shards failure, and partial results are not allowed",
+                        "");
                 return;
             }
             Scrolls.Scroll s;
@@ -189,14 +194,29 @@
                 end();
                 s = scrolls.open(request, q.kind(), shards, missing, total);
                 List<Hit> page = s.page();
-                Replies.ok(reply, Replies.search(request.index(), tookMs(since), timedOut, q.parts().size(), missing,
-                        total, page, s.id));
+                Replies.ok(
+                        reply,
+                        Replies.search(
+                                request.index(),
+                                tookMs(since),
+                                timedOut,
+                                q.parts().size(),
+                                missing,
+                                total,
+                                page,
+                                s.id));
                 return;
             }
-            List<Hit> hits = shards.stream().flatMap(x -> x.buffer.stream()).sorted(request.order())
-                    .skip(request.from()).limit(request.size()).toList();
-            Replies.ok(reply, Replies.search(request.index(), tookMs(since), timedOut, q.parts().size(), missing, total,
-                    hits, null));
+            List<Hit> hits = shards.stream()
+                    .flatMap(x -> x.buffer.stream())
+                    .sorted(request.order())
+                    .skip(request.from())
+                    .limit(request.size())
+                    .toList();
+            Replies.ok(
+                    reply,
+                    Replies.search(
+                            request.index(), tookMs(since), timedOut, q.parts().size(), missing, total, hits, null));
         }
 
         @Override
@@ -218,9 +238,11 @@
     }
 
     private static Missing missing(Part p) {
-        return !p.sent() ? new Missing(p.shard(), "rejected_execution_exception", "left out under load")
-                : overdue(p) ? new Missing(p.shard(), "timeout_exception", "no answer in time")
-                : new Missing(p.shard(), "shard_failed_exception", "ended as " + p.lastOutcome());
+        return !p.sent()
+                ? new Missing(p.shard(), "rejected_execution_exception", "left out under load")
+                : overdue(p)
+                        ? new Missing(p.shard(), "timeout_exception", "no answer in time")
+                        : new Missing(p.shard(), "shard_failed_exception", "ended as " + p.lastOutcome());
     }
 
     private long tookMs(double since) {
@@ -296,10 +318,13 @@
         if (freed > 0) {
             Replies.ok(reply, answer);
         } else {
-            reply.send(404, "application/json; charset=UTF-8", "",
+            reply.send(
+                    404,
+                    "application/json; charset=UTF-8",
+                    "",
                     answer.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8));
         }
-        return () -> { };
+        return () -> {};
     }
 
     /**
@@ -325,14 +350,17 @@
         double since = clock.now();
         QueryClass kind = s.kind;
         List<Scrolls.Shard> wanting = s.shards.stream()
-                .filter(x -> x.context != null && x.buffer.size() < s.request.size()).toList();
+                .filter(x -> x.context != null && x.buffer.size() < s.request.size())
+                .toList();
         int[] left = {wanting.size()};
         for (Scrolls.Shard shard : wanting) {
             backend.nextPage(shard.worker, shard.no, shard.context, s.keepS, kind.aimS(), page -> {
                 if (page == null) {
                     shard.timedOut = clock.now() - since >= kind.aimS();
-                    shard.failed = new Missing(shard.no, shard.timedOut ? "timeout_exception"
-                            : "search_context_missing_exception", "no next page from its worker");
+                    shard.failed = new Missing(
+                            shard.no,
+                            shard.timedOut ? "timeout_exception" : "search_context_missing_exception",
+                            "no next page from its worker");
                     scrolls.release(shard);
                 } else if (page.hits().isEmpty()) {
                     scrolls.release(shard);
@@ -378,7 +406,8 @@
         s.touch();
         int shards = s.shards.size() + s.missing.size();
         List<Hit> page = s.page();
-        Replies.ok(reply, Replies.search(s.request.index(), tookMs(since), timedOut, shards, missing, s.total, page,
-                s.id));
+        Replies.ok(
+                reply,
+                Replies.search(s.request.index(), tookMs(since), timedOut, shards, missing, s.total, page, s.id));
     }
 }
--- a/src/main/java/pepperdock/opensearch/SearchRequest.java
+++ b/src/main/java/pepperdock/opensearch/SearchRequest.java
@@ -11,8 +11,8 @@
  * @param scrollS how long each shard is to keep its context; 0 without a scroll
  * @param order how hits of different shards are merged
  */
-record SearchRequest(String index, String docId, JsonObject body, int from, int size, double scrollS,
-                     Comparator<Hit> order) {
+record SearchRequest(
+        String index, String docId, JsonObject body, int from, int size, double scrollS, Comparator<Hit> order) {
 
     boolean update() {
         return docId != null;
--- a/src/main/java/pepperdock/opensearch/SearchWorker.java
+++ b/src/main/java/pepperdock/opensearch/SearchWorker.java
@@ -30,12 +30,13 @@
     private static final double IDLE_SHARE = 0.8;
     /** How long a request that nobody awaits may still bring the context that is then freed. */
     private static final double FREE_S = 5;
+
     private static final double PROBE_S = 0.25;
     private static final String JSON = "Content-Type: application/json\r\n";
 
     /** A request that waits for a connection; {@code wanted} is asked again just before it is sent. */
-    private record Waiting(byte[] request, double until, boolean needsOpen, BooleanSupplier wanted,
-                           HttpClient.Then then) { }
+    private record Waiting(
+            byte[] request, double until, boolean needsOpen, BooleanSupplier wanted, HttpClient.Then then) {}
 
     /** A kept connection, the attempt it serves, if any, and when it was last used. */
     private static final class Line {
@@ -44,6 +45,7 @@
         boolean needsOpen;
         /** Tells whose request it has that this was never sent. */
         Runnable refused;
+
         double usedAt;
 
         Line(HttpClient http) {
@@ -62,8 +64,8 @@
     private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
     private boolean open = true;
 
-    SearchWorker(String id, String dial, Loop loop, Site site, OpenSearchConfig config, Gatherer core,
-                 LogBudget notes) {
+    SearchWorker(
+            String id, String dial, Loop loop, Site site, OpenSearchConfig config, Gatherer core, LogBudget notes) {
         this.id = id;
         this.dial = dial;
         this.loop = loop;
@@ -92,10 +94,12 @@
             waiting.removeAll(left);
             left.forEach(w -> w.then().failed(null));
             // Written when the connection is up, which may be after the time to stop.
-            List.copyOf(lines).stream().filter(l -> l.http.dialling() && l.needsOpen).forEach(l -> {
-                l.http.close();
-                l.refused.run();
-            });
+            List.copyOf(lines).stream()
+                    .filter(l -> l.http.dialling() && l.needsOpen)
+                    .forEach(l -> {
+                        l.http.close();
+                        l.refused.run();
+                    });
             dropIdle();
         }
     }
@@ -132,11 +136,13 @@
             @Override
             public void failed(HttpClient.Failure why) {
                 // A null reason: the worker wants nothing new, and this was never sent.
-                Outcome outcome = why == null ? Outcome.MOOT : switch (why) {
-                    case UNSENT -> Outcome.CONNECT_FAILED;
-                    case BROKEN -> Outcome.RESET;
-                    case TIMED_OUT -> Outcome.TIMEOUT;
-                };
+                Outcome outcome = why == null
+                        ? Outcome.MOOT
+                        : switch (why) {
+                            case UNSENT -> Outcome.CONNECT_FAILED;
+                            case BROKEN -> Outcome.RESET;
+                            case TIMED_OUT -> Outcome.TIMEOUT;
+                        };
                 if (why == HttpClient.Failure.BROKEN || why == HttpClient.Failure.TIMED_OUT) {
                     core.written(a);
                 }
@@ -160,8 +166,9 @@
                 value = m.body();
                 outcome = Outcome.OK;
             } catch (RuntimeException e) {
-                notes.note(System.Logger.Level.INFO, () -> "worker " + id + ", shard " + a.part().shard() + ": "
-                        + e.getMessage());
+                notes.note(
+                        System.Logger.Level.INFO,
+                        () -> "worker " + id + ", shard " + a.part().shard() + ": " + e.getMessage());
             }
         }
         core.ended(a, outcome, null, value);
@@ -169,9 +176,12 @@
 
     /** An update that its primary did not take is an error, whatever the status says. */
     private static void shardsSucceeded(byte[] body) {
-        JsonObject shards = JsonParser.parseString(new String(body, StandardCharsets.UTF_8)).getAsJsonObject()
+        JsonObject shards = JsonParser.parseString(new String(body, StandardCharsets.UTF_8))
+                .getAsJsonObject()
                 .getAsJsonObject("_shards");
-        if (shards != null && shards.get("successful").getAsInt() < 1 && shards.get("total").getAsInt() > 0) {
+        if (shards != null
+                && shards.get("successful").getAsInt() < 1
+                && shards.get("total").getAsInt() > 0) {
             throw new IllegalArgumentException("no shard took the update");
         }
     }
@@ -188,15 +198,23 @@
             query.add("query_string", words);
             JsonObject body = new JsonObject();
             body.add("query", query);
-            return post("/" + encode(a.part().query().className()) + "/_search?preference=_shards:" + shard
-                    + "&timeout=" + ms + "ms", mark, body);
+            return post(
+                    "/" + encode(a.part().query().className()) + "/_search?preference=_shards:" + shard + "&timeout="
+                            + ms + "ms",
+                    mark,
+                    body);
         }
         if (r.update()) {
-            return post("/" + r.index() + "/_update/" + encode(r.docId()) + "?routing=" + shard + "&timeout=" + ms + "ms",
-                    mark + (ask.key().isEmpty() ? "" : "Idempotency-Key: " + ask.key() + "\r\n"), r.body());
+            return post(
+                    "/" + r.index() + "/_update/" + encode(r.docId()) + "?routing=" + shard + "&timeout=" + ms + "ms",
+                    mark + (ask.key().isEmpty() ? "" : "Idempotency-Key: " + ask.key() + "\r\n"),
+                    r.body());
         }
-        return post("/" + r.index() + "/_search?preference=_shards:" + shard + "&timeout=" + ms + "ms"
-                + (r.scroll() ? "&scroll=" + (long) Math.ceil(r.scrollS()) + "s" : ""), mark, r.body());
+        return post(
+                "/" + r.index() + "/_search?preference=_shards:" + shard + "&timeout=" + ms + "ms"
+                        + (r.scroll() ? "&scroll=" + (long) Math.ceil(r.scrollS()) + "s" : ""),
+                mark,
+                r.body());
     }
 
     private byte[] post(String target, String extra, JsonObject body) {
@@ -251,16 +269,17 @@
     void free(String scrollId) {
         JsonObject body = new JsonObject();
         body.addProperty("scroll_id", scrollId);
-        byte[] request = HttpWriter.request("DELETE", "/_search/scroll", dial, JSON,
-                body.toString().getBytes(StandardCharsets.UTF_8));
+        byte[] request = HttpWriter.request(
+                "DELETE", "/_search/scroll", dial, JSON, body.toString().getBytes(StandardCharsets.UTF_8));
         ask(request, loop.now() + FREE_S, false, () -> true, null, new HttpClient.Then() {
             @Override
-            public void response(HttpMessage m) { }
+            public void response(HttpMessage m) {}
 
             @Override
             public void failed(HttpClient.Failure why) {
-                notes.note(System.Logger.Level.INFO, () -> "worker " + id
-                        + " was not told to free a scroll; it will expire");
+                notes.note(
+                        System.Logger.Level.INFO,
+                        () -> "worker " + id + " was not told to free a scroll; it will expire");
             }
         });
     }
@@ -268,7 +287,12 @@
     @Override
     public void probe() {
         double at = loop.now();
-        ask(HttpWriter.request("GET", "/", dial, "", new byte[0]), at + PROBE_S, true, () -> true, null,
+        ask(
+                HttpWriter.request("GET", "/", dial, "", new byte[0]),
+                at + PROBE_S,
+                true,
+                () -> true,
+                null,
                 new HttpClient.Then() {
                     @Override
                     public void response(HttpMessage m) {
@@ -282,8 +306,13 @@
                 });
     }
 
-    private void ask(byte[] request, double until, boolean needsOpen, BooleanSupplier wanted, Attempt attempt,
-                     HttpClient.Then then) {
+    private void ask(
+            byte[] request,
+            double until,
+            boolean needsOpen,
+            BooleanSupplier wanted,
+            Attempt attempt,
+            HttpClient.Then then) {
         Waiting w = new Waiting(request, until, needsOpen, wanted, then);
         if (needsOpen && !open) {
             loop.execute(() -> then.failed(null));
@@ -292,8 +321,8 @@
         Line line = freeLine();
         if (line == null) {
             // Kept in a queue here rather than in the worker's: what is given up meanwhile is then never sent.
-            waiting.addLast(new Waiting(request, until, needsOpen, wanted, attempt == null ? then
-                    : new Bound(attempt, then)));
+            waiting.addLast(
+                    new Waiting(request, until, needsOpen, wanted, attempt == null ? then : new Bound(attempt, then)));
         } else {
             start(line, w, attempt);
         }
@@ -338,8 +367,8 @@
             done(line);
             w.then().failed(null);
         };
-        boolean scroll = attempt != null && attempt.part().query().ask().context() instanceof SearchRequest r
-                && r.scroll();
+        boolean scroll =
+                attempt != null && attempt.part().query().ask().context() instanceof SearchRequest r && r.scroll();
         double most = Math.max(0.001, w.until() - loop.now()) + (scroll ? FREE_S : 0);
         line.http.ask(w.request(), most, new HttpClient.Then() {
             @Override
--- a/src/main/java/pepperdock/opensearch/ShardAnswer.java
+++ b/src/main/java/pepperdock/opensearch/ShardAnswer.java
@@ -18,7 +18,9 @@
     static ShardAnswer strict(int shard, byte[] body) {
         JsonObject o = parse(body);
         JsonObject shards = o.getAsJsonObject("_shards");
-        if (flag(o, "timed_out") || flag(o, "terminated_early") || shards == null
+        if (flag(o, "timed_out")
+                || flag(o, "terminated_early")
+                || shards == null
                 || shards.has("failed") && shards.get("failed").getAsInt() > 0
                 || shards.has("failures") && !shards.getAsJsonArray("failures").isEmpty()
                 || shards.has("successful") && shards.get("successful").getAsInt() < 1) {
@@ -60,9 +62,11 @@
             hits.add(new Hit(shard, h.getAsJsonObject()));
         }
         JsonElement total = outer.get("total");
-        long count = total == null || total.isJsonNull() ? hits.size()
+        long count = total == null || total.isJsonNull()
+                ? hits.size()
                 : total.isJsonObject() ? total.getAsJsonObject().get("value").getAsLong() : total.getAsLong();
-        return new ShardAnswer(hits, count, o.has("_scroll_id") ? o.get("_scroll_id").getAsString() : null);
+        return new ShardAnswer(
+                hits, count, o.has("_scroll_id") ? o.get("_scroll_id").getAsString() : null);
     }
 
     private static boolean flag(JsonObject o, String name) {
--- a/src/main/java/pepperdock/operator/BanFile.java
+++ b/src/main/java/pepperdock/operator/BanFile.java
@@ -28,6 +28,7 @@
     private static final int VERSION = 1;
     /** For the other process to let go of the lock: it holds it for a write; stopped with it, it must not stop this one. */
     private static final int LOCK_TRIES = 50;
+
     private static final int LOCK_PAUSE_MS = 10;
 
     private final Path folder;
@@ -46,7 +47,11 @@
             return Set.of();
         } catch (ConfigException | java.nio.charset.CharacterCodingException e) {
             Path aside = folder.resolve("bans.damaged");
-            LOG.log(System.Logger.Level.ERROR, "bans not readable, kept as {0}, none in force: {1}", aside, e.getMessage());
+            LOG.log(
+                    System.Logger.Level.ERROR,
+                    "bans not readable, kept as {0}, none in force: {1}",
+                    aside,
+                    e.getMessage());
             Files.move(file, aside, StandardCopyOption.REPLACE_EXISTING);
             return Set.of();
         }
@@ -54,8 +59,8 @@
 
     /** Puts one change into the file as it is now; returns the state that is written. */
     Set<String> change(String worker, boolean out) throws IOException {
-        try (FileChannel lock = FileChannel.open(folder.resolve("bans.lock"), StandardOpenOption.CREATE,
-                StandardOpenOption.WRITE)) {
+        try (FileChannel lock =
+                FileChannel.open(folder.resolve("bans.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
             FileLock held = locked(lock);
             Set<String> state = new LinkedHashSet<>(read());
             boolean changes = out ? state.add(worker) : state.remove(worker);
@@ -90,8 +95,8 @@
         all.addProperty("version", VERSION);
         all.add("disabled", disabled);
         Path fresh = folder.resolve("bans.new");
-        try (FileChannel to = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
+        try (FileChannel to = FileChannel.open(
+                fresh, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
             ByteBuffer bytes = ByteBuffer.wrap(all.toString().getBytes(StandardCharsets.UTF_8));
             while (bytes.hasRemaining()) {
                 to.write(bytes);
--- a/src/main/java/pepperdock/operator/Bans.java
+++ b/src/main/java/pepperdock/operator/Bans.java
@@ -15,11 +15,12 @@
     /** So many at most: more are no ban of workers any more, and the file is read whole. */
     static final int MOST = 1000;
 
-    private record Change(String worker, boolean out) { }
+    private record Change(String worker, boolean out) {}
 
     private final Set<String> kept = new LinkedHashSet<>();
     /** What could not be written: in force here whatever is read, until a change of the same worker is written. */
     private final Map<String, Change> unwritten = new LinkedHashMap<>();
+
     private final Map<Long, Change> asked = new LinkedHashMap<>();
     private long no;
 
--- a/src/main/java/pepperdock/operator/Beside.java
+++ b/src/main/java/pepperdock/operator/Beside.java
@@ -16,7 +16,7 @@
         }
 
         @Override
-        public void handOver() { }
+        public void handOver() {}
     };
 
     /** Goes on once {@link #anotherServes} is true to this moment. */
--- a/src/main/java/pepperdock/operator/Door.java
+++ b/src/main/java/pepperdock/operator/Door.java
@@ -54,7 +54,7 @@
         } else {
             throw new HttpException(404, "no such path");
         }
-        return () -> { };
+        return () -> {};
     }
 
     private void ban(HttpMessage m, String path, boolean out, HttpServer.Reply reply) throws HttpException {
--- a/src/main/java/pepperdock/operator/FigureText.java
+++ b/src/main/java/pepperdock/operator/FigureText.java
@@ -7,7 +7,7 @@
 /** The one place that knows how figures are written: a line {@code svc.NAME=VALUE} each, those of a class {@code svc.NAME.CLASS}. */
 final class FigureText {
 
-    private FigureText() { }
+    private FigureText() {}
 
     static String of(Gatherer core, long loads, long loadErrors) {
         Figures f = core.figures();
--- a/src/main/java/pepperdock/operator/Operator.java
+++ b/src/main/java/pepperdock/operator/Operator.java
@@ -26,6 +26,7 @@
     private static final int CALLERS_MOST = 12;
     /** Whoever has not completed a call by then is nobody's caller any more. */
     private static final double CALL_S = 4;
+
     private static final int BODY_MOST = 4096;
     /** Calls that may wait for a disk that stands still. */
     private static final int WAITING_MOST = 100;
@@ -40,6 +41,7 @@
     private final List<Consumer<Boolean>> serving = new ArrayList<>();
     /** All three null where there is no folder for the state. */
     private final BanFile file;
+
     private final Lives lives;
     private final ScheduledExecutorService disk;
     private boolean beside;
@@ -49,6 +51,7 @@
     private long loadErrors;
     /** The disk thread's. */
     private boolean seenBeside;
+
     private boolean seenServing;
     private Set<String> seenBans;
     private boolean failing;
@@ -61,7 +64,9 @@
         file = folder == null ? null : new BanFile(folder);
         lives = folder == null ? null : new Lives(folder);
         if (folder == null) {
-            LOG.log(System.Logger.Level.WARNING, "TMPDIR not set: bans last as long as this process, upgrades are not noticed");
+            LOG.log(
+                    System.Logger.Level.WARNING,
+                    "TMPDIR not set: bans last as long as this process, upgrades are not noticed");
             disk = null;
             return;
         }
@@ -75,8 +80,11 @@
         beside = seenBeside;
         bans.read(seenBans);
         if (beside || !seenBans.isEmpty()) {
-            LOG.log(System.Logger.Level.INFO, "{0}, {1} workers disabled",
-                    beside ? "another process of this gatherer serves" : "no other process of this gatherer", seenBans.size());
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "{0}, {1} workers disabled",
+                    beside ? "another process of this gatherer serves" : "no other process of this gatherer",
+                    seenBans.size());
         }
         disk = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread t = new Thread(task, "operator");
@@ -97,7 +105,8 @@
         if (disk != null) {
             disk.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         }
-        HttpServer server = new HttpServer(loop, at, Loop.Kind.APART, CALL_S, BODY_MOST, () -> CALLERS_MOST, new Door(this));
+        HttpServer server =
+                new HttpServer(loop, at, Loop.Kind.APART, CALL_S, BODY_MOST, () -> CALLERS_MOST, new Door(this));
         LOG.log(System.Logger.Level.INFO, "operators are served on {0}", server.address());
     }
 
@@ -124,7 +133,10 @@
             try {
                 step.run();
             } catch (IOException e) {
-                LOG.log(System.Logger.Level.ERROR, "the other process may not be told of this one: {0}", String.valueOf(e));
+                LOG.log(
+                        System.Logger.Level.ERROR,
+                        "the other process may not be told of this one: {0}",
+                        String.valueOf(e));
             }
             loop.execute(then);
         });
@@ -154,7 +166,7 @@
     public void handOver() {
         handedOver = true;
         core.handOver();
-        onDisk(lives::handOver, () -> { });
+        onDisk(lives::handOver, () -> {});
     }
 
     /** A configuration file was taken, or turned down. */
@@ -191,8 +203,11 @@
         core.ban(bans.inForce());
         if (beside != another) {
             beside = another;
-            LOG.log(System.Logger.Level.INFO, another ? "another process of this gatherer has begun"
-                    : "the other process of this gatherer has ended");
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    another
+                            ? "another process of this gatherer has begun"
+                            : "the other process of this gatherer has ended");
             besides.forEach(then -> then.accept(another));
         }
         if (serves != anotherServes) {
@@ -223,8 +238,10 @@
     /** In force at once; told once it is also written down, as an upgrade a moment later must find it. */
     @Override
     public void ban(String worker, boolean out, Consumer<String> then) {
-        if (out && !bans.inForce().contains(worker) && bans.inForce().size() >= Bans.MOST || bans.waiting() >= WAITING_MOST) {
-            then.accept("not done: " + bans.inForce().size() + " workers are disabled, " + bans.waiting() + " calls wait for the disk");
+        if (out && !bans.inForce().contains(worker) && bans.inForce().size() >= Bans.MOST
+                || bans.waiting() >= WAITING_MOST) {
+            then.accept("not done: " + bans.inForce().size() + " workers are disabled, " + bans.waiting()
+                    + " calls wait for the disk");
             return;
         }
         long no = bans.ask(worker, out);
--- a/src/main/java/pepperdock/plan/Conflict.java
+++ b/src/main/java/pepperdock/plan/Conflict.java
@@ -15,7 +15,7 @@
 public record Conflict(String away, List<Work> work, List<Integer> nodes, Ratio need) {
 
     /** What one zone's gatherers ask of one range; places of both in the problem. */
-    public record Work(int range, int zone) { }
+    public record Work(int range, int zone) {}
 
     public Conflict {
         work = List.copyOf(work);
--- a/src/main/java/pepperdock/plan/Levels.java
+++ b/src/main/java/pepperdock/plan/Levels.java
@@ -27,10 +27,10 @@
     private static final double NEAR = 1e-7;
 
     /** Work that any of these nodes may take, in ascending order. */
-    record Demand(long work, int[] nodes) { }
+    record Demand(long work, int[] nodes) {}
 
     /** {@code flow[d][i]}: what the i-th node of demand d gets, in units of work; the work and set behind each level. */
-    record Spread(double[][] flow, Ratio[] utilisation, BitSet first) { }
+    record Spread(double[][] flow, Ratio[] utilisation, BitSet first) {}
 
     private final long[] capacity;
     private final List<Demand> demands;
@@ -80,7 +80,8 @@
         for (int d = left.nextSetBit(0); d >= 0; d = left.nextSetBit(d + 1)) {
             for (int node : demands.get(d).nodes()) {
                 if (!done.get(node)) {
-                    pieces.computeIfAbsent(find(parent, node), r -> new BitSet()).set(d);
+                    pieces.computeIfAbsent(find(parent, node), r -> new BitSet())
+                            .set(d);
                     break;
                 }
             }
@@ -114,7 +115,8 @@
                 Arrays.fill(flow[d], 0);
             }
         }
-        BigInteger room = tight.stream().mapToObj(n -> BigInteger.valueOf(capacity[n])).reduce(BigInteger.ZERO, BigInteger::add);
+        BigInteger room =
+                tight.stream().mapToObj(n -> BigInteger.valueOf(capacity[n])).reduce(BigInteger.ZERO, BigInteger::add);
         Ratio exact = new Ratio(work, room);
         if (Math.abs(exact.value() - u) > 1e-6 * Math.max(u, 1e-9)) {
             throw new ArithmeticException("the program's level " + u + " is not that of its set, " + exact.value());
@@ -138,7 +140,8 @@
 
     /** Least u so that a spread of the piece's work over nodes not done keeps each at u of its capacity; fills the flow. */
     private double program(BitSet piece, BitSet done) {
-        double workUnit = piece.stream().mapToDouble(d -> demands.get(d).work()).max().orElse(1);
+        double workUnit =
+                piece.stream().mapToDouble(d -> demands.get(d).work()).max().orElse(1);
         ExpressionsBasedModel model = new ExpressionsBasedModel();
         Variable u = model.newVariable("u").lower(0).weight(1);
         Map<Integer, Expression> loads = new HashMap<>();
@@ -153,8 +156,10 @@
                     Variable x = model.newVariable("x" + places.size()).lower(0);
                     places.add(new int[] {d, i});
                     all.set(x, 1);
-                    loads.computeIfAbsent(node, n -> model.newExpression("n" + n).upper(0)
-                            .set(u, -capacity[n] / workUnit)).set(x, 1);
+                    loads.computeIfAbsent(
+                                    node,
+                                    n -> model.newExpression("n" + n).upper(0).set(u, -capacity[n] / workUnit))
+                            .set(x, 1);
                 }
             }
         }
--- a/src/main/java/pepperdock/plan/Plan.java
+++ b/src/main/java/pepperdock/plan/Plan.java
@@ -12,8 +12,8 @@
  * @param crossings cost of the work sent between zones, a second
  * @param conflict null where there is a plan; with it, all else is empty
  */
-public record Plan(List<List<double[]>> shares, List<Ratio> utilisation, Ratio greatest, double crossings,
-                   Conflict conflict) {
+public record Plan(
+        List<List<double[]>> shares, List<Ratio> utilisation, Ratio greatest, double crossings, Conflict conflict) {
 
     public boolean solved() {
         return conflict == null;
--- a/src/main/java/pepperdock/plan/Planner.java
+++ b/src/main/java/pepperdock/plan/Planner.java
@@ -33,6 +33,7 @@
     private final BigInteger rates;
     /** For each range and zone the place of its demand; -1 where there is no work, or nobody to do it. */
     private final int[][] demandOf;
+
     private final List<Demand> demands = new ArrayList<>();
     private final List<Integer> zoneOf = new ArrayList<>();
 
@@ -55,7 +56,9 @@
      */
     public static Plan plan(Problem problem, double slack) {
         Conflict conflict = conflict(problem, null);
-        for (int n = 0; conflict == null && problem.spareNode() && n < problem.nodes().size(); n++) {
+        for (int n = 0;
+                conflict == null && problem.spareNode() && n < problem.nodes().size();
+                n++) {
             if (problem.nodes().get(n).inService()) {
                 conflict = conflict(problem.without(n), problem.nodes().get(n).name());
             }
@@ -84,8 +87,14 @@
             return null;
         }
         // What the fullest set alone may take is too much by itself; only that need be searched.
-        List<Work> kept = smallest(problem, all.stream().filter(w -> Arrays.stream(
-                whole.demands.get(whole.demandOf[w.range()][w.zone()]).nodes()).allMatch(spread.first()::get)).toList());
+        List<Work> kept = smallest(
+                problem,
+                all.stream()
+                        .filter(w -> Arrays.stream(whole.demands
+                                        .get(whole.demandOf[w.range()][w.zone()])
+                                        .nodes())
+                                .allMatch(spread.first()::get))
+                        .toList());
         Planner least = new Planner(problem, kept);
         Spread of = least.spread();
         return new Conflict(away, kept, of.first().stream().boxed().toList(), least.greatest(of));
@@ -108,7 +117,7 @@
     private static List<Work> smallest(Problem problem, List<Work> all) {
         List<Work> kept = new ArrayList<>(all);
         for (int piece = Integer.highestOneBit(kept.size()); piece >= 1; piece /= 2) {
-            for (int from = 0; from < kept.size();) {
+            for (int from = 0; from < kept.size(); ) {
                 List<Work> rest = new ArrayList<>(kept.subList(0, from));
                 rest.addAll(kept.subList(Math.min(kept.size(), from + piece), kept.size()));
                 if (!rest.isEmpty() && tooMuch(problem, rest)) {
@@ -132,7 +141,11 @@
             Range range = problem.ranges().get(r);
             for (int z = 0; z < problem.zones().size(); z++) {
                 int zone = z;
-                int[] open = range.holders().stream().filter(n -> problem.open(zone, n)).mapToInt(n -> n).sorted().toArray();
+                int[] open = range.holders().stream()
+                        .filter(n -> problem.open(zone, n))
+                        .mapToInt(n -> n)
+                        .sorted()
+                        .toArray();
                 long scaled = Math.multiplyExact(range.work(), problem.rates()[z]);
                 demandOf[r][z] = -1;
                 if (scaled > 0 && open.length > 0 && (some == null || some.contains(new Work(r, z)))) {
@@ -154,7 +167,8 @@
         for (int d = 0; d < work.size(); d++) {
             demands.add(new Demand(work.get(d), holders.get(d)));
         }
-        return Levels.spread(problem.nodes().stream().mapToLong(Problem.Node::capacity).toArray(), demands);
+        return Levels.spread(
+                problem.nodes().stream().mapToLong(Problem.Node::capacity).toArray(), demands);
     }
 
     private Ratio unscaled(Ratio scaled) {
@@ -174,7 +188,10 @@
         double crossings = 0;
         for (int d = 0; d < flow.length; d++) {
             for (int i = 0; i < flow[d].length; i++) {
-                crossings += flow[d][i] / rates.doubleValue() / 1e6 * cost(d, demands.get(d).nodes()[i]);
+                crossings += flow[d][i]
+                        / rates.doubleValue()
+                        / 1e6
+                        * cost(d, demands.get(d).nodes()[i]);
             }
         }
         List<List<double[]>> shares = new ArrayList<>();
@@ -214,7 +231,9 @@
      * and {@code less} than the equal share.
      */
     private double[][] evenest(Spread spread, double[][] near, double slack) {
-        double room = spread.first().isEmpty() ? 0 : slack * spread.utilisation()[spread.first().nextSetBit(0)].value();
+        double room = spread.first().isEmpty()
+                ? 0
+                : slack * spread.utilisation()[spread.first().nextSetBit(0)].value();
         double unit = demands.stream().mapToDouble(Demand::work).max().orElse(1);
         ExpressionsBasedModel model = new ExpressionsBasedModel();
         Expression crossings = model.newExpression("crossings");
@@ -227,18 +246,27 @@
             double equal = demands.get(d).work() / unit / of.length;
             Expression all = model.newExpression("d" + d).level(0);
             for (int i = 0; i < of.length; i++) {
-                Variable more = model.newVariable("more" + d + "to" + of[i]).lower(0).weight(1);
-                Variable less = model.newVariable("less" + d + "to" + of[i]).lower(0).upper(equal).weight(1);
+                Variable more =
+                        model.newVariable("more" + d + "to" + of[i]).lower(0).weight(1);
+                Variable less = model.newVariable("less" + d + "to" + of[i])
+                        .lower(0)
+                        .upper(equal)
+                        .weight(1);
                 all.set(more, 1).set(less, -1);
-                loads.computeIfAbsent(of[i], n -> model.newExpression("n" + n)).set(more, 1).set(less, -1);
+                loads.computeIfAbsent(of[i], n -> model.newExpression("n" + n))
+                        .set(more, 1)
+                        .set(less, -1);
                 equalLoads.merge(of[i], equal, Double::sum);
                 crossings.set(more, cost(d, of[i])).set(less, -cost(d, of[i]));
                 most += near[d][i] / unit * cost(d, of[i]);
                 equalCrossings += equal * cost(d, of[i]);
             }
         }
-        loads.forEach((node, load) -> load.upper((spread.utilisation()[node].value() + room) * problem.nodes().get(node).capacity()
-                / unit * (1 + ROUNDING) - equalLoads.get(node)));
+        loads.forEach((node, load) -> load.upper((spread.utilisation()[node].value() + room)
+                        * problem.nodes().get(node).capacity()
+                        / unit
+                        * (1 + ROUNDING)
+                - equalLoads.get(node)));
         crossings.upper(most * (1 + ROUNDING) + ROUNDING - equalCrossings);
         Optimisation.Result result = model.minimise();
         if (!result.getState().isOptimal()) {
@@ -248,8 +276,10 @@
         for (int d = 0, x = 0; d < flow.length; d++) {
             flow[d] = new double[demands.get(d).nodes().length];
             for (int i = 0; i < flow[d].length; i++, x += 2) {
-                flow[d][i] = Math.max(0, demands.get(d).work() / flow[d].length
-                        + (result.doubleValue(x) - result.doubleValue(x + 1)) * unit);
+                flow[d][i] = Math.max(
+                        0,
+                        demands.get(d).work() / flow[d].length
+                                + (result.doubleValue(x) - result.doubleValue(x + 1)) * unit);
             }
         }
         return keeps(flow, spread, room) ? flow : near;
@@ -271,7 +301,8 @@
             }
         }
         for (int n = 0; n < load.length; n++) {
-            double bound = (spread.utilisation()[n].value() + room) * problem.nodes().get(n).capacity();
+            double bound = (spread.utilisation()[n].value() + room)
+                    * problem.nodes().get(n).capacity();
             if (load[n] > bound * (1 + CHECK) + CHECK) {
                 return false;
             }
@@ -298,8 +329,11 @@
             for (int node : demands.get(d).nodes()) {
                 Variable x = model.newVariable("x" + d + "to" + node).lower(0).weight(cost(d, node));
                 all.set(x, 1);
-                double most = spread.utilisation()[node].value() * problem.nodes().get(node).capacity() / unit;
-                loads.computeIfAbsent(node, n -> model.newExpression("n" + n).upper(most * (1 + ROUNDING))).set(x, 1);
+                double most = spread.utilisation()[node].value()
+                        * problem.nodes().get(node).capacity()
+                        / unit;
+                loads.computeIfAbsent(node, n -> model.newExpression("n" + n).upper(most * (1 + ROUNDING)))
+                        .set(x, 1);
             }
         }
         Optimisation.Result result = model.minimise();
--- a/src/main/java/pepperdock/plan/Problem.java
+++ b/src/main/java/pepperdock/plan/Problem.java
@@ -11,11 +11,16 @@
  * @param rates how much of all queries comes to the gatherers of each zone, in any unit; whole, one of them above 0
  * @param spareNode whether capacity must suffice with any one node away, too
  */
-public record Problem(List<String> zones, double[][] crossing, long[] rates, List<Node> nodes, List<Range> ranges,
-                      boolean spareNode) {
+public record Problem(
+        List<String> zones,
+        double[][] crossing,
+        long[] rates,
+        List<Node> nodes,
+        List<Range> ranges,
+        boolean spareNode) {
 
     /** Whole microseconds of work a second that a node can do now: its capacity over the factor by which it is slow. */
-    public record Node(String name, int zone, long capacity, boolean inService) { }
+    public record Node(String name, int zone, long capacity, boolean inService) {}
 
     /** An account range: whole microseconds of work a second, and the places of its holders among the nodes. */
     public record Range(int number, long work, List<Integer> holders) {
@@ -32,7 +37,8 @@
 
     /** Whether work of a zone's gatherers may go to a node. */
     boolean open(int zone, int node) {
-        return nodes.get(node).inService() && nodes.get(node).capacity() > 0
+        return nodes.get(node).inService()
+                && nodes.get(node).capacity() > 0
                 && Double.isFinite(crossing[zone][nodes.get(node).zone()]);
     }
 
--- a/src/main/java/pepperdock/plan/Upkeep.java
+++ b/src/main/java/pepperdock/plan/Upkeep.java
@@ -37,16 +37,17 @@
     private static final double ALIKE = 0.25;
     /** Parts that each range is thought to have had besides those seen: few seen say little of how work falls on ranges. */
     private static final double PRIOR = 50;
+
     private static final long CAPACITY = 1_000_000_000L;
 
     /** A node of the list; {@code cell} says which ranges it holds. */
-    public record Member(String id, int cell, boolean inService) { }
+    public record Member(String id, int cell, boolean inService) {}
 
     /** Who holds which range: those of cells {@code (range + j) mod cells}, j from 0 to {@code span - 1}. */
-    public record Ring(int ranges, int cells, int span) { }
+    public record Ring(int ranges, int cells, int span) {}
 
     /** A problem to be solved, and the state of the list that it was made of. */
-    public record Job(long version, Problem problem) { }
+    public record Job(long version, Problem problem) {}
 
     /** Shares by range and node; whoever is not named counts as if all were alike. */
     public record Shares(Map<Integer, Map<String, Double>> byRange) {
@@ -70,6 +71,7 @@
     private final TreeMap<String, Member> members = new TreeMap<>();
     /** Of listed nodes only. */
     private final Map<String, Heard> heard = new HashMap<>();
+
     private final double[] asked;
     private long version;
     private long plannedVersion = -1;
@@ -134,7 +136,8 @@
             return null;
         }
         plannedVersion = version;
-        // Work without any holder in service: nothing to choose there, and equal shares elsewhere until the list changes.
+        // Work without any holder in service: nothing to choose there, and equal shares elsewhere until the list
+        // changes.
         return plan == null || !plan.solved() ? Shares.EQUAL : shares(job.problem(), plan);
     }
 
@@ -151,7 +154,11 @@
 
     /** The median of the nodes' mean times; 0 while too few are known. */
     private double common() {
-        double[] means = heard.values().stream().filter(h -> h.parts >= HEARD_LEAST).mapToDouble(h -> h.meanS).sorted().toArray();
+        double[] means = heard.values().stream()
+                .filter(h -> h.parts >= HEARD_LEAST)
+                .mapToDouble(h -> h.meanS)
+                .sorted()
+                .toArray();
         return means.length == 0 ? 0 : means[means.length / 2];
     }
 
@@ -167,8 +174,9 @@
     }
 
     private boolean changed(Map<String, Double> speeds) {
-        return speeds.entrySet().stream().anyMatch(e -> Math.abs(e.getValue() / plannedSpeeds.getOrDefault(e.getKey(), 1.0) - 1)
-                >= leastChange - 1e-9);
+        return speeds.entrySet().stream()
+                .anyMatch(e ->
+                        Math.abs(e.getValue() / plannedSpeeds.getOrDefault(e.getKey(), 1.0) - 1) >= leastChange - 1e-9);
     }
 
     private Problem problem(Map<String, Double> speeds) {
@@ -189,10 +197,12 @@
                 holders.addAll(cells.get((r + j) % ring.cells()));
             }
             boolean anybody = holders.stream().anyMatch(n -> nodes.get(n).inService());
-            // All work together is less than the slowest node can do, so that no set is ever too much. A range without a
+            // All work together is less than the slowest node can do, so that no set is ever too much. A range without
+            // a
             // holder has nothing to be shared.
             double part = (asked[r] + PRIOR) / (sum + PRIOR * ring.ranges());
-            ranges.add(new Problem.Range(r, anybody ? Math.max(1, Math.round(part * CAPACITY * SLOWEST / 2)) : 0, holders));
+            ranges.add(new Problem.Range(
+                    r, anybody ? Math.max(1, Math.round(part * CAPACITY * SLOWEST / 2)) : 0, holders));
         }
         return new Problem(List.of("all"), new double[][] {{0}}, new long[] {1}, nodes, ranges, false);
     }
@@ -201,7 +211,8 @@
         Map<Integer, Map<String, Double>> byRange = new HashMap<>();
         for (int r = 0; r < p.ranges().size(); r++) {
             List<Integer> holders = p.ranges().get(r).holders();
-            long open = holders.stream().filter(n -> p.nodes().get(n).inService()).count();
+            long open =
+                    holders.stream().filter(n -> p.nodes().get(n).inService()).count();
             Map<String, Double> shares = new HashMap<>();
             for (int i = 0; i < holders.size(); i++) {
                 if (p.nodes().get(holders.get(i)).inService()) {
--- a/src/main/java/pepperdock/planner/PlannerThread.java
+++ b/src/main/java/pepperdock/planner/PlannerThread.java
@@ -36,14 +36,22 @@
     private final Consumer<Runnable> back;
 
     /** {@code solver} runs a task apart from the loop, {@code back} one on it; the same thread serves for simulated time. */
-    public PlannerThread(PlanConfig config, Layout layout, Clock loop, Gatherer core,
-                         Consumer<Runnable> solver, Consumer<Runnable> back) {
+    public PlannerThread(
+            PlanConfig config,
+            Layout layout,
+            Clock loop,
+            Gatherer core,
+            Consumer<Runnable> solver,
+            Consumer<Runnable> back) {
         this.loop = loop;
         this.core = core;
         this.solver = solver;
         this.back = back;
-        upkeep = new Upkeep(new Upkeep.Ring(layout.shards(), layout.cells(), layout.span()), config.everyS(),
-                config.leastChange(), config.shareLeast());
+        upkeep = new Upkeep(
+                new Upkeep.Ring(layout.shards(), layout.cells(), layout.span()),
+                config.everyS(),
+                config.leastChange(),
+                config.shareLeast());
     }
 
     /** A daemon thread that solves one problem at a time. */
@@ -62,7 +70,8 @@
             upkeep.listed(hosts.stream().map(PlannerThread::member).toList());
             look();
         });
-        core.whenServed((attempt, spentS) -> upkeep.served(attempt.worker(), attempt.part().shard(), spentS));
+        core.whenServed((attempt, spentS) ->
+                upkeep.served(attempt.worker(), attempt.part().shard(), spentS));
         again();
     }
 
@@ -119,11 +128,16 @@
         }
         String why = "solving failed";
         if (plan != null) {
-            List<Integer> ranges = plan.conflict().work().stream().map(w -> problem.ranges().get(w.range()).number())
-                    .distinct().sorted().toList();
-            List<String> full = plan.conflict().nodes().stream().map(n -> problem.nodes().get(n).name()).toList();
-            why = "range" + (ranges.size() == 1 ? " " : "s ") + named(ranges) + (full.isEmpty()
-                    ? ": no holder in service" : ": more work than " + named(full) + " can do");
+            List<Integer> ranges = plan.conflict().work().stream()
+                    .map(w -> problem.ranges().get(w.range()).number())
+                    .distinct()
+                    .sorted()
+                    .toList();
+            List<String> full = plan.conflict().nodes().stream()
+                    .map(n -> problem.nodes().get(n).name())
+                    .toList();
+            why = "range" + (ranges.size() == 1 ? " " : "s ") + named(ranges)
+                    + (full.isEmpty() ? ": no holder in service" : ": more work than " + named(full) + " can do");
         }
         return "no plan for " + nodes + " nodes, shares are equal: " + why;
     }
--- a/src/main/java/pepperdock/platform/Front.java
+++ b/src/main/java/pepperdock/platform/Front.java
@@ -23,6 +23,7 @@
     private static final String JSON = "application/json";
     /** Up to an hour. */
     private static final Pattern WAIT = Pattern.compile("0*[1-9][0-9]{0,5}|0*[12][0-9]{6}|0*3[0-5][0-9]{5}|0*3600000");
+
     private static final Pattern ID = Pattern.compile("[!-~]{1,128}");
     private static final Pattern KEY = Pattern.compile("[!-+\\--~]{0,256}");
 
@@ -59,14 +60,17 @@
             }
             default -> throw new HttpException(404, "no such path");
         }
-        return () -> { };
+        return () -> {};
     }
 
     @Override
     public void malformed(int status, String why, HttpServer.Reply reply) {
         JsonObject body = new JsonObject();
         body.addProperty("error", why);
-        reply.send(status, JSON, status == 405 ? "Allow: GET, POST\r\n" : "",
+        reply.send(
+                status,
+                JSON,
+                status == 405 ? "Allow: GET, POST\r\n" : "",
                 body.toString().getBytes(StandardCharsets.UTF_8));
     }
 
--- a/src/main/java/pepperdock/platform/QueryBody.java
+++ b/src/main/java/pepperdock/platform/QueryBody.java
@@ -22,8 +22,10 @@
 record QueryBody(List<Ask.Piece> pieces, byte[] text) {
 
     static QueryBody read(byte[] body, int shards) throws HttpException {
-        try (JsonReader in = new JsonReader(new StringReader(StandardCharsets.UTF_8.newDecoder()
-                .decode(ByteBuffer.wrap(body)).toString()))) {
+        try (JsonReader in = new JsonReader(new StringReader(StandardCharsets.UTF_8
+                .newDecoder()
+                .decode(ByteBuffer.wrap(body))
+                .toString()))) {
             in.setStrictness(Strictness.STRICT);
             QueryBody read = query(in, shards);
             check(in.peek() == JsonToken.END_DOCUMENT, "more than a query");
--- a/src/main/java/pepperdock/platform/Reports.java
+++ b/src/main/java/pepperdock/platform/Reports.java
@@ -6,10 +6,21 @@
 /** Load reports as workers word them, {@code name=figure} with commas, put in the order of the settings. */
 final class Reports {
 
-    private static final Map<String, String> NAMES = Map.of("inflight", "outstanding", "queue", "backlog",
-            "util", "utilization", "latency_ms", "recent_ms", "qps", "throughput", "eps", "errors_per_s");
+    private static final Map<String, String> NAMES = Map.of(
+            "inflight",
+            "outstanding",
+            "queue",
+            "backlog",
+            "util",
+            "utilization",
+            "latency_ms",
+            "recent_ms",
+            "qps",
+            "throughput",
+            "eps",
+            "errors_per_s");
 
-    private Reports() { }
+    private Reports() {}
 
     /** The figures by the settings' names; null where there is no report, or one that lacks any of them. */
     static double[] row(String report, List<String> names) {
--- a/src/main/java/pepperdock/platform/Warmup.java
+++ b/src/main/java/pepperdock/platform/Warmup.java
@@ -38,6 +38,7 @@
     private static final int QUERIES = 150;
     /** One of the rest so often; at half a core it takes a few per cent of the time between. */
     private static final double PAUSE_S = 0.02;
+
     private static final int PARTS_MOST = 40;
 
     private final Site site;
@@ -50,7 +51,7 @@
 
     public Warmup(Site site) {
         this.site = site;
-        core[0] = new Gatherer(site.module(), 1, clock, new Echo(clock, core), () -> { });
+        core[0] = new Gatherer(site.module(), 1, clock, new Echo(clock, core), () -> {});
         List<Host> hosts = new ArrayList<>();
         for (int cell = 0; cell < site.module().layout().cells(); cell++) {
             hosts.add(new Host("warm-" + cell, "", 0, 0, cell, Readiness.HEALTHY, 1, 0));
@@ -94,13 +95,19 @@
         int parts = Math.min(PARTS_MOST, site.module().layout().shards());
         StringBuilder ranges = new StringBuilder();
         for (int shard = 0; shard < parts; shard++) {
-            ranges.append(shard == 0 ? "" : ",").append("{\"range\":").append(shard).append(",\"portion\":")
-                    .append(1.0 / parts).append('}');
+            ranges.append(shard == 0 ? "" : ",")
+                    .append("{\"range\":")
+                    .append(shard)
+                    .append(",\"portion\":")
+                    .append(1.0 / parts)
+                    .append('}');
         }
         String body = "{\"ranges\":[" + ranges + "],\"predicate\":\"warm\"}";
         return ("POST /api HTTP/1.1\r\nHost: warm\r\nRequest-Id: warm" + i + "\r\nRequest-Class: "
-                + site.classes().get(i % site.classes().size()) + "\r\nRequest-Timeout-Ms: 3000\r\nIdempotency-Key: w" + i
-                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8);
+                        + site.classes().get(i % site.classes().size())
+                        + "\r\nRequest-Timeout-Ms: 3000\r\nIdempotency-Key: w" + i
+                        + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.UTF_8);
     }
 
     /** Answers every call after a while, by way of the frames. */
@@ -108,12 +115,19 @@
 
         @Override
         public void send(String worker, List<Attempt> call) {
-            List<Frames.PartCall> parts = call.stream().map(a -> new Frames.PartCall(WorkerConnection.wireId(a),
-                    a.part().shard(), 100, "", a.part().query().ask().text())).toList();
+            List<Frames.PartCall> parts = call.stream()
+                    .map(a -> new Frames.PartCall(
+                            WorkerConnection.wireId(a),
+                            a.part().shard(),
+                            100,
+                            "",
+                            a.part().query().ask().text()))
+                    .toList();
             int length = Frames.call(parts).length;
             FrameParser parser = new FrameParser(1 << 16, Frames.FROM_WORKERS);
             clock.after(0.1, () -> {
-                byte[] frame = Frames.frame(Frames.RESULT, ("w." + length + " good 1 -\nvalue").getBytes(StandardCharsets.UTF_8));
+                byte[] frame = Frames.frame(
+                        Frames.RESULT, ("w." + length + " good 1 -\nvalue").getBytes(StandardCharsets.UTF_8));
                 try {
                     parser.feed(frame, 0, frame.length);
                     Frames.result(parser.take().rest());
@@ -125,15 +139,15 @@
         }
 
         @Override
-        public void cancel(Attempt attempt) { }
+        public void cancel(Attempt attempt) {}
 
         @Override
-        public void probe(String worker) { }
+        public void probe(String worker) {}
 
         @Override
-        public void dropConnections(String worker) { }
+        public void dropConnections(String worker) {}
 
         @Override
-        public void listed(Map<String, Host> hosts) { }
+        public void listed(Map<String, Host> hosts) {}
     }
 }
--- a/src/main/java/pepperdock/platform/Watch.java
+++ b/src/main/java/pepperdock/platform/Watch.java
@@ -44,11 +44,13 @@
     private static final double OVERDUE_S = 0.5;
     /** An overdue call is waited for beside the one in its place; not for longer than the list itself would let it wait. */
     private static final double BESIDE_S = 3;
+
     private static final double DIAL_S = 1;
     /** Of a call in place of a silent one: a way that is lost must leave time for one more. */
     private static final double DIAL_ANEW_S = 0.5;
     /** Where lists come unasked: from one try at the agent to the next, doubled up to the most. */
     private static final double AGENT_LEAST_S = 0.1;
+
     private static final double AGENT_MOST_S = 1;
     private static final int LIST_MOST = 1 << 20;
     private static final String WHOLE = "/api/targets";
@@ -60,6 +62,7 @@
     private HttpClient http;
     /** A call that is overdue, and still waited for; null where there is none. */
     private HttpClient overdue;
+
     private boolean retried;
     private Clock.Timer limit;
     private String authority;
@@ -68,6 +71,7 @@
     private boolean first = true;
     /** No list has come from the address that this was moved to. */
     private boolean moved;
+
     private double agentPause = AGENT_LEAST_S;
 
     public Watch(Loop loop, InetSocketAddress at, Site site, long knownSeq) {
@@ -119,27 +123,31 @@
         HttpClient by = http;
         double patience = moved ? MOVED_S : patienceS(waitMs);
         limit = loop.after(patience, this::openAnew);
-        by.ask(HttpWriter.request("GET", target, authority, "", new byte[0]), patience + BESIDE_S, new HttpClient.Then() {
-            @Override
-            public void response(HttpMessage m) {
-                if (by == http || by == overdue) {
-                    answered(by, m);
-                }
-            }
-
-            @Override
-            public void failed(HttpClient.Failure why) {
-                if (by == overdue) {
-                    overdue = null;
-                } else if (by == http && why == HttpClient.Failure.UNSENT && overdue != null && !retried) {
-                    // The way to the list may be what is lost: one more connection is tried while the first is waited for.
-                    retried = true;
-                    callAnew();
-                } else if (by == http) {
-                    Watch.this.failed(why.toString());
-                }
-            }
-        });
+        by.ask(
+                HttpWriter.request("GET", target, authority, "", new byte[0]),
+                patience + BESIDE_S,
+                new HttpClient.Then() {
+                    @Override
+                    public void response(HttpMessage m) {
+                        if (by == http || by == overdue) {
+                            answered(by, m);
+                        }
+                    }
+
+                    @Override
+                    public void failed(HttpClient.Failure why) {
+                        if (by == overdue) {
+                            overdue = null;
+                        } else if (by == http && why == HttpClient.Failure.UNSENT && overdue != null && !retried) {
+                            // The way to the list may be what is lost: one more connection is tried while the first is
+                            // waited for.
+                            retried = true;
+                            callAnew();
+                        } else if (by == http) {
+                            Watch.this.failed(why.toString());
+                        }
+                    }
+                });
     }
 
     /** The call in hand is overdue: silent, or late. It is waited for on, beside one on a new connection. */
--- a/src/main/java/pepperdock/platform/WorkerConnection.java
+++ b/src/main/java/pepperdock/platform/WorkerConnection.java
@@ -27,15 +27,16 @@
     private static final int PAST_MOST = 512;
     /** Closed after this share of the worker's idle limit, so that no call crosses the worker's own closing. */
     private static final double IDLE_SHARE = 0.8;
+
     private static final double PROBE_S = 0.25;
     /** A frame that is begun is whole within so many times the time a connection may take to come up. */
     private static final int UNFINISHED_DIALS = 4;
 
     /** An attempt that is out, and where its frame ends in what was written to the connection. */
-    private record Out(Attempt attempt, long frameEnd) { }
+    private record Out(Attempt attempt, long frameEnd) {}
 
     /** A probe that is out: when it was sent, and what ends it. */
-    private record Probe(double sentAt, Clock.Timer limit) { }
+    private record Probe(double sentAt, Clock.Timer limit) {}
 
     private final Worker worker;
     private final Connection connection;
@@ -54,6 +55,7 @@
     private final ArrayDeque<List<Attempt>> waiting = new ArrayDeque<>();
     /** Of the calls written here, those whose last byte the kernel has not taken yet, in order. */
     private final ArrayDeque<Out> unwritten = new ArrayDeque<>();
+
     private final ArrayDeque<Probe> probes = new ArrayDeque<>();
     private int lateProbes;
     private Clock.Timer unfinished;
@@ -92,7 +94,9 @@
         for (Attempt a : call) {
             String id = wireId(a);
             Out o = out.get(id);
-            long query = o != null ? o.attempt().part().query().no() : past.getOrDefault(id, a.part().query().no());
+            long query = o != null
+                    ? o.attempt().part().query().no()
+                    : past.getOrDefault(id, a.part().query().no());
             if (query != a.part().query().no()) {
                 return true;
             }
@@ -134,7 +138,11 @@
         List<Frames.PartCall> parts = new ArrayList<>();
         for (Attempt a : call) {
             long wait = Math.max(1, (long) Math.floor((a.until() - worker.loop.now()) * 1e3));
-            parts.add(new Frames.PartCall(wireId(a), a.part().shard(), wait, a.part().query().ask().key(),
+            parts.add(new Frames.PartCall(
+                    wireId(a),
+                    a.part().shard(),
+                    wait,
+                    a.part().query().ask().key(),
                     a.part().query().ask().text()));
         }
         if (out.isEmpty()) {
@@ -302,15 +310,17 @@
                 if (p != null) {
                     p.limit().cancel();
                     boolean good = new String(f.rest(), StandardCharsets.UTF_8).equals("good");
-                    worker.core.probed(worker.id, good ? Outcome.OK : Outcome.ERROR,
-                            worker.loop.now() - p.sentAt(), null);
+                    worker.core.probed(
+                            worker.id, good ? Outcome.OK : Outcome.ERROR, worker.loop.now() - p.sentAt(), null);
                 } else if (--lateProbes < 0) {
                     throw new FrameException("answer to no probe");
                 }
             }
             case Frames.UNUSABLE -> {
-                worker.notes.note(System.Logger.Level.WARNING, () -> "worker " + worker.id + " could not use a frame: "
-                        + new String(f.rest(), StandardCharsets.UTF_8));
+                worker.notes.note(
+                        System.Logger.Level.WARNING,
+                        () -> "worker " + worker.id + " could not use a frame: "
+                                + new String(f.rest(), StandardCharsets.UTF_8));
                 abandon();
             }
             default -> throw new FrameException("letter " + f.letter());
--- a/src/main/java/pepperdock/store/Codec.java
+++ b/src/main/java/pepperdock/store/Codec.java
@@ -11,10 +11,10 @@
 /** Entries and snapshots as bytes, on disk and between members alike. */
 final class Codec {
 
-    private Codec() { }
+    private Codec() {}
 
     /** All keys with their values as of one place in the log, and of which log. */
-    record Snapshot(String lineage, long seq, Map<String, byte[]> values) { }
+    record Snapshot(String lineage, long seq, Map<String, byte[]> values) {}
 
     static byte[] entry(Entry e) {
         byte[] key = e.key().getBytes(StandardCharsets.UTF_8);
--- a/src/main/java/pepperdock/store/LogFile.java
+++ b/src/main/java/pepperdock/store/LogFile.java
@@ -28,8 +28,8 @@
     LogFile(Path folder) throws IOException {
         this.folder = folder;
         Files.createDirectories(folder);
-        log = FileChannel.open(folder.resolve("log"), StandardOpenOption.CREATE, StandardOpenOption.READ,
-                StandardOpenOption.WRITE);
+        log = FileChannel.open(
+                folder.resolve("log"), StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
         long good = scan(Files.readAllBytes(folder.resolve("log")), records);
         if (good < log.size()) {
             LOG.log(System.Logger.Level.WARNING, "store log: torn tail of {0} bytes cut off", log.size() - good);
@@ -66,13 +66,13 @@
     /** Puts a snapshot in place of all records so far. */
     void replace(byte[] snapshot) throws IOException {
         Path fresh = folder.resolve("snapshot.new");
-        try (FileChannel file = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
+        try (FileChannel file = FileChannel.open(
+                fresh, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
             write(file, snapshot);
             file.force(true);
         }
-        Files.move(fresh, folder.resolve("snapshot"), StandardCopyOption.ATOMIC_MOVE,
-                StandardCopyOption.REPLACE_EXISTING);
+        Files.move(
+                fresh, folder.resolve("snapshot"), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         log.truncate(0);
         log.force(true);
     }
--- a/src/main/java/pepperdock/store/Replica.java
+++ b/src/main/java/pepperdock/store/Replica.java
@@ -69,7 +69,8 @@
 
     /** The entries after a place in the log; null where only a snapshot can bring a member of that log up. */
     List<Entry> after(String ofLineage, long place) {
-        return !ofLineage.equals(lineage) || place < base || place > seq ? null
+        return !ofLineage.equals(lineage) || place < base || place > seq
+                ? null
                 : List.copyOf(tail.subList((int) (place - base), tail.size()));
     }
 
--- a/src/main/java/pepperdock/store/Store.java
+++ b/src/main/java/pepperdock/store/Store.java
@@ -34,7 +34,7 @@
     private static final char HELD = 'a';
     private static final String LETTERS = "" + HELLO + SNAPSHOT + ENTRIES + HELD;
 
-    private record Pending(long seq, Consumer<Boolean> then) { }
+    private record Pending(long seq, Consumer<Boolean> then) {}
 
     private final StoreConfig config;
     private final Loop loop;
@@ -51,11 +51,12 @@
         this.config = config;
         this.loop = loop;
         boolean leads = config == null || config.leads();
-        replica = new Replica(config == null ? null : config.folder(), config == null ? 1000 : config.snapshotEvery(),
-                leads);
+        replica = new Replica(
+                config == null ? null : config.folder(), config == null ? 1000 : config.snapshotEvery(), leads);
         boolean serves = config != null && leads && config.members().size() > 1;
-        listening = !serves ? null : loop.listen(config.members().get(config.self()), () -> true,
-                c -> c.start(new Follower()));
+        listening = !serves
+                ? null
+                : loop.listen(config.members().get(config.self()), () -> true, c -> c.start(new Follower()));
         if (!leads) {
             loop.execute(this::dial);
         }
@@ -183,8 +184,10 @@
                 names.put(c, words[0]);
                 followers.put(c, -1L);
                 List<Entry> missing = replica.after(words[1], Long.parseLong(words[2]));
-                c.write(missing == null ? Frames.frame(SNAPSHOT, Codec.snapshot(replica.snapshot()))
-                        : Frames.frame(ENTRIES, Codec.entries(missing)));
+                c.write(
+                        missing == null
+                                ? Frames.frame(SNAPSHOT, Codec.snapshot(replica.snapshot()))
+                                : Frames.frame(ENTRIES, Codec.entries(missing)));
             } else if (f.letter() == HELD && followers.containsKey(c) && f.rest().length == 8) {
                 followers.put(c, ByteBuffer.wrap(f.rest()).getLong());
                 acknowledge();
@@ -211,8 +214,10 @@
             public void up(Connection c) {
                 leader = c;
                 c.start(new Leader());
-                c.write(Frames.frame(HELLO, (config.self() + ' ' + replica.lineage() + ' ' + replica.seq())
-                        .getBytes(StandardCharsets.UTF_8)));
+                c.write(Frames.frame(
+                        HELLO,
+                        (config.self() + ' ' + replica.lineage() + ' ' + replica.seq())
+                                .getBytes(StandardCharsets.UTF_8)));
             }
 
             @Override
@@ -243,7 +248,8 @@
             } else {
                 throw new IOException("unexpected frame " + f.letter());
             }
-            c.write(Frames.frame(HELD, ByteBuffer.allocate(8).putLong(replica.seq()).array()));
+            c.write(Frames.frame(
+                    HELD, ByteBuffer.allocate(8).putLong(replica.seq()).array()));
         }
 
         @Override
--- a/src/main/java/pepperdock/store/raft/Leader.java
+++ b/src/main/java/pepperdock/store/raft/Leader.java
@@ -14,20 +14,23 @@
  */
 final class Leader extends Role {
 
-    private record Asked(long token, long index, long round) { }
+    private record Asked(long token, long index, long round) {}
 
     private final Map<Long, Progress> peers = new TreeMap<>();
     private final Deque<Asked> reads = new ArrayDeque<>();
     /** Reads that wait for the first entry of this term to be committed: before, what is committed is not known. */
     private final Deque<Long> early = new ArrayDeque<>();
+
     private long round;
     /** A read has come since the last round began. */
     private boolean askedFor;
+
     private boolean beat;
     private int sinceBeat;
     private int sinceLook;
     /** Who is to lead next; 0 for nobody. */
     private long heir;
+
     private int heirTicks;
     private boolean heirTold;
 
@@ -81,7 +84,9 @@
 
     @Override
     long propose(byte[] data, Members members) {
-        return heir != 0 || raft.log.uncommitted() + data.length > raft.settings.uncommittedBytes() ? 0 : add(data, members);
+        return heir != 0 || raft.log.uncommitted() + data.length > raft.settings.uncommittedBytes()
+                ? 0
+                : add(data, members);
     }
 
     // ---- Time ------------------------------------------------------------
@@ -166,7 +171,9 @@
     /** Those who vote from now on have one that holds all: it is told to lead, and this one leads no more. */
     private void leaveTo() {
         flush();
-        raft.log.members().voters().stream().filter(v -> heldBy(v) >= raft.log.commit()).findFirst()
+        raft.log.members().voters().stream()
+                .filter(v -> heldBy(v) >= raft.log.commit())
+                .findFirst()
                 .ifPresent(v -> raft.send(v, new Message.Now(raft.id, raft.term())));
         raft.follow(raft.term(), 0);
     }
@@ -185,8 +192,12 @@
 
     /** Those whose round a majority has answered: nobody else led when they came. */
     private void answerReads() {
-        while (!reads.isEmpty() && raft.log.members().most(v -> v == raft.id ? reads.peek().round() <= round
-                : peers.get(v).round >= reads.peek().round())) {
+        while (!reads.isEmpty()
+                && raft.log
+                        .members()
+                        .most(v -> v == raft.id
+                                ? reads.peek().round() <= round
+                                : peers.get(v).round >= reads.peek().round())) {
             Asked a = reads.poll();
             raft.tell(new Output.Read(a.token(), a.index()));
         }
@@ -256,8 +267,10 @@
     private void append(long to, Progress p, List<Entry> some) {
         p.roundSent = round;
         p.commitSent = raft.log.commit();
-        raft.send(to, new Message.Append(raft.id, raft.term(), p.next - 1, raft.log.term(p.next - 1), some, raft.log.commit(),
-                round));
+        raft.send(
+                to,
+                new Message.Append(
+                        raft.id, raft.term(), p.next - 1, raft.log.term(p.next - 1), some, raft.log.commit(), round));
     }
 
     private void piece(long to, Progress p) {
@@ -266,8 +279,18 @@
         }
         byte[] state = p.snapshot.state();
         int end = Math.min(state.length, p.offset + raft.settings.messageBytes());
-        raft.send(to, new Message.Install(raft.id, raft.term(), p.snapshot.index(), p.snapshot.term(), p.snapshot.members(),
-                state.length, p.offset, Arrays.copyOfRange(state, p.offset, end), round));
+        raft.send(
+                to,
+                new Message.Install(
+                        raft.id,
+                        raft.term(),
+                        p.snapshot.index(),
+                        p.snapshot.term(),
+                        p.snapshot.members(),
+                        state.length,
+                        p.offset,
+                        Arrays.copyOfRange(state, p.offset, end),
+                        round));
         p.waiting = true;
         p.roundSent = round;
     }
--- a/src/main/java/pepperdock/store/raft/Log.java
+++ b/src/main/java/pepperdock/store/raft/Log.java
@@ -24,6 +24,7 @@
 
     /** The entry before the first that is held, and its term. */
     private long base;
+
     private long baseTerm;
     private final List<Entry> entries = new ArrayList<>();
     private final TreeMap<Long, Members> members = new TreeMap<>();
@@ -34,6 +35,7 @@
     private final List<Handed> handed = new ArrayList<>();
     /** The first entry that was not handed to the disk; and what it has to cut off first, 0 for nothing. */
     private long fresh;
+
     private long cut;
     private boolean freshSnapshot;
     /** Bytes of what is not committed. */
@@ -44,8 +46,8 @@
         members.put(snapshot.index(), snapshot.members());
         boolean whole = kept.isEmpty() || kept.get(0).index() <= snapshot.index() + 1;
         if (!whole) {
-            throw new IllegalArgumentException("entries from " + kept.get(0).index() + " on, after a snapshot of "
-                    + snapshot.index());
+            throw new IllegalArgumentException(
+                    "entries from " + kept.get(0).index() + " on, after a snapshot of " + snapshot.index());
         }
         base = snapshot.index();
         baseTerm = snapshot.term();
@@ -76,7 +78,9 @@
 
     /** The term at an index; -1 where it is not held any more, or not yet. */
     long term(long index) {
-        return index == base ? baseTerm : index < base || index > last() ? -1 : get(index).term();
+        return index == base
+                ? baseTerm
+                : index < base || index > last() ? -1 : get(index).term();
     }
 
     Entry get(long index) {
@@ -215,8 +219,8 @@
 
     /** What is not handed to the disk yet, handed to it with this write. */
     Output.Write hand(long write, Hard hard) {
-        List<Entry> some = fresh > last() ? List.of()
-                : List.copyOf(entries.subList((int) (fresh - base - 1), entries.size()));
+        List<Entry> some =
+                fresh > last() ? List.of() : List.copyOf(entries.subList((int) (fresh - base - 1), entries.size()));
         Output.Write all = new Output.Write(write, hard, freshSnapshot ? snapshot : null, cut, some);
         if (!some.isEmpty() || freshSnapshot) {
             handed.add(new Handed(write, last()));
@@ -239,8 +243,8 @@
     /** What was applied up to an index has come to this; entries well before it are let go. */
     void compact(long index, byte[] state, int kept) {
         if (index <= snapshot.index() || index > applied) {
-            throw new IllegalArgumentException("snapshot of " + index + ", with " + snapshot.index() + " held and " + applied
-                    + " applied");
+            throw new IllegalArgumentException(
+                    "snapshot of " + index + ", with " + snapshot.index() + " held and " + applied + " applied");
         }
         snapshot = new Snapshot(index, term(index), membersAt(index), state);
         freshSnapshot = true;
--- a/src/main/java/pepperdock/store/raft/Mute.java
+++ b/src/main/java/pepperdock/store/raft/Mute.java
@@ -13,6 +13,5 @@
     }
 
     @Override
-    void tick() {
-    }
+    void tick() {}
 }
--- a/src/main/java/pepperdock/store/raft/Output.java
+++ b/src/main/java/pepperdock/store/raft/Output.java
@@ -5,7 +5,7 @@
 /** What the machine wants done, in this order. */
 public sealed interface Output {
 
-    record Send(long to, Message message) implements Output { }
+    record Send(long to, Message message) implements Output {}
 
     /**
      * To be written after all writes of lower numbers, and {@link Raft#written} to be called once it is synced. Each part may
@@ -14,20 +14,20 @@
      *
      * @param cut whatever was held from this index on is void, also where no entries follow; 0 where nothing is
      */
-    record Write(long number, Hard hard, Snapshot snapshot, long cut, List<Entry> entries) implements Output { }
+    record Write(long number, Hard hard, Snapshot snapshot, long cut, List<Entry> entries) implements Output {}
 
     /** Committed, and on this disk: to be applied, once each and in this order. */
-    record Apply(List<Entry> entries) implements Output { }
+    record Apply(List<Entry> entries) implements Output {}
 
     /** Takes the place of all that was applied. */
-    record Restore(Snapshot snapshot) implements Output { }
+    record Restore(Snapshot snapshot) implements Output {}
 
     /** This peer's part, its term and its leader (0 where it knows none) have changed. */
-    record Role(Standing standing, long term, long leader) implements Output { }
+    record Role(Standing standing, long term, long leader) implements Output {}
 
     /** A read asked for may be answered once entries up to this index are applied. */
-    record Read(long token, long index) implements Output { }
+    record Read(long token, long index) implements Output {}
 
     /** It can't be answered here: this peer does not lead, or no longer. */
-    record Unread(long token) implements Output { }
+    record Unread(long token) implements Output {}
 }
--- a/src/main/java/pepperdock/store/raft/Peer.java
+++ b/src/main/java/pepperdock/store/raft/Peer.java
@@ -7,4 +7,4 @@
  * @param name of the gatherer that has the disk
  * @param votes false for a learner: it gets the log, and counts for nothing
  */
-public record Peer(long id, String name, String address, boolean votes) { }
+public record Peer(long id, String name, String address, boolean votes) {}
--- a/src/main/java/pepperdock/store/raft/Progress.java
+++ b/src/main/java/pepperdock/store/raft/Progress.java
@@ -18,6 +18,7 @@
     How how = How.PROBE;
     /** Known to be held, and the next to be sent. */
     long match;
+
     long next;
     /** A probe or a piece is on its way. */
     boolean waiting;
@@ -27,6 +28,7 @@
     boolean active;
     /** The newest round that it has answered, and that was sent to it. */
     long round;
+
     long roundSent;
     long commitSent;
     Snapshot snapshot;
--- a/src/main/java/pepperdock/store/raft/Raft.java
+++ b/src/main/java/pepperdock/store/raft/Raft.java
@@ -24,7 +24,7 @@
  */
 public class Raft {
 
-    private record Later(long write, Runnable then) { }
+    private record Later(long write, Runnable then) {}
 
     final Settings settings;
     final Log log;
@@ -36,17 +36,20 @@
     private long leader;
     /** Ticks since there was last a sign of a leader, or a vote was given. */
     private int quiet;
+
     private int patience;
     private boolean hardFresh;
     private long writes;
     private long synced;
     /** What may be said only once the state that it speaks of is synced; those of the write to come are in the second. */
     private final Deque<Later> later = new ArrayDeque<>();
+
     private final List<Runnable> fresh = new ArrayList<>();
     private final List<Output> outputs = new ArrayList<>();
     private Output.Role told;
     /** A snapshot that comes in pieces. */
     private Message.Install coming;
+
     private byte[] pieces;
     private int held;
 
@@ -136,7 +139,8 @@
                 // Whoever hears a leader helps nobody to another one.
                 return;
             }
-            boolean hypothetical = m instanceof Message.AskVote a && a.pre() || m instanceof Message.Vote v && v.pre() && v.granted();
+            boolean hypothetical =
+                    m instanceof Message.AskVote a && a.pre() || m instanceof Message.Vote v && v.pre() && v.granted();
             if (!hypothetical) {
                 follow(m.term(), m instanceof Message.Append || m instanceof Message.Install ? m.from() : 0);
             }
@@ -330,7 +334,10 @@
 
     /** Whether the members may change to these now (thesis, 4.1, and the correction of 2015: not before an entry of this term). */
     protected boolean mayChange(Members to) {
-        return membersSettled() && log.term(log.commit()) == term && log.members().apart(to) <= 1 && !to.voters().isEmpty();
+        return membersSettled()
+                && log.term(log.commit()) == term
+                && log.members().apart(to) <= 1
+                && !to.voters().isEmpty();
     }
 
     /**
@@ -345,7 +352,8 @@
 
     private void asked(Message.AskVote a) {
         boolean may = vote == a.from() || vote == 0 && leader == 0 || a.pre() && a.term() > term;
-        boolean upToDate = a.lastTerm() > log.lastTerm() || a.lastTerm() == log.lastTerm() && a.lastIndex() >= log.last();
+        boolean upToDate =
+                a.lastTerm() > log.lastTerm() || a.lastTerm() == log.lastTerm() && a.lastIndex() >= log.last();
         boolean granted = may && upToDate;
         if (granted && !a.pre()) {
             patient();
@@ -390,7 +398,10 @@
             say(i.from(), new Message.Appended(id, term, true, Math.max(log.commit(), i.index()), 0, 0, i.round()));
             return;
         }
-        if (coming == null || coming.index() != i.index() || coming.indexTerm() != i.indexTerm() || coming.total() != i.total()
+        if (coming == null
+                || coming.index() != i.index()
+                || coming.indexTerm() != i.indexTerm()
+                || coming.total() != i.total()
                 || coming.term() != i.term()) {
             coming = i;
             pieces = new byte[(int) i.total()];
--- a/src/main/java/pepperdock/store/raft/Role.java
+++ b/src/main/java/pepperdock/store/raft/Role.java
@@ -12,25 +12,20 @@
     abstract Standing standing();
 
     /** Called once, when the part is taken. */
-    void begins() {
-    }
+    void begins() {}
 
-    void ends() {
-    }
+    void ends() {}
 
     abstract void tick();
 
     /** An answer of the present term, or to a question that opened none. */
-    void received(Message m) {
-    }
+    void received(Message m) {}
 
     /** More is synced than before. */
-    void written() {
-    }
+    void written() {}
 
     /** Before outputs are taken: whatever is sent together. */
-    void flush() {
-    }
+    void flush() {}
 
     long propose(byte[] data, Members members) {
         return 0;
--- a/src/main/java/pepperdock/store/raft/Settings.java
+++ b/src/main/java/pepperdock/store/raft/Settings.java
@@ -9,7 +9,8 @@
  * @param uncommittedBytes of entries that are not committed, at most; more are turned away
  * @param kept entries kept behind a snapshot, for peers that are a little late
  */
-public record Settings(int electionTicks, int heartbeatTicks, int messageBytes, int inFlight, int uncommittedBytes, int kept) {
+public record Settings(
+        int electionTicks, int heartbeatTicks, int messageBytes, int inFlight, int uncommittedBytes, int kept) {
 
     public static Settings defaults() {
         return new Settings(10, 2, 64 << 10, 32, 4 << 20, 1000);
--- a/src/test/java/pepperdock/BuiltJar.java
+++ b/src/test/java/pepperdock/BuiltJar.java
@@ -15,8 +15,11 @@
 /** A gatherer started from what was built, as a process of its own; ended when closed. */
 final class BuiltJar implements AutoCloseable {
 
-    static final List<String> PLAIN = List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar",
-            "target/pepperdock.jar", "serve");
+    static final List<String> PLAIN = List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-jar",
+            "target/pepperdock.jar",
+            "serve");
 
     final Process process;
     private final Path log;
@@ -34,8 +37,9 @@
     }
 
     static void configure(Path folder, String also) throws IOException {
-        Files.writeString(folder.resolve("config.json"), "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\"," + also
-                + "\"settings\":" + Sites.SETTINGS + "}");
+        Files.writeString(
+                folder.resolve("config.json"),
+                "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\"," + also + "\"settings\":" + Sites.SETTINGS + "}");
     }
 
     String log() {
@@ -61,7 +65,9 @@
 
     Socket connect() throws IOException, InterruptedException {
         String line = awaited(" serves on ");
-        return new Socket(InetAddress.getLoopbackAddress(), Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).strip()));
+        return new Socket(
+                InetAddress.getLoopbackAddress(),
+                Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).strip()));
     }
 
     /** Asks on that connection whether the gatherer is ready, and has it say so. */
--- a/src/test/java/pepperdock/DescriptorsIT.java
+++ b/src/test/java/pepperdock/DescriptorsIT.java
@@ -22,9 +22,14 @@
 
     @Test
     void aRefusedAcceptNeitherEndsTheProgramNorFillsTheLog() throws Exception {
-        List<String> few = List.of("/bin/sh", "-c", "ulimit -n 70 && exec '" + String.join("' '", BuiltJar.PLAIN) + "'");
-        try (BuiltJar jar = new BuiltJar(Path.of("."), folder, few,
-                "\"limits\":{\"sockets\":4096},\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[]},", null)) {
+        List<String> few =
+                List.of("/bin/sh", "-c", "ulimit -n 70 && exec '" + String.join("' '", BuiltJar.PLAIN) + "'");
+        try (BuiltJar jar = new BuiltJar(
+                Path.of("."),
+                folder,
+                few,
+                "\"limits\":{\"sockets\":4096},\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[]},",
+                null)) {
             List<Socket> clients = new ArrayList<>();
             try {
                 for (int i = 0; i < 120; i++) {
@@ -40,7 +45,8 @@
                 BuiltJar.ready(client);
             }
             // XNIO pauses accepting for some seconds: told at each turn of the selector, it would fill the log.
-            assertTrue(jar.log().lines().filter(l -> l.contains("accept failed")).count() < 50, jar::log);
+            assertTrue(
+                    jar.log().lines().filter(l -> l.contains("accept failed")).count() < 50, jar::log);
         }
     }
 }
--- a/src/test/java/pepperdock/LogLineTest.java
+++ b/src/test/java/pepperdock/LogLineTest.java
@@ -20,9 +20,11 @@
 
     @Test
     void timeLevelLoggerAndText() {
-        assertEquals("2026-02-03T04:05:06.007Z WARNING pepperdock.net: accept failed: no room\n",
+        assertEquals(
+                "2026-02-03T04:05:06.007Z WARNING pepperdock.net: accept failed: no room\n",
                 new LogLine().format(record("2026-02-03T04:05:06.007Z", "accept failed: {0}", "no room")));
-        assertEquals("1969-12-31T23:59:59.990Z WARNING pepperdock.net: before\n",
+        assertEquals(
+                "1969-12-31T23:59:59.990Z WARNING pepperdock.net: before\n",
                 new LogLine().format(record("1969-12-31T23:59:59.990Z", "before")));
     }
 
