--- a/src/test/java/pepperdock/PackagesTest.java
+++ b/src/test/java/pepperdock/PackagesTest.java
@@ -25,7 +25,10 @@
         Map<String, Set<String>> uses = new TreeMap<>();
         try (Stream<Path> files = Files.walk(Path.of("src/main/java/pepperdock"))) {
             for (Path f : files.filter(p -> p.toString().endsWith(".java")).toList()) {
-                String own = Path.of("src/main/java/pepperdock").relativize(f.getParent()).toString().replace('/', '.');
+                String own = Path.of("src/main/java/pepperdock")
+                        .relativize(f.getParent())
+                        .toString()
+                        .replace('/', '.');
                 Matcher m = USE.matcher(Files.readString(f));
                 Set<String> found = uses.computeIfAbsent(own, k -> new TreeSet<>());
                 while (m.find()) {
@@ -64,7 +67,8 @@
     /** A wall clock that jumps can do nothing to a program that reads it once, at its start, and then counts from there. */
     @Test
     void theWallClockIsReadOnceByTheLoopAndByNobodyElseInService() throws Exception {
-        Pattern java = Pattern.compile("currentTimeMillis\\(|(Instant|LocalDateTime|ZonedDateTime)\\.now\\(|Clock\\.system|new Date\\(");
+        Pattern java = Pattern.compile(
+                "currentTimeMillis\\(|(Instant|LocalDateTime|ZonedDateTime)\\.now\\(|Clock\\.system|new Date\\(");
         Map<String, Integer> reads = new TreeMap<>();
         try (Stream<Path> files = Files.walk(Path.of("src/main/java/pepperdock"))) {
             for (Path f : files.filter(p -> p.toString().endsWith(".java")).toList()) {
--- a/src/test/java/pepperdock/ReloadTest.java
+++ b/src/test/java/pepperdock/ReloadTest.java
@@ -25,14 +25,23 @@
 
     @TempDir
     private Path folder;
+
     private final List<String> changed = new ArrayList<>();
     private final List<Boolean> told = new ArrayList<>();
 
     private Reload begin(String text) throws Exception {
         Map<String, String> env = Map.of("EDGE_CONFIG", write(text).toString(), "EDGE_DISCOVERY", "127.0.0.1:1");
-        return new Reload(env, Config.file(env), false, Runnable::run, new Reload.Live(
-                at -> changed.add("discovery " + at.getPort()), null, n -> changed.add("sockets " + n),
-                to -> changed.add("classes " + to.site().classes() + " attempts " + to.site().module().limits().maxAttempts())),
+        return new Reload(
+                env,
+                Config.file(env),
+                false,
+                Runnable::run,
+                new Reload.Live(
+                        at -> changed.add("discovery " + at.getPort()),
+                        null,
+                        n -> changed.add("sockets " + n),
+                        to -> changed.add("classes " + to.site().classes() + " attempts "
+                                + to.site().module().limits().maxAttempts())),
                 told::add);
     }
 
@@ -52,7 +61,11 @@
         assertEquals(List.of("discovery 2"), changed);
         write(FILE.formatted(2, 512, Sites.SETTINGS.replace("0.005", "0.006")));
         reload.reload();
-        assertEquals(List.of("discovery 2", "sockets 512", "classes [history-search, payout-report, balance-adjust] attempts 4"),
+        assertEquals(
+                List.of(
+                        "discovery 2",
+                        "sockets 512",
+                        "classes [history-search, payout-report, balance-adjust] attempts 4"),
                 changed);
         assertEquals(List.of(true, true, true, true), told);
     }
@@ -61,18 +74,29 @@
     @Test
     void otherClassesAndFewerAttemptsArePutIntoUse() throws Exception {
         Reload reload = begin(FILE.formatted(1, 256, Sites.SETTINGS));
-        write(FILE.formatted(1, 256, Sites.SETTINGS.replace("balance-adjust", "wallet-move").replace("idempotency_key", "non_idempotent")
-                .replace("\"MaxAttempts\":4", "\"MaxAttempts\":2")));
+        write(FILE.formatted(
+                1,
+                256,
+                Sites.SETTINGS
+                        .replace("balance-adjust", "wallet-move")
+                        .replace("idempotency_key", "non_idempotent")
+                        .replace("\"MaxAttempts\":4", "\"MaxAttempts\":2")));
         reload.reload();
         assertEquals(List.of("classes [history-search, payout-report, wallet-move] attempts 2"), changed);
     }
 
     static Stream<String> faults() {
         String all = Sites.SETTINGS;
-        return Stream.of(all.replace("\"DeadlineS\":6", "\"DeadlineS\":0"), all.replace("\"DeadlineS\":6", "\"DeadlineS\":\"6\""),
-                all.replace("\"DeadlineS\":6,", ""), all.replace("\"MaxAttempts\":4", "\"MaxAttempts\":0"),
-                all.replace("\"MaxAttempts\":4", "\"MaxAttempts\":-1"), all.replace("\"MaxAttempts\":4", "\"MaxAttempts\":\"many\""),
-                all.replace("\"MaxAttempts\":4,", ""), all.replace("\"Worth\":5", "\"Wurth\":5"), all.replace("\"WarmUpS\":14", "\"Warm\":14"),
+        return Stream.of(
+                all.replace("\"DeadlineS\":6", "\"DeadlineS\":0"),
+                all.replace("\"DeadlineS\":6", "\"DeadlineS\":\"6\""),
+                all.replace("\"DeadlineS\":6,", ""),
+                all.replace("\"MaxAttempts\":4", "\"MaxAttempts\":0"),
+                all.replace("\"MaxAttempts\":4", "\"MaxAttempts\":-1"),
+                all.replace("\"MaxAttempts\":4", "\"MaxAttempts\":\"many\""),
+                all.replace("\"MaxAttempts\":4,", ""),
+                all.replace("\"Worth\":5", "\"Wurth\":5"),
+                all.replace("\"WarmUpS\":14", "\"Warm\":14"),
                 all.replace("\"Report\":{\"Names\":[\"throughput\"],\"Source\":\"inline\"},", ""),
                 all.substring(0, all.length() - 40));
     }
@@ -92,7 +116,8 @@
     @ValueSource(strings = {"name", "listen", "discovery", "limits", "settings"})
     void aFileThatLacksAKeyOfThePlatformIsTurnedDown(String key) throws Exception {
         Reload reload = begin(FILE.formatted(1, 256, Sites.SETTINGS));
-        JsonObject cut = JsonParser.parseString(FILE.formatted(2, 512, Sites.SETTINGS)).getAsJsonObject();
+        JsonObject cut =
+                JsonParser.parseString(FILE.formatted(2, 512, Sites.SETTINGS)).getAsJsonObject();
         cut.remove(key);
         write(cut.toString());
         reload.reload();
@@ -103,7 +128,12 @@
     @Test
     void aFaultyFileLeavesAllAsItWas() throws Exception {
         Reload reload = begin(FILE.formatted(1, 256, Sites.SETTINGS));
-        for (String faulty : List.of("", "{", "[]", FILE.formatted(2, 8, Sites.SETTINGS), FILE.formatted(70000, 512, "{}"),
+        for (String faulty : List.of(
+                "",
+                "{",
+                "[]",
+                FILE.formatted(2, 8, Sites.SETTINGS),
+                FILE.formatted(70000, 512, "{}"),
                 FILE.formatted(2, 256, Sites.SETTINGS.replace("\"Slices\":12", "\"Slices\":-1")))) {
             write(faulty);
             reload.reload();
--- a/src/test/java/pepperdock/SignalsIT.java
+++ b/src/test/java/pepperdock/SignalsIT.java
@@ -49,7 +49,9 @@
 
     @Test
     void sighupMovesTheWatchAndTheProgramGoesOn() throws Exception {
-        try (ServerSocket first = discovery(); ServerSocket second = discovery(); BuiltJar jar = start(first)) {
+        try (ServerSocket first = discovery();
+                ServerSocket second = discovery();
+                BuiltJar jar = start(first)) {
             assertTrue(asked(first).startsWith("GET /api/targets?since=0&"));
             BuiltJar.configure(folder, at(second));
             signal("HUP", jar.process);
@@ -62,8 +64,9 @@
     private static String hangs(ServerSocket worker) {
         StringBuilder hosts = new StringBuilder();
         for (int cell = 0; cell < 4; cell++) {
-            hosts.append(cell == 0 ? "" : ",").append("{\"host\":\"w" + cell + "\",\"dial\":\"127.0.0.1:" + worker.getLocalPort()
-                    + "\",\"block\":" + cell + ",\"health\":\"in_service\",\"born_ms\":0}");
+            hosts.append(cell == 0 ? "" : ",")
+                    .append("{\"host\":\"w" + cell + "\",\"dial\":\"127.0.0.1:" + worker.getLocalPort()
+                            + "\",\"block\":" + cell + ",\"health\":\"in_service\",\"born_ms\":0}");
         }
         return "\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]},";
     }
@@ -71,12 +74,16 @@
     /** In flight at a worker that hangs; a second signal and a reload come on top of the first. */
     @Test
     void whatIsInHandAtSigtermIsAnsweredWhateverElseComes() throws Exception {
-        try (ServerSocket worker = discovery(); BuiltJar jar = new BuiltJar(Path.of("."), folder, BuiltJar.PLAIN, hangs(worker), null)) {
-            try (Socket client = jar.connect(); Socket resting = jar.connect()) {
+        try (ServerSocket worker = discovery();
+                BuiltJar jar = new BuiltJar(Path.of("."), folder, BuiltJar.PLAIN, hangs(worker), null)) {
+            try (Socket client = jar.connect();
+                    Socket resting = jar.connect()) {
                 String body = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"x\"}";
-                client.getOutputStream().write(("POST /api HTTP/1.1\r\nRequest-Id: a\r\nRequest-Class: payout-report\r\n"
-                        + "Request-Timeout-Ms: 900\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
-                        .getBytes(StandardCharsets.US_ASCII));
+                client.getOutputStream()
+                        .write(("POST /api HTTP/1.1\r\nRequest-Id: a\r\nRequest-Class: payout-report\r\n"
+                                        + "Request-Timeout-Ms: 900\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                                        + body)
+                                .getBytes(StandardCharsets.US_ASCII));
                 try (Socket taken = worker.accept()) {
                     taken.getInputStream().readNBytes(5);
                     signal("TERM", jar.process);
@@ -92,22 +99,26 @@
             }
             assertTrue(jar.process.waitFor(30, java.util.concurrent.TimeUnit.SECONDS));
             assertEquals(0, jar.process.exitValue());
-            assertEquals(1, jar.log().lines().filter(l -> l.contains("draining, ")).count(), jar::log);
+            assertEquals(
+                    1, jar.log().lines().filter(l -> l.contains("draining, ")).count(), jar::log);
             assertTrue(jar.log().contains("drained, with nothing in hand"), jar::log);
         }
     }
 
     private static String request(String id) {
         String body = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"x\"}";
-        return "POST /api HTTP/1.1\r\nRequest-Id: " + id + "\r\nRequest-Class: payout-report\r\nRequest-Timeout-Ms: 400\r\n"
-                + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+        return "POST /api HTTP/1.1\r\nRequest-Id: " + id
+                + "\r\nRequest-Class: payout-report\r\nRequest-Timeout-Ms: 400\r\n" + "Content-Length: " + body.length()
+                + "\r\n\r\n" + body;
     }
 
     /** Half a request at the signal, its rest after; and a reply that is read only once the program has ended. */
     @Test
     void halfARequestAtSigtermIsServedAndAReplyOutlivesTheProgram() throws Exception {
-        try (ServerSocket worker = discovery(); BuiltJar jar = new BuiltJar(Path.of("."), folder, BuiltJar.PLAIN, hangs(worker), null);
-             Socket half = jar.connect(); Socket unread = jar.connect()) {
+        try (ServerSocket worker = discovery();
+                BuiltJar jar = new BuiltJar(Path.of("."), folder, BuiltJar.PLAIN, hangs(worker), null);
+                Socket half = jar.connect();
+                Socket unread = jar.connect()) {
             byte[] whole = request("half").getBytes(StandardCharsets.US_ASCII);
             half.getOutputStream().write(whole, 0, 30);
             unread.getOutputStream().write(request("unread").getBytes(StandardCharsets.US_ASCII));
@@ -129,12 +140,16 @@
     /** At any moment of the start it ends: by the JVM's own handling at first, by ours from before it says that it is ready. */
     @Test
     void aStartThatIsInterruptedEnds() throws Exception {
-        try (ServerSocket discovery = discovery(); BuiltJar jar = start(discovery)) {
+        try (ServerSocket discovery = discovery();
+                BuiltJar jar = start(discovery)) {
             signal("TERM", jar.process);
             assertTrue(jar.process.waitFor(30, java.util.concurrent.TimeUnit.SECONDS), jar::log);
-            assertTrue(jar.process.exitValue() == 143 || jar.process.exitValue() == 0, () -> "status " + jar.process.exitValue());
+            assertTrue(
+                    jar.process.exitValue() == 143 || jar.process.exitValue() == 0,
+                    () -> "status " + jar.process.exitValue());
         }
-        try (ServerSocket discovery = discovery(); BuiltJar jar = start(discovery)) {
+        try (ServerSocket discovery = discovery();
+                BuiltJar jar = start(discovery)) {
             jar.awaited(" serves on ");
             signal("TERM", jar.process);
             assertTrue(jar.process.waitFor(30, java.util.concurrent.TimeUnit.SECONDS), jar::log);
@@ -146,7 +161,8 @@
     /** Found on a day of restarts: closed at once, a client has nowhere to go while the next gatherer is starting. */
     @Test
     void afterSigtermAKeptConnectionIsServedOnAndTheEndIsLogged() throws Exception {
-        try (ServerSocket discovery = discovery(); BuiltJar jar = start(discovery)) {
+        try (ServerSocket discovery = discovery();
+                BuiltJar jar = start(discovery)) {
             try (Socket client = jar.connect()) {
                 BuiltJar.ready(client);
                 signal("TERM", jar.process);
--- a/src/test/java/pepperdock/StartIT.java
+++ b/src/test/java/pepperdock/StartIT.java
@@ -27,17 +27,24 @@
 
     @TempDir
     private Path root;
+
     private Path archive;
     /** The search path of the program that is started; null for this one's. */
     private String path;
+
     private List<String> command = List.of("/bin/sh", "deploy/start", "serve");
 
     @BeforeEach
     void copyOfWhatWasBuilt() throws IOException {
         Files.createDirectories(root.resolve("target"));
         Files.createDirectories(root.resolve("deploy"));
-        for (String file : new String[] {"target/pepperdock.jar", "target/pepperdock.jsa", "target/pepperdock.jsa.tried",
-            "deploy/start", "deploy/serve.args"}) {
+        for (String file : new String[] {
+            "target/pepperdock.jar",
+            "target/pepperdock.jsa",
+            "target/pepperdock.jsa.tried",
+            "deploy/start",
+            "deploy/serve.args"
+        }) {
             // The archive names the jar's time of change.
             Files.copy(Path.of(file), root.resolve(file), StandardCopyOption.COPY_ATTRIBUTES);
         }
@@ -45,16 +52,19 @@
         assertTrue(archive.toFile().setWritable(true));
     }
 
-    private record Served(String log, boolean fromArchive) { }
+    private record Served(String log, boolean fromArchive) {}
 
     /** Starts, asks whether it is ready, looks (by /proc) whether the archive is mapped, ends it. */
     private Served serves() throws Exception {
-        try (BuiltJar jar = new BuiltJar(root, root, command, "\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[]},", path)) {
+        try (BuiltJar jar =
+                new BuiltJar(root, root, command, "\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[]},", path)) {
             try (Socket client = jar.connect()) {
                 BuiltJar.ready(client);
             }
-            return new Served(jar.log(), Files.readString(Path.of("/proc", Long.toString(jar.process.pid()), "maps"))
-                    .contains("pepperdock.jsa"));
+            return new Served(
+                    jar.log(),
+                    Files.readString(Path.of("/proc", Long.toString(jar.process.pid()), "maps"))
+                            .contains("pepperdock.jsa"));
         }
     }
 
@@ -99,8 +109,11 @@
     /** The platform's own line: one exec, as each further one is a step in which a start can fail. */
     @Test
     void theRunLineOfThePlatformServesWithTheArchiveAndWithout() throws Exception {
-        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
-                .findFirst().orElseThrow().replaceFirst("run = \"(.*)\"", "$1");
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(l -> l.startsWith("run = "))
+                .findFirst()
+                .orElseThrow()
+                .replaceFirst("run = \"(.*)\"", "$1");
         assertTrue(run.startsWith("exec java "), run);
         command = List.of("/bin/sh", "-c", run);
         Served served = serves();
@@ -114,8 +127,10 @@
     @Test
     void anArchiveOfAnotherJarIsLeftAsideAndTheProgramServes() throws Exception {
         Path jar = root.resolve("target/pepperdock.jar");
-        Files.setLastModifiedTime(jar, java.nio.file.attribute.FileTime.fromMillis(
-                Files.getLastModifiedTime(jar).toMillis() - 100_000));
+        Files.setLastModifiedTime(
+                jar,
+                java.nio.file.attribute.FileTime.fromMillis(
+                        Files.getLastModifiedTime(jar).toMillis() - 100_000));
         Served served = serves();
         assertFalse(served.fromArchive(), served.log());
     }
@@ -132,8 +147,15 @@
         serves();
         String loaded = Files.readString(classes);
         assertTrue(loaded.contains("pepperdock.net.Loop"), "the list is what it should be");
-        for (String absent : List.of("pepperdock.members.", "pepperdock.membership.", "pepperdock.lab.", "pepperdock.cli.",
-                "pepperdock.store.raft.", "com.fasterxml.", "com.dynatrace.", "org.HdrHistogram")) {
+        for (String absent : List.of(
+                "pepperdock.members.",
+                "pepperdock.membership.",
+                "pepperdock.lab.",
+                "pepperdock.cli.",
+                "pepperdock.store.raft.",
+                "com.fasterxml.",
+                "com.dynatrace.",
+                "org.HdrHistogram")) {
             assertFalse(loaded.contains(absent), absent);
         }
     }
--- a/src/test/java/pepperdock/UpgradeIT.java
+++ b/src/test/java/pepperdock/UpgradeIT.java
@@ -29,6 +29,7 @@
 
     @TempDir
     private Path folder;
+
     private final StandIn does = new StandIn();
     private final List<StandInWorker> workers = new ArrayList<>();
     private final List<Gatherer> begun = new ArrayList<>();
@@ -67,7 +68,8 @@
 
         String call(String request) throws Exception {
             String line = awaited("operators are served on ");
-            try (Socket s = new Socket(InetAddress.getLoopbackAddress(),
+            try (Socket s = new Socket(
+                    InetAddress.getLoopbackAddress(),
                     Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).strip()))) {
                 s.setSoTimeout(30_000);
                 s.getOutputStream().write((request + " HTTP/1.1\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
@@ -89,12 +91,20 @@
         }
 
         long figure(String name) throws Exception {
-            return call("GET /-/metrics").lines().filter(l -> l.startsWith(name + '='))
-                    .mapToLong(l -> Long.parseLong(l.substring(name.length() + 1))).findFirst().orElseThrow();
+            return call("GET /-/metrics")
+                    .lines()
+                    .filter(l -> l.startsWith(name + '='))
+                    .mapToLong(l -> Long.parseLong(l.substring(name.length() + 1)))
+                    .findFirst()
+                    .orElseThrow();
         }
 
         void signal(String name) throws Exception {
-            assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
+            assertEquals(
+                    0,
+                    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                            .start()
+                            .waitFor());
         }
 
         void ended() throws Exception {
@@ -112,15 +122,19 @@
         StringBuilder hosts = new StringBuilder();
         for (int cell = 0; cell < 4; cell++) {
             workers.add(new StandInWorker(does));
-            hosts.append(cell == 0 ? "" : ",").append("{\"host\":\"w" + cell + "\",\"dial\":\"" + workers.get(cell).dial()
-                    + "\",\"block\":" + cell + ",\"health\":\"in_service\",\"born_ms\":0}");
+            hosts.append(cell == 0 ? "" : ",")
+                    .append("{\"host\":\"w" + cell + "\",\"dial\":\""
+                            + workers.get(cell).dial() + "\",\"block\":" + cell
+                            + ",\"health\":\"in_service\",\"born_ms\":0}");
         }
         configure(hosts.toString(), Sites.SETTINGS);
     }
 
     private void configure(String hosts, String settings) throws IOException {
-        Files.writeString(folder.resolve("config.json"), "{\"name\":\"n\",\"listen\":\"127.0.0.1:" + port
-                + "\",\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]},\"settings\":" + settings + "}");
+        Files.writeString(
+                folder.resolve("config.json"),
+                "{\"name\":\"n\",\"listen\":\"127.0.0.1:" + port + "\",\"known\":{\"seq\":1,\"whole\":true,\"hosts\":["
+                        + hosts + "]},\"settings\":" + settings + "}");
     }
 
     @AfterEach
@@ -151,9 +165,11 @@
 
     private static void send(Socket s, String id, String queryClass, String text) throws IOException {
         String body = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"" + text + "\"}";
-        s.getOutputStream().write(("POST /api HTTP/1.1\r\nRequest-Id: " + id + "\r\nRequest-Class: " + queryClass + "\r\n"
-                + "Request-Timeout-Ms: 2500\r\nIdempotency-Key: k" + id + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
-                .getBytes(StandardCharsets.US_ASCII));
+        s.getOutputStream()
+                .write(("POST /api HTTP/1.1\r\nRequest-Id: " + id + "\r\nRequest-Class: " + queryClass + "\r\n"
+                                + "Request-Timeout-Ms: 2500\r\nIdempotency-Key: k" + id + "\r\nContent-Length: "
+                                + body.length() + "\r\n\r\n" + body)
+                        .getBytes(StandardCharsets.US_ASCII));
     }
 
     private static String answer(Socket s) throws IOException {
@@ -163,8 +179,12 @@
             assertTrue(next >= 0, said.toString());
             said.append((char) next);
         }
-        int length = said.toString().lines().filter(l -> l.startsWith("Content-Length: "))
-                .mapToInt(l -> Integer.parseInt(l.substring(16))).findFirst().orElseThrow();
+        int length = said.toString()
+                .lines()
+                .filter(l -> l.startsWith("Content-Length: "))
+                .mapToInt(l -> Integer.parseInt(l.substring(16)))
+                .findFirst()
+                .orElseThrow();
         said.append(new String(s.getInputStream().readNBytes(length), StandardCharsets.US_ASCII));
         return said.toString();
     }
@@ -176,10 +196,12 @@
         old.yes("POST /-/workers/w1/disable");
         old.yes("POST /-/workers/w1/disable");
         for (int i = 1; i <= 2; i++) {
-            try (Socket resting = client(); Socket flying = client()) {
+            try (Socket resting = client();
+                    Socket flying = client()) {
                 assertTrue(ask(resting, "r" + i, "good").startsWith("HTTP/1.1 200"));
                 Gatherer now = new Gatherer("n" + i).ready();
-                assertTrue(now.log().contains("another process of this gatherer serves, 1 workers disabled"), now.log());
+                assertTrue(
+                        now.log().contains("another process of this gatherer serves, 1 workers disabled"), now.log());
                 old.awaited("another process of this gatherer has begun");
                 send(flying, "f" + i, "balance-adjust", "flying" + i);
                 old.signal("TERM");
@@ -245,8 +267,12 @@
         String old = workers.get(0).dial();
         workers.add(restarted);
         String whole = Files.readString(folder.resolve("config.json"));
-        Files.writeString(folder.resolve("config.json"), whole.replace(old + "\",\"block\":0,\"health\":\"in_service\",\"born_ms\":0",
-                restarted.dial() + "\",\"block\":0,\"health\":\"in_service\",\"born_ms\":" + System.currentTimeMillis()));
+        Files.writeString(
+                folder.resolve("config.json"),
+                whole.replace(
+                        old + "\",\"block\":0,\"health\":\"in_service\",\"born_ms\":0",
+                        restarted.dial() + "\",\"block\":0,\"health\":\"in_service\",\"born_ms\":"
+                                + System.currentTimeMillis()));
         assertFalse(Files.readString(folder.resolve("config.json")).contains(old));
         only.signal("HUP");
         while (only.figure("svc.loads") < 1) {
@@ -272,8 +298,10 @@
         Gatherer old = new Gatherer("n0").ready();
         Gatherer now = new Gatherer("n1").ready();
         String whole = Files.readString(folder.resolve("config.json"));
-        Files.writeString(folder.resolve("config.json"), whole.replace("\"payout-report\"", "\"wallet-move\"")
-                .replace("\"MaxAttempts\":4", "\"MaxAttempts\":1"));
+        Files.writeString(
+                folder.resolve("config.json"),
+                whole.replace("\"payout-report\"", "\"wallet-move\"")
+                        .replace("\"MaxAttempts\":4", "\"MaxAttempts\":1"));
         for (Gatherer g : List.of(old, now)) {
             g.signal("HUP");
             g.awaited("configuration reloaded");
@@ -329,8 +357,10 @@
         Gatherer old = new Gatherer("n0").ready();
         try (ServerSocket discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             String whole = Files.readString(folder.resolve("config.json"));
-            Files.writeString(folder.resolve("config.json"), whole.replace("\"name\":",
-                    "\"discovery\":\"127.0.0.1:" + discovery.getLocalPort() + "\",\"name\":"));
+            Files.writeString(
+                    folder.resolve("config.json"),
+                    whole.replace(
+                            "\"name\":", "\"discovery\":\"127.0.0.1:" + discovery.getLocalPort() + "\",\"name\":"));
             Gatherer now = new Gatherer("n1");
             try (Socket asks = discovery.accept()) {
                 assertEquals('G', asks.getInputStream().read());
--- a/src/test/java/pepperdock/aggregator/DecideTest.java
+++ b/src/test/java/pepperdock/aggregator/DecideTest.java
@@ -10,10 +10,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
 import pepperdock.aggregator.Aggregator.Effect;
 import pepperdock.aggregator.Aggregator.Outcome;
 import pepperdock.aggregator.Aggregator.Readiness;
-import org.junit.jupiter.api.Test;
 
 class DecideTest {
 
@@ -47,8 +47,8 @@
         Scene scene = new Scene().start("a", "b", "c");
         scene.query(1, 6, Scene.equal(9));
         scene.module.endBatch();
-        Map<String, Long> counts = scene.did.sends.stream()
-                .collect(Collectors.groupingBy(Recorder.Sent::searcher, Collectors.counting()));
+        Map<String, Long> counts =
+                scene.did.sends.stream().collect(Collectors.groupingBy(Recorder.Sent::searcher, Collectors.counting()));
         assertEquals(Map.of("a", 3L, "b", 3L, "c", 3L), counts);
     }
 
@@ -59,8 +59,10 @@
         scene.module.shares((shard, searcher) -> searcher.equals("a") ? 0.75 : 0.25);
         scene.query(1, 6, Scene.equal(12));
         scene.module.endBatch();
-        assertEquals(Map.of("a", 9L, "b", 3L), scene.did.sends.stream()
-                .collect(Collectors.groupingBy(Recorder.Sent::searcher, Collectors.counting())));
+        assertEquals(
+                Map.of("a", 9L, "b", 3L),
+                scene.did.sends.stream()
+                        .collect(Collectors.groupingBy(Recorder.Sent::searcher, Collectors.counting())));
         Scene sick = new Scene().start("a", "b");
         sick.module.shares((shard, searcher) -> searcher.equals("a") ? 0.9 : 0.1);
         for (int query = 1; query <= 3; query++) {
@@ -68,7 +70,8 @@
             sick.module.endBatch();
             sick.at(sick.now + 0.01);
             for (long part : Scene.parts(query, 4)) {
-                boolean toA = sick.did.sends.stream().anyMatch(s -> s.part() == part && s.searcher().equals("a"));
+                boolean toA = sick.did.sends.stream()
+                        .anyMatch(s -> s.part() == part && s.searcher().equals("a"));
                 sick.end(part, 0, toA ? Outcome.ERROR : Outcome.OK, 0.01);
             }
             sick.module.endBatch();
@@ -76,7 +79,9 @@
         sick.did.clear();
         sick.query(9, 6, Scene.equal(4));
         sick.module.endBatch();
-        assertEquals(List.of(), sick.did.sends.stream().filter(s -> s.searcher().equals("a")).toList());
+        assertEquals(
+                List.of(),
+                sick.did.sends.stream().filter(s -> s.searcher().equals("a")).toList());
     }
 
     /** Brings two queries of eight parts out and the ceiling, by one part turned away as full, to sixteen. */
@@ -224,7 +229,8 @@
         scene.end(100, 0, Outcome.CONNECT_FAILED, 0.1);
         scene.module.endBatch();
         assertEquals(2, scene.did.sends.size());
-        assertNotEquals(scene.did.sends.get(0).searcher(), scene.did.sends.get(1).searcher());
+        assertNotEquals(
+                scene.did.sends.get(0).searcher(), scene.did.sends.get(1).searcher());
     }
 
     @Test
@@ -292,7 +298,8 @@
             scene.module.endBatch();
             scene.at(scene.now + 0.01);
             long part = query * 100L;
-            boolean toA = scene.did.sends.stream().anyMatch(s -> s.part() == part && s.searcher().equals("a"));
+            boolean toA = scene.did.sends.stream()
+                    .anyMatch(s -> s.part() == part && s.searcher().equals("a"));
             scene.end(part, 0, toA ? Outcome.ERROR : Outcome.OK, 0.01);
             scene.module.endBatch();
             scene.end(part, 1, Outcome.OK, 0.01);
@@ -321,7 +328,9 @@
         scene.change(Scene.listed("a", Readiness.DRAINING, 0), Scene.listed("b", Readiness.REMOVED, 0));
         scene.query(1, 6, Scene.equal(6));
         scene.module.endBatch();
-        assertEquals(List.of("c"), scene.did.sends.stream().map(Recorder.Sent::searcher).distinct().toList());
+        assertEquals(
+                List.of("c"),
+                scene.did.sends.stream().map(Recorder.Sent::searcher).distinct().toList());
     }
 
     @Test
@@ -331,7 +340,9 @@
         scene.module.targets(Aggregator.ListKind.COMPLETE, List.of(Scene.listed("b", Readiness.HEALTHY, 0)));
         scene.query(1, 6, Scene.equal(6));
         scene.module.endBatch();
-        assertEquals(List.of("b"), scene.did.sends.stream().map(Recorder.Sent::searcher).distinct().toList());
+        assertEquals(
+                List.of("b"),
+                scene.did.sends.stream().map(Recorder.Sent::searcher).distinct().toList());
     }
 
     @Test
@@ -448,7 +459,9 @@
             scene.change(Scene.listed("a", Readiness.HEALTHY, boot));
             scene.query(1, 6, Scene.equal(40));
             scene.module.endBatch();
-            sent[i] = (int) scene.did.sends.stream().filter(s -> s.searcher().equals("a")).count();
+            sent[i] = (int) scene.did.sends.stream()
+                    .filter(s -> s.searcher().equals("a"))
+                    .count();
         }
         assertTrue(sent[0] >= 2, "sent to the cold one: " + sent[0]);
         assertTrue(sent[1] >= sent[0] / 2, sent[1] + " against " + sent[0]);
@@ -489,13 +502,17 @@
             scene.module.endBatch();
         }
         assertEquals(List.of("answer 1 true"), scene.did.endings(1));
-        assertEquals(List.of("cancel 104 0", "cancel 105 0"),
+        assertEquals(
+                List.of("cancel 104 0", "cancel 105 0"),
                 scene.did.all.stream().filter(a -> a.startsWith("cancel")).toList());
-        assertThrows(IllegalArgumentException.class, () -> {
-            Scene odd = new Scene();
-            odd.need = 0.5;
-            odd.start("a");
-        }, "a floor above the need");
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> {
+                    Scene odd = new Scene();
+                    odd.need = 0.5;
+                    odd.start("a");
+                },
+                "a floor above the need");
     }
 
     @Test
@@ -589,7 +606,9 @@
         scene.did.clear();
         scene.query(3, 6, 1.0);
         scene.module.endBatch();
-        assertEquals(List.of(broken), scene.did.sends.stream().map(Recorder.Sent::searcher).distinct().toList());
+        assertEquals(
+                List.of(broken),
+                scene.did.sends.stream().map(Recorder.Sent::searcher).distinct().toList());
     }
 
     @Test
@@ -599,8 +618,11 @@
         scene.shards = 1;
         scene.cancel = false;
         scene.start();
-        scene.module.targets(Aggregator.ListKind.HELD, java.util.stream.Stream.of("a0", "b0", "a1", "b1", "a2", "b2")
-                .map(n -> new Aggregator.Listed(n, 0, 0, n.charAt(1) - '0', Readiness.HEALTHY, 1, 0)).toList());
+        scene.module.targets(
+                Aggregator.ListKind.HELD,
+                java.util.stream.Stream.of("a0", "b0", "a1", "b1", "a2", "b2")
+                        .map(n -> new Aggregator.Listed(n, 0, 0, n.charAt(1) - '0', Readiness.HEALTHY, 1, 0))
+                        .toList());
         scene.module.endBatch();
         scene.serve(40, 0.15);
         int refusedAtOnce = 0;
@@ -633,8 +655,11 @@
         scene.cells = 3;
         scene.shards = 1;
         scene.start();
-        scene.module.targets(Aggregator.ListKind.HELD, java.util.stream.Stream.of("a0", "b0", "a1", "b1", "a2", "b2")
-                .map(n -> new Aggregator.Listed(n, 0, 0, n.charAt(1) - '0', Readiness.HEALTHY, 1, 0)).toList());
+        scene.module.targets(
+                Aggregator.ListKind.HELD,
+                java.util.stream.Stream.of("a0", "b0", "a1", "b1", "a2", "b2")
+                        .map(n -> new Aggregator.Listed(n, 0, 0, n.charAt(1) - '0', Readiness.HEALTHY, 1, 0))
+                        .toList());
         scene.module.endBatch();
         scene.serve(40, 0.15);
         scene.query(1, 6, Scene.equal(8));
@@ -669,8 +694,8 @@
         scene.did.clear();
         scene.query(50, 6, Scene.equal(8));
         scene.module.endBatch();
-        Map<String, Long> counts = scene.did.sends.stream()
-                .collect(Collectors.groupingBy(Recorder.Sent::searcher, Collectors.counting()));
+        Map<String, Long> counts =
+                scene.did.sends.stream().collect(Collectors.groupingBy(Recorder.Sent::searcher, Collectors.counting()));
         assertEquals(4, counts.size());
         assertTrue(counts.values().stream().allMatch(n -> n == 2), counts.toString());
     }
@@ -686,7 +711,9 @@
         for (int done = 0; scene.now < 102.99; scene.sweep(scene.now + 0.1)) {
             for (; done < scene.did.sends.size(); done++) {
                 Recorder.Sent sent = scene.did.sends.get(done);
-                long before = scene.did.sends.subList(0, done).stream().filter(s -> s.part() == sent.part()).count();
+                long before = scene.did.sends.subList(0, done).stream()
+                        .filter(s -> s.part() == sent.part())
+                        .count();
                 scene.end(sent.part(), (int) before, Outcome.CONNECT_FAILED, 0.01);
             }
         }
@@ -699,7 +726,8 @@
         Scene scene = new Scene().start("a0");
         for (int i = 1; i <= 50; i++) {
             scene.at(scene.now + 0.1);
-            scene.change(Scene.listed("a" + (i - 1), Readiness.REMOVED, 0), Scene.listed("a" + i, Readiness.HEALTHY, 0));
+            scene.change(
+                    Scene.listed("a" + (i - 1), Readiness.REMOVED, 0), Scene.listed("a" + i, Readiness.HEALTHY, 0));
             scene.query(i, 6, 1.0);
             scene.module.endBatch();
         }
@@ -793,8 +821,7 @@
 
     /** Which searchers got parts, and how many. */
     private static Map<String, Long> counts(Scene scene) {
-        return scene.did.sends.stream()
-                .collect(Collectors.groupingBy(Recorder.Sent::searcher, Collectors.counting()));
+        return scene.did.sends.stream().collect(Collectors.groupingBy(Recorder.Sent::searcher, Collectors.counting()));
     }
 
     /** Sends a query of so many parts and ends each attempt: parts at the searchers named late, all others in time. */
@@ -843,16 +870,21 @@
         Scene scene = new Scene();
         scene.cancel = false;
         scene.start();
-        scene.module.targets(Aggregator.ListKind.HELD, java.util.stream.Stream.of("n1", "n2", "f1", "f2")
-                .map(n -> new Aggregator.Listed(n, n.startsWith("f") ? 1 : 0, 0, 0, Readiness.HEALTHY, 1, 0)).toList());
+        scene.module.targets(
+                Aggregator.ListKind.HELD,
+                java.util.stream.Stream.of("n1", "n2", "f1", "f2")
+                        .map(n -> new Aggregator.Listed(n, n.startsWith("f") ? 1 : 0, 0, 0, Readiness.HEALTHY, 1, 0))
+                        .toList());
         scene.module.endBatch();
         scene.serve(40, 4, 0.15);
         for (int i = 1; i <= 8; i++) {
             round(scene, i, 8, 1.5, "f1", "f2");
         }
-        scene.module.targets(Aggregator.ListKind.CHANGES, List.of(
-                new Aggregator.Listed("n3", 0, 0, 0, Readiness.HEALTHY, 1, 0),
-                new Aggregator.Listed("f3", 1, 0, 0, Readiness.HEALTHY, 1, 0)));
+        scene.module.targets(
+                Aggregator.ListKind.CHANGES,
+                List.of(
+                        new Aggregator.Listed("n3", 0, 0, 0, Readiness.HEALTHY, 1, 0),
+                        new Aggregator.Listed("f3", 1, 0, 0, Readiness.HEALTHY, 1, 0)));
         scene.did.clear();
         for (int i = 51; i <= 53; i++) {
             scene.query(i, 6, Scene.equal(4));
@@ -896,7 +928,8 @@
     @Test
     void manySuspectsAreTriedAFewPartsAtATime() {
         Scene scene = new Scene();
-        String[] names = java.util.stream.IntStream.range(0, 20).mapToObj(i -> "s" + i).toArray(String[]::new);
+        String[] names =
+                java.util.stream.IntStream.range(0, 20).mapToObj(i -> "s" + i).toArray(String[]::new);
         scene.start(names);
         scene.query(1, 6, Scene.equal(20));
         scene.module.endBatch();
@@ -912,7 +945,9 @@
         scene.did.clear();
         scene.query(2, 6, Scene.equal(20));
         scene.module.endBatch();
-        long trials = scene.did.sends.stream().filter(s -> Integer.parseInt(s.searcher().substring(1)) < 10).count();
+        long trials = scene.did.sends.stream()
+                .filter(s -> Integer.parseInt(s.searcher().substring(1)) < 10)
+                .count();
         assertTrue(trials >= 1 && trials <= 3, "trials in one query: " + trials);
     }
 
@@ -923,11 +958,27 @@
             scene.floor = floor;
             scene.start();
             Aggregator.Settings one = scene.settings();
-            scene.module = Aggregator.create(new Aggregator.Settings(1, 0, one.tickS(), false, one.classes(), List.of(), 1,
-                    List.of(), new Aggregator.Layout(4, 4, 1, 1), one.limits(), one.rules()), 7, scene.did);
+            scene.module = Aggregator.create(
+                    new Aggregator.Settings(
+                            1,
+                            0,
+                            one.tickS(),
+                            false,
+                            one.classes(),
+                            List.of(),
+                            1,
+                            List.of(),
+                            new Aggregator.Layout(4, 4, 1, 1),
+                            one.limits(),
+                            one.rules()),
+                    7,
+                    scene.did);
             scene.at(100);
-            scene.module.targets(Aggregator.ListKind.HELD, java.util.stream.IntStream.range(0, 4)
-                    .mapToObj(i -> new Aggregator.Listed("s" + i, 0, 0, i, Readiness.HEALTHY, 1, 0)).toList());
+            scene.module.targets(
+                    Aggregator.ListKind.HELD,
+                    java.util.stream.IntStream.range(0, 4)
+                            .mapToObj(i -> new Aggregator.Listed("s" + i, 0, 0, i, Readiness.HEALTHY, 1, 0))
+                            .toList());
             scene.module.endBatch();
             scene.query(1, 6, Scene.equal(4));
             scene.module.endBatch();
@@ -1052,24 +1103,42 @@
         Scene scene = new Scene();
         scene.start();
         Aggregator.Settings one = scene.settings();
-        scene.module = Aggregator.create(new Aggregator.Settings(1, 0, one.tickS(), false, one.classes(), List.of(), 1,
-                List.of(), new Aggregator.Layout(2, 2, 1, 1), one.limits(), one.rules()), 7, scene.did);
+        scene.module = Aggregator.create(
+                new Aggregator.Settings(
+                        1,
+                        0,
+                        one.tickS(),
+                        false,
+                        one.classes(),
+                        List.of(),
+                        1,
+                        List.of(),
+                        new Aggregator.Layout(2, 2, 1, 1),
+                        one.limits(),
+                        one.rules()),
+                7,
+                scene.did);
         scene.at(100);
-        scene.module.targets(Aggregator.ListKind.COMPLETE, java.util.stream.IntStream.range(0, 600)
-                .mapToObj(i -> new Aggregator.Listed("s" + i, 99, 0, i % 2, Readiness.HEALTHY, 1, 0)).toList());
+        scene.module.targets(
+                Aggregator.ListKind.COMPLETE,
+                java.util.stream.IntStream.range(0, 600)
+                        .mapToObj(i -> new Aggregator.Listed("s" + i, 99, 0, i % 2, Readiness.HEALTHY, 1, 0))
+                        .toList());
         scene.module.endBatch();
         scene.query(1, 6, Scene.equal(4));
         scene.module.endBatch();
         assertEquals(4, counts(scene).size(), "four different searchers of six hundred");
         scene.module.aborted(1);
-        scene.module.targets(Aggregator.ListKind.COMPLETE, List.of(
-                new Aggregator.Listed("s0", 0, 0, 1, Readiness.HEALTHY, 1, 0),
-                new Aggregator.Listed("s1", -1, 0, 0, Readiness.HEALTHY, 1, 0)));
+        scene.module.targets(
+                Aggregator.ListKind.COMPLETE,
+                List.of(
+                        new Aggregator.Listed("s0", 0, 0, 1, Readiness.HEALTHY, 1, 0),
+                        new Aggregator.Listed("s1", -1, 0, 0, Readiness.HEALTHY, 1, 0)));
         scene.did.clear();
         scene.query(2, 6, 0.5, 0.5);
         scene.module.endBatch();
-        Map<Long, String> to = scene.did.sends.stream()
-                .collect(Collectors.toMap(Recorder.Sent::part, Recorder.Sent::searcher));
+        Map<Long, String> to =
+                scene.did.sends.stream().collect(Collectors.toMap(Recorder.Sent::part, Recorder.Sent::searcher));
         assertEquals(Map.of(200L, "s1", 201L, "s0"), to, "each holds the other's shard now");
         scene.module.aborted(2);
         scene.module.targets(Aggregator.ListKind.COMPLETE, List.of());
@@ -1124,11 +1193,13 @@
         scene.module.endBatch();
         List<Recorder.Sent> sent = List.copyOf(scene.did.sends.subList(before, scene.did.sends.size()));
         scene.at(scene.now + 0.15);
-        sent.stream().filter(s -> !silent.contains(s.searcher()))
+        sent.stream()
+                .filter(s -> !silent.contains(s.searcher()))
                 .forEach(s -> scene.module.attemptEnd(s.part(), 0, s.searcher(), Outcome.OK, 0.15, null));
         scene.module.endBatch();
         scene.sweep(scene.now + 1.9);
-        sent.stream().filter(s -> silent.contains(s.searcher()))
+        sent.stream()
+                .filter(s -> silent.contains(s.searcher()))
                 .forEach(s -> scene.module.attemptEnd(s.part(), 0, s.searcher(), Outcome.CANCELLED, 2, null));
         scene.module.endBatch();
         scene.sweep(scene.now + 4);
@@ -1136,7 +1207,8 @@
 
     private static Scene askedOften(int silent) {
         Scene scene = new Scene();
-        String[] names = java.util.stream.IntStream.range(0, 12).mapToObj(i -> "s" + i).toArray(String[]::new);
+        String[] names =
+                java.util.stream.IntStream.range(0, 12).mapToObj(i -> "s" + i).toArray(String[]::new);
         scene.start(names);
         for (int i = 1; i <= 5; i++) {
             ask(scene, i, 12, java.util.Set.of());
@@ -1169,8 +1241,7 @@
         List<Recorder.Sent> sent = List.copyOf(scene.did.sends);
         scene.at(scene.now + 0.25);
         scene.module.attemptEnd(sent.get(0).part(), 0, sent.get(0).searcher(), Outcome.CONNECT_FAILED, 0.25, null);
-        sent.stream().skip(1)
-                .forEach(s -> scene.module.attemptEnd(s.part(), 0, s.searcher(), Outcome.OK, 0.25, null));
+        sent.stream().skip(1).forEach(s -> scene.module.attemptEnd(s.part(), 0, s.searcher(), Outcome.OK, 0.25, null));
         scene.module.aborted(7);
         scene.module.endBatch();
         scene.sweep(scene.now + 5);
--- a/src/test/java/pepperdock/aggregator/Recorder.java
+++ b/src/test/java/pepperdock/aggregator/Recorder.java
@@ -7,7 +7,7 @@
 /** Actions written down, in order, and the settings and lists that tests build their scenes from. */
 final class Recorder implements Aggregator.Actions {
 
-    record Sent(long part, String searcher, double until) { }
+    record Sent(long part, String searcher, double until) {}
 
     final List<String> all = new ArrayList<>();
     final List<Sent> sends = new ArrayList<>();
@@ -69,7 +69,8 @@
 
     /** The final answers and second-step answers given to a query. */
     List<String> endings(long query) {
-        return all.stream().filter(a -> a.matches("(answer|refuse|fail) " + query + "( .*)?"))
+        return all.stream()
+                .filter(a -> a.matches("(answer|refuse|fail) " + query + "( .*)?"))
                 .collect(Collectors.toList());
     }
 
--- a/src/test/java/pepperdock/aggregator/Scene.java
+++ b/src/test/java/pepperdock/aggregator/Scene.java
@@ -37,8 +37,17 @@
     private long nextNo;
 
     Aggregator.Settings settings() {
-        var kind = new Aggregator.QueryClass(AIM, DEADLINE, 1, lateWorth, effect, windowS, floor, need, 0.9, secondStep);
-        return new Aggregator.Settings(instances, 0, 0.005, mustAsk, List.of(kind), tenantRates, 0.1, List.of(),
+        var kind =
+                new Aggregator.QueryClass(AIM, DEADLINE, 1, lateWorth, effect, windowS, floor, need, 0.9, secondStep);
+        return new Aggregator.Settings(
+                instances,
+                0,
+                0.005,
+                mustAsk,
+                List.of(kind),
+                tenantRates,
+                0.1,
+                List.of(),
                 new Aggregator.Layout(shards, cells, 1, batch),
                 new Aggregator.Limits(cancel, duplicate, false, maxAttempts, 1000, 1),
                 new Aggregator.Rules(0.02, 1, coldFrom, 10, 2, 1, budgetFree, budgetShare, budgetSpanS, 10));
@@ -52,8 +61,11 @@
     Scene start(String... searchers) {
         module = Aggregator.create(settings(), seed, did);
         at(now);
-        module.targets(Aggregator.ListKind.HELD,
-                Arrays.stream(searchers).map(s -> listed(s, Aggregator.Readiness.HEALTHY, 0)).toList());
+        module.targets(
+                Aggregator.ListKind.HELD,
+                Arrays.stream(searchers)
+                        .map(s -> listed(s, Aggregator.Readiness.HEALTHY, 0))
+                        .toList());
         module.endBatch();
         return this;
     }
@@ -81,8 +93,12 @@
     long lastNo;
 
     void end(long part, int attempt, Aggregator.Outcome outcome, double spentS) {
-        String searcher = did.sends.stream().filter(s -> s.part() == part).skip(attempt).findFirst()
-                .map(Recorder.Sent::searcher).orElse("none");
+        String searcher = did.sends.stream()
+                .filter(s -> s.part() == part)
+                .skip(attempt)
+                .findFirst()
+                .map(Recorder.Sent::searcher)
+                .orElse("none");
         module.attemptEnd(part, attempt, searcher, outcome, spentS, null);
     }
 
--- a/src/test/java/pepperdock/config/ConfigTest.java
+++ b/src/test/java/pepperdock/config/ConfigTest.java
@@ -24,8 +24,7 @@
         JsonObject o = JsonParser.parseString("""
                 {"name":"n3","listen":"127.0.0.4:8000","discovery":"127.0.0.1:8500","seed":"ffffffffffffffff",
                  "limits":{"sockets":4096},"known":{"seq":41,"whole":true,"hosts":[{"host":"s","dial":"127.0.0.9:1",
-                 "site":"room","class":"std","block":3,"health":"terminating","share":1.0,"born_ms":1500}]}}""")
-                .getAsJsonObject();
+                 "site":"room","class":"std","block":3,"health":"terminating","share":1.0,"born_ms":1500}]}}""").getAsJsonObject();
         o.add("settings", JsonParser.parseString(Sites.SETTINGS));
         return o;
     }
@@ -37,24 +36,39 @@
     @Test
     void aPlatformFileIsReadWithItsDefaults() {
         Config c = read(file());
-        assertEquals("n3 8000 8500 -1", c.name() + ' ' + c.listen().getPort() + ' ' + c.discovery().getPort() + ' '
-                + c.seed());
-        assertEquals(List.of(new Host("s", "127.0.0.9:1", 0, 0, 3, Readiness.DRAINING, 1, 1.5)), c.known().hosts());
+        assertEquals(
+                "n3 8000 8500 -1",
+                c.name() + ' ' + c.listen().getPort() + ' ' + c.discovery().getPort() + ' ' + c.seed());
+        assertEquals(
+                List.of(new Host("s", "127.0.0.9:1", 0, 0, 3, Readiness.DRAINING, 1, 1.5)),
+                c.known().hosts());
         assertNull(c.openSearch());
         assertNull(c.dnsSd());
         assertEquals(40, c.site().module().limits().mostHeld());
-        assertEquals("n9", Config.read(new Keys("", file()), Map.of("EDGE_NAME", "n9")).name());
+        assertEquals(
+                "n9",
+                Config.read(new Keys("", file()), Map.of("EDGE_NAME", "n9")).name());
     }
 
     /** Each line: where to put which value, and the key that the message must name. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"listen|\"nowhere\"|listen", "seed|\"xyz\"|seed", "settings|null|settings",
-        "limits|{\"sockets\":\"many\"}|limits.sockets", "limits|{\"sockets\":8}|limits.sockets",
-        "known|{\"hosts\":[{\"host\":\"s\",\"health\":\"odd\",\"block\":0}]}|known.hosts[0].health",
-        "known|{\"hosts\":[{\"host\":\"s\",\"health\":\"in_service\"}]}|known.hosts[0].block",
-        "dnssd|{\"service\":\"ledger\"}|dnssd.service", "opensearch|{\"indices\":[{\"class\":\"none\"}]}|opensearch.indices[0].class",
-        "plan|{\"every_s\":0}|plan.every_s", "plan|{\"share_least\":0.6}|plan.share_least", "plan|{\"often\":1}|plan.often",
-        "opensearch|{\"indices\":[]}|opensearch.indices"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "listen|\"nowhere\"|listen",
+                "seed|\"xyz\"|seed",
+                "settings|null|settings",
+                "limits|{\"sockets\":\"many\"}|limits.sockets",
+                "limits|{\"sockets\":8}|limits.sockets",
+                "known|{\"hosts\":[{\"host\":\"s\",\"health\":\"odd\",\"block\":0}]}|known.hosts[0].health",
+                "known|{\"hosts\":[{\"host\":\"s\",\"health\":\"in_service\"}]}|known.hosts[0].block",
+                "dnssd|{\"service\":\"ledger\"}|dnssd.service",
+                "opensearch|{\"indices\":[{\"class\":\"none\"}]}|opensearch.indices[0].class",
+                "plan|{\"every_s\":0}|plan.every_s",
+                "plan|{\"share_least\":0.6}|plan.share_least",
+                "plan|{\"often\":1}|plan.often",
+                "opensearch|{\"indices\":[]}|opensearch.indices"
+            })
     void aFaultyKeyIsNamed(String key, String value, String named) {
         JsonObject file = file();
         file.add(key, JsonParser.parseString(value));
@@ -64,23 +78,38 @@
 
     /** Each line: a setting's place, the value put there (none: taken out), and the message. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"RequestClasses.0.GoalTimeS|4|GoalTimeS: not above 0, or past DeadlineS",
-        "RequestClasses.0.GoalTimeS|1e999|GoalTimeS: out of range", "RequestClasses.1.DeadlineS|0|DeadlineS: not above 0",
-        "RequestClasses.2.WindowS||WindowS: missing", "RequestClasses.2.WindowS|-1|WindowS: below 0",
-        "RequestClasses.1.Name|\"\"|Name: empty, or of another class", "RequestClasses.2.Name|\"payout-report\"|Name: empty, or of another class",
-        "RequestClasses.0.Effect|\"safe\"|Effect: unknown effect safe", "RequestClasses.0.Worth|-1|Worth: below 0",
-        "FamilyInfo.FloorByClass|[0.6,1.5,1]|FloorByClass[1]: not above 0 and up to what is needed",
-        "FamilyInfo.SecondStep|[0,0.5,0]|SecondStep[1]: not a whole number from 0",
-        "FamilyInfo.Span|5|Span: not a whole number from 1 to 4", "FamilyInfo.Slices||Slices: missing",
-        "Limits.MaxAttempts|0|MaxAttempts: not a whole number from 1 to 65536", "Limits.Multiplex|0.5|Multiplex: not a whole number",
-        "Rules.ColdFrom|0|ColdFrom: not above 0 and up to 1", "Rules.WarmUpS|-1|WarmUpS: below 0", "TickS|0|TickS: not above 0",
-        "RequestClasses|[]|RequestClasses: none", "Limits.Cancel|1|Cancel: neither true nor false"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "RequestClasses.0.GoalTimeS|4|GoalTimeS: not above 0, or past DeadlineS",
+                "RequestClasses.0.GoalTimeS|1e999|GoalTimeS: out of range",
+                "RequestClasses.1.DeadlineS|0|DeadlineS: not above 0",
+                "RequestClasses.2.WindowS||WindowS: missing",
+                "RequestClasses.2.WindowS|-1|WindowS: below 0",
+                "RequestClasses.1.Name|\"\"|Name: empty, or of another class",
+                "RequestClasses.2.Name|\"payout-report\"|Name: empty, or of another class",
+                "RequestClasses.0.Effect|\"safe\"|Effect: unknown effect safe",
+                "RequestClasses.0.Worth|-1|Worth: below 0",
+                "FamilyInfo.FloorByClass|[0.6,1.5,1]|FloorByClass[1]: not above 0 and up to what is needed",
+                "FamilyInfo.SecondStep|[0,0.5,0]|SecondStep[1]: not a whole number from 0",
+                "FamilyInfo.Span|5|Span: not a whole number from 1 to 4",
+                "FamilyInfo.Slices||Slices: missing",
+                "Limits.MaxAttempts|0|MaxAttempts: not a whole number from 1 to 65536",
+                "Limits.Multiplex|0.5|Multiplex: not a whole number",
+                "Rules.ColdFrom|0|ColdFrom: not above 0 and up to 1",
+                "Rules.WarmUpS|-1|WarmUpS: below 0",
+                "TickS|0|TickS: not above 0",
+                "RequestClasses|[]|RequestClasses: none",
+                "Limits.Cancel|1|Cancel: neither true nor false"
+            })
     void aFaultySettingIsNamed(String place, String value, String message) {
         JsonObject file = file();
         String[] way = place.split("\\.");
         com.google.gson.JsonElement at = file.get("settings");
         for (int i = 0; i < way.length - 1; i++) {
-            at = at.isJsonArray() ? at.getAsJsonArray().get(Integer.parseInt(way[i])) : at.getAsJsonObject().get(way[i]);
+            at = at.isJsonArray()
+                    ? at.getAsJsonArray().get(Integer.parseInt(way[i]))
+                    : at.getAsJsonObject().get(way[i]);
         }
         if (value == null) {
             at.getAsJsonObject().remove(way[way.length - 1]);
@@ -96,11 +125,22 @@
     void whatStandsInForAnAbsentSettingIsTold() {
         JsonObject file = file();
         file.getAsJsonObject("settings").getAsJsonObject("Limits").remove("DialTimeoutS");
-        file.getAsJsonObject("settings").getAsJsonArray("RequestClasses").get(1).getAsJsonObject().remove("LateWorth");
-        file.getAsJsonObject("settings").getAsJsonArray("RequestClasses").get(0).getAsJsonObject().remove("Name");
+        file.getAsJsonObject("settings")
+                .getAsJsonArray("RequestClasses")
+                .get(1)
+                .getAsJsonObject()
+                .remove("LateWorth");
+        file.getAsJsonObject("settings")
+                .getAsJsonArray("RequestClasses")
+                .get(0)
+                .getAsJsonObject()
+                .remove("Name");
         List<String> told = read(file).site().assumed();
-        assertTrue(told.containsAll(List.of("settings.Limits.DialTimeoutS=0.25", "settings.RequestClasses[1].LateWorth=0.0",
-                "settings.RequestClasses[0].Name=class-0")),
+        assertTrue(
+                told.containsAll(List.of(
+                        "settings.Limits.DialTimeoutS=0.25",
+                        "settings.RequestClasses[1].LateWorth=0.0",
+                        "settings.RequestClasses[0].Name=class-0")),
                 told::toString);
         assertTrue(told.stream().noneMatch(t -> t.contains("Multiplex")), "given, so not told");
     }
@@ -117,18 +157,26 @@
     @Test
     void aListThatWasWrittenIsReadTheSame() {
         Config c = read(file());
-        assertEquals(c.known().hosts(), HostList.parse(HostList.write(c.known().hosts(), c.site()), c.site()).hosts());
+        assertEquals(
+                c.known().hosts(),
+                HostList.parse(HostList.write(c.known().hosts(), c.site()), c.site())
+                        .hosts());
     }
 
     /** The operator's files must stay usable: read here as the program reads them. */
     @Test
     void theFilesUnderDeployAreSound() {
         Config c = Config.read(Config.file(Map.of("EDGE_CONFIG", "deploy/opensearch.json")), Map.of());
-        assertEquals(Map.of("history", 0, "payouts", 1, "wallets", 2), c.openSearch().indices());
+        assertEquals(
+                Map.of("history", 0, "payouts", 1, "wallets", 2), c.openSearch().indices());
         assertTrue(c.site().module().classes().stream().noneMatch(k -> k.effect() == Effect.KEYED));
         Keys daily = Config.file(Map.of("EDGE_CONFIG", "deploy/daily.json"));
         assertEquals(9600, Config.read(daily, Map.of()).operator().getPort());
-        assertEquals(1, Config.read(daily, Map.of("EDGE_OPERATOR", "127.0.0.1:1")).operator().getPort());
+        assertEquals(
+                1,
+                Config.read(daily, Map.of("EDGE_OPERATOR", "127.0.0.1:1"))
+                        .operator()
+                        .getPort());
         assertEquals(null, c.operator());
         Keys second = Config.file(Map.of("EDGE_CONFIG", "deploy/dnssd-and-store.json"));
         assertEquals(Path.of("state/b"), Config.store(second).folder());
@@ -142,18 +190,27 @@
         String sound = "'fleet':'f','address':'127.0.0.1:7400'";
         assertEquals(6 * 0.5, members(sound).settings().doubtS());
         for (String[] bad : new String[][] {
-                {"members.fleet", "'fleet':'a fleet','address':'127.0.0.1:7400'"}, {"members.address", "'fleet':'f'"},
-                {"members.address", "'fleet':'f','address':'127.0.0.1:0'"}, {"members.address", "'fleet':'f','address':'0.0.0.0:1'"},
-                {"members.seeds", sound + ",'seeds':['host:1']"}, {"members.ask", sound + ",'ask':'10.0.0.1:1'"},
-                {"members.doubt_s", sound + ",'probe_s':1,'doubt_s':2"}, {"members.agree", sound + ",'agree':0.5"},
-                {"members.datagrams_per_s", sound + ",'datagrams_per_s':10"}, {"members.most", sound + ",'most':1"},
-                {"members.zone", sound + ",'zone':''"}, {"members.seed", sound + ",'seed':1"}}) {
-            String said = assertThrows(ConfigException.class, () -> members(bad[1])).getMessage();
+            {"members.fleet", "'fleet':'a fleet','address':'127.0.0.1:7400'"},
+            {"members.address", "'fleet':'f'"},
+            {"members.address", "'fleet':'f','address':'127.0.0.1:0'"},
+            {"members.address", "'fleet':'f','address':'0.0.0.0:1'"},
+            {"members.seeds", sound + ",'seeds':['host:1']"},
+            {"members.ask", sound + ",'ask':'10.0.0.1:1'"},
+            {"members.doubt_s", sound + ",'probe_s':1,'doubt_s':2"},
+            {"members.agree", sound + ",'agree':0.5"},
+            {"members.datagrams_per_s", sound + ",'datagrams_per_s':10"},
+            {"members.most", sound + ",'most':1"},
+            {"members.zone", sound + ",'zone':''"},
+            {"members.seed", sound + ",'seed':1"}
+        }) {
+            String said =
+                    assertThrows(ConfigException.class, () -> members(bad[1])).getMessage();
             assertTrue(said.startsWith(bad[0] + ":"), said);
         }
     }
 
     private static MembersConfig members(String keys) {
-        return MembersConfig.read(Keys.of("", Config.parse(("{'name':'n','members':{" + keys + "}}").replace('\'', '"'), "")));
+        return MembersConfig.read(
+                Keys.of("", Config.parse(("{'name':'n','members':{" + keys + "}}").replace('\'', '"'), "")));
     }
 }
--- a/src/test/java/pepperdock/config/Sites.java
+++ b/src/test/java/pepperdock/config/Sites.java
@@ -19,7 +19,7 @@
              "Rules":{"AnswerSlackS":0.02,"AskWithinS":10,"ColdFrom":0.16,"FallMultiple":2,"FallS":1,
                "StopSendingWithinS":0.5,"WarmUpS":14}}""";
 
-    private Sites() { }
+    private Sites() {}
 
     public static Site small() {
         return with(SETTINGS);
--- a/src/test/java/pepperdock/core/Bench.java
+++ b/src/test/java/pepperdock/core/Bench.java
@@ -20,8 +20,13 @@
     final Gatherer core = new Gatherer(Sites.small().module(), 7, clock, this, () -> subscribed++);
 
     Bench() {
-        core.listed(ListKind.HELD, List.of(host(0, Readiness.HEALTHY), host(1, Readiness.HEALTHY),
-                host(2, Readiness.HEALTHY), host(3, Readiness.HEALTHY)));
+        core.listed(
+                ListKind.HELD,
+                List.of(
+                        host(0, Readiness.HEALTHY),
+                        host(1, Readiness.HEALTHY),
+                        host(2, Readiness.HEALTHY),
+                        host(3, Readiness.HEALTHY)));
         clock.advance(0.1);
     }
 
@@ -31,8 +36,18 @@
 
     /** A query of class 0 to 2 over the first shards. */
     Query ask(int queryClass, double timeoutS, int parts) {
-        return core.take(new Ask("q", queryClass, queryClass == 2 ? "k" : "", timeoutS,
-                IntStream.range(0, parts).mapToObj(s -> new Ask.Piece(s, 1.0 / parts)).toList(), new byte[0], null), this);
+        return core.take(
+                new Ask(
+                        "q",
+                        queryClass,
+                        queryClass == 2 ? "k" : "",
+                        timeoutS,
+                        IntStream.range(0, parts)
+                                .mapToObj(s -> new Ask.Piece(s, 1.0 / parts))
+                                .toList(),
+                        new byte[0],
+                        null),
+                this);
     }
 
     List<Attempt> out() {
@@ -54,17 +69,18 @@
     }
 
     @Override
-    public void probe(String worker) { }
+    public void probe(String worker) {}
 
     @Override
-    public void dropConnections(String worker) { }
+    public void dropConnections(String worker) {}
 
     @Override
-    public void listed(Map<String, Host> hosts) { }
+    public void listed(Map<String, Host> hosts) {}
 
     @Override
     public void answered(Query q, boolean whole) {
-        answers.add("answered " + whole + ' ' + q.parts().stream().filter(p -> p.value() != null).count());
+        answers.add("answered " + whole + ' '
+                + q.parts().stream().filter(p -> p.value() != null).count());
     }
 
     @Override
--- a/src/test/java/pepperdock/core/CrossingsTest.java
+++ b/src/test/java/pepperdock/core/CrossingsTest.java
@@ -21,8 +21,17 @@
  */
 class CrossingsTest {
 
-    private enum Event { FIRST_ANSWERS, COPY_ANSWERS, FIRST_FAILS, COPY_BREAKS, FIRST_TURNED_AWAY, BOTH_DRAIN, CLIENT_LEAVES, TIME_IS_UP,
-        PROGRAM_ENDS }
+    private enum Event {
+        FIRST_ANSWERS,
+        COPY_ANSWERS,
+        FIRST_FAILS,
+        COPY_BREAKS,
+        FIRST_TURNED_AWAY,
+        BOTH_DRAIN,
+        CLIENT_LEAVES,
+        TIME_IS_UP,
+        PROGRAM_ENDS
+    }
 
     private final Bench bench = new Bench();
     private final Map<Attempt, Integer> sentAfter = new HashMap<>();
@@ -52,9 +61,12 @@
             case FIRST_FAILS -> bench.end(first, Outcome.ERROR);
             case COPY_BREAKS -> bench.end(copy, Outcome.RESET);
             case FIRST_TURNED_AWAY -> bench.end(first, Outcome.FULL);
-            case BOTH_DRAIN -> bench.core.listed(ListKind.CHANGES, List.of(
-                    Bench.host(first.worker().charAt(1) - '0', Readiness.DRAINING),
-                    Bench.host(copy.worker().charAt(1) - '0', Readiness.DRAINING)));
+            case BOTH_DRAIN ->
+                bench.core.listed(
+                        ListKind.CHANGES,
+                        List.of(
+                                Bench.host(first.worker().charAt(1) - '0', Readiness.DRAINING),
+                                Bench.host(copy.worker().charAt(1) - '0', Readiness.DRAINING)));
             case CLIENT_LEAVES -> bench.core.gone(query);
             case PROGRAM_ENDS -> bench.core.endAll();
             default -> bench.clock.advance(2.999 - (bench.clock.now() - query.endAt + 3));
@@ -62,8 +74,9 @@
     }
 
     static Stream<Arguments> pairs() {
-        return Stream.of(Event.values()).flatMap(one -> Stream.of(Event.values()).flatMap(other ->
-                Stream.of(false, true).map(apart -> Arguments.of(one, other, apart))));
+        return Stream.of(Event.values())
+                .flatMap(one -> Stream.of(Event.values())
+                        .flatMap(other -> Stream.of(false, true).map(apart -> Arguments.of(one, other, apart))));
     }
 
     @ParameterizedTest
@@ -103,18 +116,26 @@
     /** Of the list that is held from before the start, too: what it says to be leaving is never begun with. */
     @Test
     void wordInTheListHeldAtTheStartIsHeeded() {
-        bench.core.listed(ListKind.HELD, List.of(Bench.host(0, Readiness.HEALTHY), Bench.host(1, Readiness.DRAINING),
-                Bench.host(2, Readiness.HEALTHY), Bench.host(3, Readiness.DRAINING)));
+        bench.core.listed(
+                ListKind.HELD,
+                List.of(
+                        Bench.host(0, Readiness.HEALTHY),
+                        Bench.host(1, Readiness.DRAINING),
+                        Bench.host(2, Readiness.HEALTHY),
+                        Bench.host(3, Readiness.DRAINING)));
         bench.ask(0, 3, 12);
         bench.clock.advance(0.01);
-        assertTrue(!bench.out().isEmpty() && bench.out().stream().allMatch(a -> a.worker().matches("w[02]")));
+        assertTrue(!bench.out().isEmpty()
+                && bench.out().stream().allMatch(a -> a.worker().matches("w[02]")));
     }
 
     /** Word of leaving and of its coming back, before anything is decided between: it is used again. */
     @Test
     void aWorkerThatComesBackIsUsedAgain() {
-        bench.core.listed(ListKind.CHANGES, List.of(Bench.host(0, Readiness.DRAINING), Bench.host(1, Readiness.REMOVED)));
-        bench.core.listed(ListKind.CHANGES, List.of(Bench.host(0, Readiness.HEALTHY), Bench.host(1, Readiness.HEALTHY)));
+        bench.core.listed(
+                ListKind.CHANGES, List.of(Bench.host(0, Readiness.DRAINING), Bench.host(1, Readiness.REMOVED)));
+        bench.core.listed(
+                ListKind.CHANGES, List.of(Bench.host(0, Readiness.HEALTHY), Bench.host(1, Readiness.HEALTHY)));
         bench.ask(0, 3, 12);
         bench.clock.advance(0.01);
         assertTrue(bench.out().stream().anyMatch(a -> a.worker().equals("w0")));
--- a/src/test/java/pepperdock/core/EntriesEndTest.java
+++ b/src/test/java/pepperdock/core/EntriesEndTest.java
@@ -27,8 +27,8 @@
 
     private static final int WORKERS = 4;
     /** What stands while nothing is asked: the list, a record of each listed worker, each cell, and each way to a centre. */
-    private static final Map<String, Integer> AT_REST = Map.of("hosts", WORKERS, "searchers", WORKERS, "cells", WORKERS,
-            "ways", 1);
+    private static final Map<String, Integer> AT_REST =
+            Map.of("hosts", WORKERS, "searchers", WORKERS, "cells", WORKERS, "ways", 1);
 
     private final Bench bench = new Bench();
     private final SplittableRandom random = new SplittableRandom(11);
@@ -38,22 +38,36 @@
     private Query ask() {
         int queryClass = random.nextInt(3);
         int parts = queryClass == 0 ? 12 : queryClass == 1 ? 4 : 1;
-        return bench.core.take(new Ask("q" + asked++, queryClass, queryClass == 2 ? "k" + asked : "", 3,
-                IntStream.range(0, parts).mapToObj(s -> new Ask.Piece(s, 1.0 / parts)).toList(), new byte[0], null), bench);
+        return bench.core.take(
+                new Ask(
+                        "q" + asked++,
+                        queryClass,
+                        queryClass == 2 ? "k" + asked : "",
+                        3,
+                        IntStream.range(0, parts)
+                                .mapToObj(s -> new Ask.Piece(s, 1.0 / parts))
+                                .toList(),
+                        new byte[0],
+                        null),
+                bench);
     }
 
     /** A worker gives way to a new one with an id of its own, as on days of releases. */
     private void replace() {
         int cell = replaced % WORKERS;
         String old = replaced < WORKERS ? "w" + cell : "n" + (replaced - WORKERS);
-        bench.core.listed(ListKind.CHANGES, List.of(
-                new Host(old, "127.0.0.1:1", 0, 0, cell, Readiness.REMOVED, 1, 0),
-                new Host("n" + replaced++, "127.0.0.1:1", 0, 0, cell, Readiness.HEALTHY, 1, bench.clock.now())));
+        bench.core.listed(
+                ListKind.CHANGES,
+                List.of(
+                        new Host(old, "127.0.0.1:1", 0, 0, cell, Readiness.REMOVED, 1, 0),
+                        new Host(
+                                "n" + replaced++, "127.0.0.1:1", 0, 0, cell, Readiness.HEALTHY, 1, bench.clock.now())));
     }
 
     private void day(int queries) {
-        Outcome[] ends = {Outcome.OK, Outcome.OK, Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.RESET,
-            Outcome.CONNECT_FAILED};
+        Outcome[] ends = {
+            Outcome.OK, Outcome.OK, Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.RESET, Outcome.CONNECT_FAILED
+        };
         for (int i = 0; i < queries; i++) {
             Query q = ask();
             bench.clock.advance(0.05 + 0.3 * random.nextDouble());
@@ -114,7 +128,9 @@
             });
         }
         assertEquals(List.of(), kept);
-        assertTrue(replaced > 70 && bench.answers.size() > 1000, replaced + " replaced, " + bench.answers.size() + " answers");
+        assertTrue(
+                replaced > 70 && bench.answers.size() > 1000,
+                replaced + " replaced, " + bench.answers.size() + " answers");
         Map<?, ?> searchers = (Map<?, ?>) value(module().getClass().getDeclaredField("searchers"), module());
         searchers.values().forEach(s -> assertEquals(0, sizes(s).get("open"), "attempts still out"));
     }
--- a/src/test/java/pepperdock/core/GathererTest.java
+++ b/src/test/java/pepperdock/core/GathererTest.java
@@ -10,8 +10,8 @@
 import pepperdock.aggregator.Aggregator.ListKind;
 import pepperdock.aggregator.Aggregator.Outcome;
 import pepperdock.aggregator.Aggregator.Readiness;
-import pepperdock.config.Sites;
 import pepperdock.config.Site;
+import pepperdock.config.Sites;
 
 class GathererTest {
 
@@ -22,7 +22,9 @@
         bench.ask(0, 3, 12);
         bench.clock.advance(0.01);
         assertEquals(12, bench.out().size());
-        assertEquals(bench.calls.size(), bench.calls.stream().map(c -> c.get(0).worker()).distinct().count());
+        assertEquals(
+                bench.calls.size(),
+                bench.calls.stream().map(c -> c.get(0).worker()).distinct().count());
         assertTrue(bench.calls.stream().allMatch(c -> c.size() <= 8));
     }
 
@@ -71,7 +73,8 @@
         assertEquals(0, bench.core.inHand());
         assertEquals(List.of(), bench.out());
         assertEquals(List.of(), bench.answers);
-        assertTrue(bench.cancelled.containsAll(bench.calls.stream().flatMap(List::stream).toList()));
+        assertTrue(bench.cancelled.containsAll(
+                bench.calls.stream().flatMap(List::stream).toList()));
     }
 
     /** In the batch, over lists that say otherwise, and until the call back; then it is used again. */
@@ -80,17 +83,27 @@
         bench.ask(0, 3, 12);
         bench.core.ban(Set.of("w1"));
         bench.clock.advance(0.01);
-        assertTrue(!bench.out().isEmpty() && bench.out().stream().noneMatch(a -> a.worker().equals("w1")));
+        assertTrue(!bench.out().isEmpty()
+                && bench.out().stream().noneMatch(a -> a.worker().equals("w1")));
         assertEquals(4, bench.core.listed());
         assertEquals(1, bench.core.avoided());
-        bench.core.listed(ListKind.CHANGES, List.of(new Host("w1", "127.0.0.1:1", 0, 0, 1, Readiness.HEALTHY, 1, bench.clock.now())));
-        bench.core.listed(ListKind.COMPLETE, List.of(Bench.host(0, Readiness.HEALTHY), Bench.host(1, Readiness.HEALTHY),
-                Bench.host(2, Readiness.HEALTHY), Bench.host(3, Readiness.HEALTHY)));
+        bench.core.listed(
+                ListKind.CHANGES,
+                List.of(new Host("w1", "127.0.0.1:1", 0, 0, 1, Readiness.HEALTHY, 1, bench.clock.now())));
+        bench.core.listed(
+                ListKind.COMPLETE,
+                List.of(
+                        Bench.host(0, Readiness.HEALTHY),
+                        Bench.host(1, Readiness.HEALTHY),
+                        Bench.host(2, Readiness.HEALTHY),
+                        Bench.host(3, Readiness.HEALTHY)));
         List.copyOf(bench.out()).forEach(a -> bench.end(a, Outcome.ERROR));
         bench.clock.advance(0.2);
         bench.ask(0, 3, 12);
         bench.clock.advance(0.2);
-        assertTrue(bench.calls.stream().flatMap(List::stream).noneMatch(a -> a.worker().equals("w1")));
+        assertTrue(bench.calls.stream()
+                .flatMap(List::stream)
+                .noneMatch(a -> a.worker().equals("w1")));
         bench.core.ban(Set.of("w1"));
         bench.core.ban(Set.of());
         bench.ask(0, 3, 12);
@@ -104,7 +117,8 @@
     void aQueryInHandGoesOnByTheRulesThatItWasTakenUnder() {
         Query old = bench.ask(0, 3, 1);
         bench.clock.advance(0.01);
-        Site other = Sites.with(Sites.SETTINGS.replace("\"Name\":\"history-search\"", "\"Name\":\"new\"")
+        Site other = Sites.with(Sites.SETTINGS
+                .replace("\"Name\":\"history-search\"", "\"Name\":\"new\"")
                 .replace("\"DeadlineS\":3,\"Effect\":\"read_like\"", "\"DeadlineS\":3,\"Effect\":\"non_idempotent\"")
                 .replace("\"MaxAttempts\":4", "\"MaxAttempts\":1"));
         bench.core.settings(other.module(), other.classes());
@@ -114,7 +128,8 @@
         List.copyOf(bench.out()).forEach(a -> bench.end(a, Outcome.ERROR));
         bench.clock.advance(0.1);
         assertEquals(List.of("failed false"), bench.answers, "unsafe, and one attempt");
-        assertEquals(List.of(old), bench.out().stream().map(a -> a.part().query()).toList(), "safe, and four");
+        assertEquals(
+                List.of(old), bench.out().stream().map(a -> a.part().query()).toList(), "safe, and four");
         bench.end(bench.out().get(0), Outcome.OK);
         bench.clock.advance(0.1);
         assertEquals(List.of("failed false", "answered true 1"), bench.answers);
@@ -130,8 +145,12 @@
         for (int i = 0; i < 2; i++) {
             Bench b = new Bench();
             b.core.beside(i == 1);
-            b.core.listed(ListKind.COMPLETE, java.util.stream.IntStream.range(0, 4).mapToObj(cell -> new Host("w" + cell, "127.0.0.1:1",
-                    0, 0, cell, Readiness.HEALTHY, 1, b.clock.now())).toList());
+            b.core.listed(
+                    ListKind.COMPLETE,
+                    java.util.stream.IntStream.range(0, 4)
+                            .mapToObj(cell -> new Host(
+                                    "w" + cell, "127.0.0.1:1", 0, 0, cell, Readiness.HEALTHY, 1, b.clock.now()))
+                            .toList());
             b.clock.advance(0.1);
             b.ask(0, 3, 12);
             b.clock.advance(0.01);
@@ -143,11 +162,12 @@
     @Test
     void aDrainingWorkerGetsNothingNew() {
         bench.core.listed(ListKind.CHANGES, List.of(Bench.host(1, Readiness.DRAINING)));
-        bench.core.listed(ListKind.COMPLETE, List.of(Bench.host(0, Readiness.HEALTHY),
-                Bench.host(2, Readiness.HEALTHY)));
+        bench.core.listed(
+                ListKind.COMPLETE, List.of(Bench.host(0, Readiness.HEALTHY), Bench.host(2, Readiness.HEALTHY)));
         bench.ask(0, 3, 12);
         bench.clock.advance(0.01);
-        assertTrue(!bench.out().isEmpty() && bench.out().stream().allMatch(a -> a.worker().matches("w[02]")));
+        assertTrue(!bench.out().isEmpty()
+                && bench.out().stream().allMatch(a -> a.worker().matches("w[02]")));
     }
 
     @Test
--- a/src/test/java/pepperdock/dnssd/DnsSdTest.java
+++ b/src/test/java/pepperdock/dnssd/DnsSdTest.java
@@ -37,7 +37,10 @@
 
     @BeforeEach
     void start() throws Exception {
-        DnsSd sd = new DnsSd(new DnsSdConfig(dns.address(), "_ledger._tcp", "room.example", 20, 1), Sites.small(), clock,
+        DnsSd sd = new DnsSd(
+                new DnsSdConfig(dns.address(), "_ledger._tcp", "room.example", 20, 1),
+                Sites.small(),
+                clock,
                 thread::add);
         Gatherer core = new Gatherer(Sites.small().module(), 1, clock, new Nothing(), sd);
         sd.start(core);
@@ -87,7 +90,11 @@
         next();
         assertEquals(List.of("one"), List.copyOf(hosts().keySet()));
         // A TTL belongs to its record: of the first instance nothing was asked again.
-        assertEquals(1, dns.asked.stream().filter(a -> a.startsWith("one.") && a.endsWith("SRV")).count());
+        assertEquals(
+                1,
+                dns.asked.stream()
+                        .filter(a -> a.startsWith("one.") && a.endsWith("SRV"))
+                        .count());
     }
 
     @Test
@@ -117,18 +124,18 @@
 
     private static final class Nothing implements Backend {
         @Override
-        public void send(String worker, List<Attempt> call) { }
+        public void send(String worker, List<Attempt> call) {}
 
         @Override
-        public void cancel(Attempt attempt) { }
+        public void cancel(Attempt attempt) {}
 
         @Override
-        public void probe(String worker) { }
+        public void probe(String worker) {}
 
         @Override
-        public void dropConnections(String worker) { }
+        public void dropConnections(String worker) {}
 
         @Override
-        public void listed(Map<String, Host> hosts) { }
+        public void listed(Map<String, Host> hosts) {}
     }
 }
--- a/src/test/java/pepperdock/dnssd/StandInDns.java
+++ b/src/test/java/pepperdock/dnssd/StandInDns.java
@@ -31,7 +31,8 @@
                 while (true) {
                     DatagramPacket p = new DatagramPacket(new byte[4096], 4096);
                     socket.receive(p);
-                    byte[] answer = answer(new Message(java.util.Arrays.copyOf(p.getData(), p.getLength()))).toWire();
+                    byte[] answer = answer(new Message(java.util.Arrays.copyOf(p.getData(), p.getLength())))
+                            .toWire();
                     socket.send(new DatagramPacket(answer, answer.length, p.getSocketAddress()));
                 }
             } catch (SocketException e) {
@@ -55,8 +56,9 @@
         answer.getHeader().setFlag(Flags.QR);
         answer.getHeader().setFlag(Flags.AA);
         answer.addRecord(question, Section.QUESTION);
-        List<Record> found = records.stream().filter(r -> r.getName().equals(question.getName())
-                && r.getType() == question.getType()).toList();
+        List<Record> found = records.stream()
+                .filter(r -> r.getName().equals(question.getName()) && r.getType() == question.getType())
+                .toList();
         found.forEach(r -> answer.addRecord(r, Section.ANSWER));
         answer.getHeader().setRcode(rcode);
         return answer;
@@ -75,7 +77,8 @@
 
     void remove(String label) {
         records.removeIf(r -> r.getName().toString().startsWith(label)
-                || r instanceof org.xbill.DNS.PTRRecord p && p.getTarget().toString().startsWith(label));
+                || r instanceof org.xbill.DNS.PTRRecord p
+                        && p.getTarget().toString().startsWith(label));
     }
 
     @Override
--- a/src/test/java/pepperdock/drill/WireHostIT.java
+++ b/src/test/java/pepperdock/drill/WireHostIT.java
@@ -30,15 +30,23 @@
             {"cmd":"Commit"}
             """;
 
-    private record Ran(int status, List<String> out, List<String> err) { }
+    private record Ran(int status, List<String> out, List<String> err) {}
 
     private static Ran run(String input) throws Exception {
-        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-jar", Path.of("target", "pepperdock.jar").toString(), "drill").start();
+        Process process = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-jar",
+                        Path.of("target", "pepperdock.jar").toString(),
+                        "drill")
+                .start();
         process.getOutputStream().write(input.getBytes(StandardCharsets.UTF_8));
         process.getOutputStream().close();
-        List<String> out = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8).lines().toList();
-        List<String> err = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8).lines().toList();
+        List<String> out = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8)
+                .lines()
+                .toList();
+        List<String> err = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8)
+                .lines()
+                .toList();
         assertTrue(process.waitFor(30, TimeUnit.SECONDS));
         return new Ran(process.exitValue(), out, err);
     }
@@ -51,12 +59,15 @@
                 {"cmd":"Commit"}
                 """);
         assertEquals(0, ran.status());
-        assertEquals(List.of("{\"cmd\":\"Eor\",\"n\":1}",
-                "{\"cmd\":\"Try\",\"Mixer\":4,\"Tid\":11,\"Searcher\":\"s:1\",\"UntilS\":3.96}",
-                "{\"cmd\":\"SetTimer\",\"Mixer\":4,\"FromNowS\":0.025,\"Cookie\":\"sweep\"}",
-                "{\"cmd\":\"Eor\",\"n\":2}",
-                "{\"cmd\":\"Conclude\",\"Mixer\":4,\"Tid\":10,\"Whole\":true}",
-                "{\"cmd\":\"Eor\",\"n\":3}"), ran.out());
+        assertEquals(
+                List.of(
+                        "{\"cmd\":\"Eor\",\"n\":1}",
+                        "{\"cmd\":\"Try\",\"Mixer\":4,\"Tid\":11,\"Searcher\":\"s:1\",\"UntilS\":3.96}",
+                        "{\"cmd\":\"SetTimer\",\"Mixer\":4,\"FromNowS\":0.025,\"Cookie\":\"sweep\"}",
+                        "{\"cmd\":\"Eor\",\"n\":2}",
+                        "{\"cmd\":\"Conclude\",\"Mixer\":4,\"Tid\":10,\"Whole\":true}",
+                        "{\"cmd\":\"Eor\",\"n\":3}"),
+                ran.out());
     }
 
     @Test
@@ -72,7 +83,9 @@
                 """.formatted(ENV));
         assertEquals(0, ran.status());
         assertEquals("{\"cmd\":\"Eor\",\"n\":2}", ran.out().get(3));
-        assertEquals(List.of("{\"cmd\":\"Eor\",\"n\":3}"), ran.out().subList(4, ran.out().size()));
+        assertEquals(
+                List.of("{\"cmd\":\"Eor\",\"n\":3}"),
+                ran.out().subList(4, ran.out().size()));
     }
 
     @Test
@@ -90,7 +103,9 @@
             Ran ran = run(START + bad[0] + "\n");
             assertNotZero(ran.status());
             assertEquals(1, ran.err().size(), String.join("\n", ran.err()));
-            assertTrue(ran.err().get(0).startsWith("drill: line ") && ran.err().get(0).contains(bad[1]),
+            assertTrue(
+                    ran.err().get(0).startsWith("drill: line ")
+                            && ran.err().get(0).contains(bad[1]),
                     ran.err().get(0));
         }
     }
@@ -99,7 +114,8 @@
     void aFailureOfTheModuleBecomesBrokenForItsInstance() throws Exception {
         Ran ran = run(START + QUERY.replace("\"Profile\":0", "\"Profile\":7"));
         assertEquals(0, ran.status());
-        assertTrue(ran.out().stream().anyMatch(l -> l.startsWith("{\"cmd\":\"Broken\",\"Mixer\":4,\"NoteText\":")),
+        assertTrue(
+                ran.out().stream().anyMatch(l -> l.startsWith("{\"cmd\":\"Broken\",\"Mixer\":4,\"NoteText\":")),
                 String.join("\n", ran.out()));
     }
 
@@ -115,11 +131,14 @@
                 {"cmd":"Tick","ClockS":3.96,"n":5}
                 {"cmd":"AttemptEnd","Mixer":4,"Tid":11,"SeqNo":0,"Searcher":"s:1","Code":"timeout","SpentS":1.96,"Settled":false,"Report":null}
                 {"cmd":"Commit"}
-                """ + QUERY.replace("\"Tid\":1", "\"Tid\":2").replace("\"QueryNo\":1", "\"QueryNo\":2")
-                .replace("\"ClockS\":2.0,\"n\":2", "\"ClockS\":9.0,\"n\":6"));
+                """
+                + QUERY.replace("\"Tid\":1", "\"Tid\":2")
+                        .replace("\"QueryNo\":1", "\"QueryNo\":2")
+                        .replace("\"ClockS\":2.0,\"n\":2", "\"ClockS\":9.0,\"n\":6"));
         assertEquals(0, ran.status());
         int drop = ran.out().indexOf("{\"cmd\":\"DropConns\",\"Mixer\":4,\"Searcher\":\"s:1\"}");
-        assertTrue(drop > 0 && ran.out().get(drop + 1).startsWith("{\"cmd\":\"Try\",\"Mixer\":4,\"Tid\":21,"),
+        assertTrue(
+                drop > 0 && ran.out().get(drop + 1).startsWith("{\"cmd\":\"Try\",\"Mixer\":4,\"Tid\":21,"),
                 String.join("\n", ran.out()));
     }
 
--- a/src/test/java/pepperdock/frame/FrameParserTest.java
+++ b/src/test/java/pepperdock/frame/FrameParserTest.java
@@ -49,8 +49,10 @@
     /** A huge length or another letter must not be waited for: it may never end. */
     @Test
     void whatIsNoFrameIsKnownByItsFirstBytes() {
-        for (byte[] begun : List.of(new byte[] {0, 0, 0, 0}, new byte[] {-1, -1, -1, -4}, new byte[] {0, 0, 4, 0},
-                new byte[] {0, 0, 0, 9, 'z'})) {
+        for (byte[] begun :
+                List.of(new byte[] {0, 0, 0, 0}, new byte[] {-1, -1, -1, -4}, new byte[] {0, 0, 4, 0}, new byte[] {
+                    0, 0, 0, 9, 'z'
+                })) {
             assertThrows(FrameException.class, () -> new FrameParser(1000, "oq").feed(begun, 0, begun.length));
         }
     }
--- a/src/test/java/pepperdock/frame/RandomCuts.java
+++ b/src/test/java/pepperdock/frame/RandomCuts.java
@@ -12,7 +12,7 @@
         int feed(byte[] bytes, int from, int to, List<T> into) throws Exception;
     }
 
-    private RandomCuts() { }
+    private RandomCuts() {}
 
     /** All that the parser completes from the bytes; throws what it throws. */
     public static <T> List<T> feed(byte[] bytes, long seed, Feed<T> parser) throws Exception {
--- a/src/test/java/pepperdock/http/HttpParserTest.java
+++ b/src/test/java/pepperdock/http/HttpParserTest.java
@@ -34,14 +34,22 @@
         List<HttpMessage> found = parse(HttpParser.ofRequests(1 << 16), all.toByteArray(), seed);
         assertEquals(2, found.size());
         assertArrayEquals(body, found.get(0).body());
-        assertEquals("POST /api 1 2 7", found.get(0).method() + ' ' + found.get(0).path() + ' '
-                + found.get(0).parameter("a") + ' ' + found.get(0).header("Request-Id"));
+        assertEquals(
+                "POST /api 1 2 7",
+                found.get(0).method()
+                        + ' '
+                        + found.get(0).path()
+                        + ' '
+                        + found.get(0).parameter("a")
+                        + ' '
+                        + found.get(0).header("Request-Id"));
         assertEquals("true false", found.get(0).keepAlive() + " " + found.get(1).keepAlive());
     }
 
     @Property(seed = "42", tries = 200)
     void chunkedResponsesComeOutWholeWhateverTheCuts(@ForAll long seed) throws Exception {
-        String text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;x=y\r\nwiki\r\nb\r\npedia+12345\r\n0\r\nT: t\r\n\r\n";
+        String text =
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;x=y\r\nwiki\r\nb\r\npedia+12345\r\n0\r\nT: t\r\n\r\n";
         byte[] twice = (text + text).getBytes(StandardCharsets.US_ASCII);
         List<HttpMessage> found = parse(HttpParser.ofResponses(100), twice, seed);
         assertEquals(2, found.size());
@@ -51,28 +59,42 @@
     @Property(seed = "43", tries = 300)
     void garbageEndsInMessagesOrAnHttpException(@ForAll long seed) {
         try {
-            assertTrue(parse(HttpParser.ofRequests(100), RandomCuts.garbage(seed), seed).size() < 600);
+            assertTrue(parse(HttpParser.ofRequests(100), RandomCuts.garbage(seed), seed)
+                            .size()
+                    < 600);
         } catch (Exception e) {
             assertEquals(HttpException.class, e.getClass());
         }
     }
 
     @ParameterizedTest
-    @CsvSource({"'GET / HTTP/2.0~~', 400", "'nonsense~~', 400", "'GET / HTTP/1.1~bad header~~', 400",
-        "'POST / HTTP/1.1~Content-Length: 101~~', 413", "'POST / HTTP/1.1~Content-Length: -1~~', 400",
+    @CsvSource({
+        "'GET / HTTP/2.0~~', 400",
+        "'nonsense~~', 400",
+        "'GET / HTTP/1.1~bad header~~', 400",
+        "'POST / HTTP/1.1~Content-Length: 101~~', 413",
+        "'POST / HTTP/1.1~Content-Length: -1~~', 400",
         "'POST / HTTP/1.1~Content-Length: 1~Content-Length: 2~~', 400",
         "'POST / HTTP/1.1~Transfer-Encoding: chunked~~65~', 413",
         "'POST / HTTP/1.1~Transfer-Encoding: chunked~Content-Length: 1~~', 400",
         "'POST / HTTP/1.1~Content-Length: 1~Content-Length: 1~~', 400",
         "'POST / HTTP/1.1~Transfer-Encoding: chunked~Transfer-Encoding: identity~~', 400",
-        "'POST / HTTP/1.1~Transfer-Encoding: xchunked~~', 400", "'POST / HTTP/1.0~Transfer-Encoding: chunked~~', 400",
-        "'POST / HTTP/1.1~Transfer-Encoding : chunked~~', 400", "'POST / HTTP/1.1~Transfer-Encoding: \u000bchunked~~', 400",
-        "'POST / HTTP/1.1~Transfer-Encoding: chunked~~0x1~', 400", "'POST / HTTP/1.1~Transfer-Encoding: chunked~~-1~', 400",
-        "'POST / HTTP/1.1~Transfer-Encoding: chunked~~1 ~', 400", "'POST / HTTP/1.1~Transfer-Encoding: chunked~~1~ab~', 400",
-        "'GET / HTTP/1.1~A: b\rContent-Length: 5~~', 400", "'GET / HTTP/1.1\n\n', 400", "'~~~~~~', 400"})
+        "'POST / HTTP/1.1~Transfer-Encoding: xchunked~~', 400",
+        "'POST / HTTP/1.0~Transfer-Encoding: chunked~~', 400",
+        "'POST / HTTP/1.1~Transfer-Encoding : chunked~~', 400",
+        "'POST / HTTP/1.1~Transfer-Encoding: \u000bchunked~~', 400",
+        "'POST / HTTP/1.1~Transfer-Encoding: chunked~~0x1~', 400",
+        "'POST / HTTP/1.1~Transfer-Encoding: chunked~~-1~', 400",
+        "'POST / HTTP/1.1~Transfer-Encoding: chunked~~1 ~', 400",
+        "'POST / HTTP/1.1~Transfer-Encoding: chunked~~1~ab~', 400",
+        "'GET / HTTP/1.1~A: b\rContent-Length: 5~~', 400",
+        "'GET / HTTP/1.1\n\n', 400",
+        "'~~~~~~', 400"
+    })
     void whatIsMalformedHasTheStatusThatFits(String text, int status) {
         byte[] bytes = text.replace("~", "\r\n").getBytes(StandardCharsets.US_ASCII);
-        HttpException e = assertThrows(HttpException.class, () -> HttpParser.ofRequests(100).feed(bytes, 0, bytes.length));
+        HttpException e = assertThrows(
+                HttpException.class, () -> HttpParser.ofRequests(100).feed(bytes, 0, bytes.length));
         assertEquals(status, e.status());
     }
 
@@ -80,7 +102,8 @@
     @CsvSource({"'GET /', 9000, 414", "'GET / HTTP/1.1~A: ', 9000, 431"})
     void whatIsTooLongIsCutOffBeforeItEnds(String text, int more, int status) {
         byte[] bytes = (text.replace("~", "\r\n") + "x".repeat(more)).getBytes(StandardCharsets.US_ASCII);
-        HttpException e = assertThrows(HttpException.class, () -> HttpParser.ofRequests(100).feed(bytes, 0, bytes.length));
+        HttpException e = assertThrows(
+                HttpException.class, () -> HttpParser.ofRequests(100).feed(bytes, 0, bytes.length));
         assertEquals(status, e.status());
     }
 }
--- a/src/test/java/pepperdock/lab/FleetTest.java
+++ b/src/test/java/pepperdock/lab/FleetTest.java
@@ -29,7 +29,9 @@
     /** What one arm does must not shift what the other is asked: pairs by seed would compare different days. */
     @Test
     void bothArmsAreAskedTheSame() {
-        assertEquals(Fleet.play(day(5, null)).queries(), Fleet.play(day(5, new PlanConfig(5, 0.15, 0.1))).queries());
+        assertEquals(
+                Fleet.play(day(5, null)).queries(),
+                Fleet.play(day(5, new PlanConfig(5, 0.15, 0.1))).queries());
     }
 
     private final ManualClock clock = new ManualClock(0);
--- a/src/test/java/pepperdock/lab/fleet/FaultyDiskTest.java
+++ b/src/test/java/pepperdock/lab/fleet/FaultyDiskTest.java
@@ -26,7 +26,8 @@
     Path folder;
 
     private FileSystem disk() {
-        return new FaultyDisk(FileSystems.getDefault().provider(), folder.toString()).getFileSystem(URI.create("file:///"));
+        return new FaultyDisk(FileSystems.getDefault().provider(), folder.toString())
+                .getFileSystem(URI.create("file:///"));
     }
 
     private void says(String what) throws IOException {
@@ -44,13 +45,15 @@
             assertEquals(3, all.peek(p -> assertTrue(p.startsWith(state))).count());
         }
         Files.delete(state.resolve("a"));
-        assertEquals(state.resolve("y"), state.resolve("a").getParent().resolve("y").normalize());
+        assertEquals(
+                state.resolve("y"), state.resolve("a").getParent().resolve("y").normalize());
     }
 
     @Test
     void aFullDiskTakesNothingMoreABrokenOneSyncsNothingAndWhatLiesElsewhereIsUntouched() throws Exception {
         Path state = Files.createDirectories(disk().getPath(folder.toString(), "state"));
-        try (FileChannel file = FileChannel.open(state.resolve("log"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+        try (FileChannel file =
+                FileChannel.open(state.resolve("log"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
             says("full");
             assertThrows(IOException.class, () -> file.write(ByteBuffer.wrap(new byte[1])));
             file.force(true);
--- a/src/test/java/pepperdock/lab/fleet/MembersCheckerTest.java
+++ b/src/test/java/pepperdock/lab/fleet/MembersCheckerTest.java
@@ -42,7 +42,23 @@
     }
 
     private void change(String who, int no, String name, String life, int incarnation, String from, String to) {
-        member(who, "change", "no", no, "name", name, "life", life, "incarnation", incarnation, "from", from, "to", to, "why", "");
+        member(
+                who,
+                "change",
+                "no",
+                no,
+                "name",
+                name,
+                "life",
+                life,
+                "incarnation",
+                incarnation,
+                "from",
+                from,
+                "to",
+                to,
+                "why",
+                "");
     }
 
     private List<String> found(boolean strict) {
@@ -150,8 +166,9 @@
         change("a", 6, "b", "b1", 2, "GONE", "HERE");
         Checker checker = new MembersChecker(false);
         history.forEach(e -> checker.see(1, e));
-        assertTrue(checker.figures().get(1).endsWith(
-                ": most links out of it cut 1, stopped longer than is borne 1"), checker.figures().get(1));
+        assertTrue(
+                checker.figures().get(1).endsWith(": most links out of it cut 1, stopped longer than is borne 1"),
+                checker.figures().get(1));
         assertEquals(List.of(), checker.findings(false));
     }
 
--- a/src/test/java/pepperdock/lab/fleet/MembersIT.java
+++ b/src/test/java/pepperdock/lab/fleet/MembersIT.java
@@ -16,8 +16,15 @@
 class MembersIT {
 
     private static final int TRIES = 3;
-    private static final List<String> MEMBER = List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx56m", "-Xss512k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-jar", "target/pepperdock.jar", "serve");
+    private static final List<String> MEMBER = List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xmx56m",
+            "-Xss512k",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-jar",
+            "target/pepperdock.jar",
+            "serve");
 
     @TempDir
     Path folder;
--- a/src/test/java/pepperdock/lab/fleet/RelayTest.java
+++ b/src/test/java/pepperdock/lab/fleet/RelayTest.java
@@ -46,7 +46,8 @@
         two = new DatagramSocket(new InetSocketAddress(Relay.host(claim.block(), 2), DATAGRAMS));
         server = new ServerSocket(STREAMS, 5, InetAddress.getByName(Relay.host(claim.block(), 2)));
         for (String to : List.of("g1", "g2")) {
-            relay.lay(to, List.of("g1", "g2"), List.of(new Relay.Laid(DATAGRAMS, false), new Relay.Laid(STREAMS, true)));
+            relay.lay(
+                    to, List.of("g1", "g2"), List.of(new Relay.Laid(DATAGRAMS, false), new Relay.Laid(STREAMS, true)));
         }
         one.setSoTimeout(30_000);
         two.setSoTimeout(30_000);
@@ -63,7 +64,8 @@
 
     private void send(DatagramSocket from, int a, int b, String text) throws IOException {
         byte[] bytes = text.getBytes(StandardCharsets.US_ASCII);
-        from.send(new DatagramPacket(bytes, bytes.length, new InetSocketAddress(Relay.host(claim.block(), a, b), DATAGRAMS)));
+        from.send(new DatagramPacket(
+                bytes, bytes.length, new InetSocketAddress(Relay.host(claim.block(), a, b), DATAGRAMS)));
     }
 
     private static String received(DatagramSocket at) throws IOException {
@@ -82,7 +84,7 @@
     /** Waits until the relay has read so many datagrams of the first member; returns how many of them it lost. */
     private long read(int count) throws Exception {
         long lost = 0;
-        for (long read = 0; read < count;) {
+        for (long read = 0; read < count; ) {
             CompletableFuture<Relay.Traffic> some = new CompletableFuture<>();
             relay.taken(all -> some.complete(all.getOrDefault("g1", new Relay.Traffic())));
             read += some.get(30, TimeUnit.SECONDS).datagrams;
@@ -122,7 +124,8 @@
 
     @Test
     void aStreamStandsWhileCutAndGoesOnWholeAndEndsAsItWasEnded() throws Exception {
-        try (Socket near = new Socket(Relay.host(claim.block(), 1, 2), STREAMS); Socket far = server.accept()) {
+        try (Socket near = new Socket(Relay.host(claim.block(), 1, 2), STREAMS);
+                Socket far = server.accept()) {
             near.getOutputStream().write(1);
             assertEquals(1, far.getInputStream().read());
             relay.on(1, new Fault(Kind.CUT, THERE, 0, 0));
@@ -133,12 +136,14 @@
             near.getOutputStream().write(new byte[100_000]);
             near.shutdownOutput();
             far.setSoTimeout(200);
-            assertThrows(SocketTimeoutException.class, () -> far.getInputStream().read());
+            assertThrows(
+                    SocketTimeoutException.class, () -> far.getInputStream().read());
             far.setSoTimeout(30_000);
             relay.off(1);
             assertEquals(100_000, far.getInputStream().readAllBytes().length);
         }
-        try (Socket near = new Socket(Relay.host(claim.block(), 1, 2), STREAMS); Socket far = server.accept()) {
+        try (Socket near = new Socket(Relay.host(claim.block(), 1, 2), STREAMS);
+                Socket far = server.accept()) {
             near.setSoTimeout(30_000);
             relay.reset(THERE);
             assertThrows(IOException.class, () -> {
--- a/src/test/java/pepperdock/lab/fleet/RigIT.java
+++ b/src/test/java/pepperdock/lab/fleet/RigIT.java
@@ -14,21 +14,23 @@
 /** The rig on the built jar. */
 class RigIT {
 
-    private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    private static final String JAVA =
+            Path.of(System.getProperty("java.home"), "bin", "java").toString();
 
     @TempDir
     Path folder;
 
     private Path script(String acts) throws Exception {
         Path base = Path.of("deploy/rig/store.json").toAbsolutePath();
-        String all = Files.readString(base).replace("../opensearch.json", base.getParent().getParent() + "/opensearch.json");
+        String all = Files.readString(base)
+                .replace("../opensearch.json", base.getParent().getParent() + "/opensearch.json");
         Path file = folder.resolve("script.json");
         Files.writeString(file, all.substring(0, all.indexOf("\"script\"")) + "\"script\":[" + acts + "]}");
         return file;
     }
 
-    private static final List<String> MEMBER = List.of(JAVA, "-Xmx56m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-jar",
-            "target/pepperdock.jar", "serve");
+    private static final List<String> MEMBER = List.of(
+            JAVA, "-Xmx56m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-jar", "target/pepperdock.jar", "serve");
 
     @Test
     void aFleetIsStartedHurtJudgedAndEnded() throws Exception {
@@ -42,10 +44,14 @@
         assertEquals(List.of(), outcome.findings());
         List<Event> events = History.read(folder.resolve("run").resolve(Rig.HISTORY));
         assertEquals(5, events.stream().filter(e -> e.what().equals("ready")).count());
-        assertEquals(5, events.stream().filter(e -> e.what().equals("exit")).count(), "each ended, also at the run's end");
+        assertEquals(
+                5, events.stream().filter(e -> e.what().equals("exit")).count(), "each ended, also at the run's end");
         assertTrue(Files.exists(folder.resolve("run/g1/state/snapshot")), "the store lies in the member's own folder");
-        assertEquals(outcome.findings(), Rig.check(folder.resolve("run").resolve(Rig.HISTORY), null).findings());
-        assertTrue(Report.html(folder.resolve("run").resolve(Rig.HISTORY), outcome).contains("\"row\":\"g3\",\"state\":\"stopped\""));
+        assertEquals(
+                outcome.findings(),
+                Rig.check(folder.resolve("run").resolve(Rig.HISTORY), null).findings());
+        assertTrue(Report.html(folder.resolve("run").resolve(Rig.HISTORY), outcome)
+                .contains("\"row\":\"g3\",\"state\":\"stopped\""));
     }
 
     @Test
@@ -58,9 +64,13 @@
                 {"fault": "disk", "is": "full", "members": ["g2"]},
                 {"fault": "kill", "members": ["g2"], "for": 0.1, "folder": "empty"}
                 """), null, folder.resolve("run"), MEMBER);
-        assertTrue(outcome.findings().stream().anyMatch(f -> f.contains("g2 ended by itself")), outcome.findings().toString());
+        assertTrue(
+                outcome.findings().stream().anyMatch(f -> f.contains("g2 ended by itself")),
+                outcome.findings().toString());
         assertTrue(Files.readString(folder.resolve("run/g2/log")).contains("No space left on device"));
-        assertTrue(outcome.findings().stream().noneMatch(f -> f.contains("g1")), outcome.findings().toString());
+        assertTrue(
+                outcome.findings().stream().noneMatch(f -> f.contains("g1")),
+                outcome.findings().toString());
     }
 
     @Test
@@ -68,17 +78,28 @@
         Path file = script("");
         Files.writeString(file, Files.readString(file).replace("\"leader\": \"g1\"", "\"leader\": \"nobody\""));
         Outcome outcome = Rig.run(file, null, folder.resolve("run"), MEMBER);
-        assertTrue(outcome.findings().stream().anyMatch(f -> f.contains("ended by itself, with status 2")),
+        assertTrue(
+                outcome.findings().stream().anyMatch(f -> f.contains("ended by itself, with status 2")),
                 outcome.findings().toString());
         assertFalse(outcome.passed());
     }
 
     @Test
     void noMemberOutlivesARigThatIsKilledNotEvenAStoppedOne() throws Exception {
-        Process rig = new ProcessBuilder(JAVA, "-jar", "target/pepperdock.jar", "lab", "fleet", script("""
+        Process rig = new ProcessBuilder(
+                        JAVA,
+                        "-jar",
+                        "target/pepperdock.jar",
+                        "lab",
+                        "fleet",
+                        script("""
                 {"await": "settled"}, {"fault": "stop", "members": ["g2"]}, {"at": 600, "fault": "start"}
-                """).toString(), "--folder", folder.resolve("run").toString()).redirectErrorStream(true)
-                .redirectOutput(folder.resolve("out").toFile()).start();
+                """).toString(),
+                        "--folder",
+                        folder.resolve("run").toString())
+                .redirectErrorStream(true)
+                .redirectOutput(folder.resolve("out").toFile())
+                .start();
         try {
             Path history = folder.resolve("run").resolve(Rig.HISTORY);
             List<ProcessHandle> members = List.of();
--- a/src/test/java/pepperdock/lab/fleet/SimTest.java
+++ b/src/test/java/pepperdock/lab/fleet/SimTest.java
@@ -20,8 +20,14 @@
 
     private static Script script(int members, boolean strict, String acts) {
         String checker = strict ? "members-strict" : "members";
-        return Script.read(Keys.of("", Config.parse("{\"members\":" + members + ",\"settle_s\":120,\"most_s\":1000,\"checkers\":"
-                + "[\"processes\",\"" + checker + "\"],\"script\":[{\"await\":\"settled\"}," + acts.replace('\'', '"') + "]}", "")),
+        return Script.read(
+                Keys.of(
+                        "",
+                        Config.parse(
+                                "{\"members\":" + members + ",\"settle_s\":120,\"most_s\":1000,\"checkers\":"
+                                        + "[\"processes\",\"" + checker + "\"],\"script\":[{\"await\":\"settled\"},"
+                                        + acts.replace('\'', '"') + "]}",
+                                "")),
                 Path.of("."));
     }
 
@@ -114,9 +120,10 @@
         for (List<String> to : List.of(first, second)) {
             Checkers judge = new Checkers(script.checkers());
             new Sim(script, SETTINGS, e -> {
-                judge.see(e);
-                to.add(e.toString());
-            }).play(judge);
+                        judge.see(e);
+                        to.add(e.toString());
+                    })
+                    .play(judge);
         }
         assertTrue(first.size() > 500);
         assertEquals(first, second);
--- a/src/test/java/pepperdock/lab/fleet/TimetableTest.java
+++ b/src/test/java/pepperdock/lab/fleet/TimetableTest.java
@@ -22,7 +22,8 @@
 class TimetableTest {
 
     private static Script script(int seed, String acts) {
-        return Script.read(Keys.of("", Config.parse("{\"members\":6,\"seed\":" + seed + ",\"script\":[" + acts + "]}", "")),
+        return Script.read(
+                Keys.of("", Config.parse("{\"members\":6,\"seed\":" + seed + ",\"script\":[" + acts + "]}", "")),
                 Path.of("."));
     }
 
@@ -32,7 +33,8 @@
 
     @Test
     void theSameSeedDrawsTheSameTimetableAndAnotherSeedAnother() {
-        String acts = "{\"fault\":\"drawn\",\"for\":300,\"every_s\":2,\"most_members\":2},{\"await\":\"settled\",\"members\":2}";
+        String acts =
+                "{\"fault\":\"drawn\",\"for\":300,\"every_s\":2,\"most_members\":2},{\"await\":\"settled\",\"members\":2}";
         assertEquals(Timetable.of(script(3, acts)), Timetable.of(script(3, acts)));
         assertTrue(!Timetable.of(script(3, acts)).equals(Timetable.of(script(4, acts))));
     }
@@ -42,12 +44,20 @@
         for (int seed = 0; seed < 200; seed++) {
             Set<String> down = new java.util.TreeSet<>();
             int most = 0;
-            for (Timetable.Timed t : Timetable.of(script(seed, "{\"fault\":\"drawn\",\"for\":200,\"every_s\":1,"
-                    + "\"kinds\":[\"kill\",\"lost\",\"stop\"],\"most_members\":2}")).phases().get(0).steps()) {
+            for (Timetable.Timed t : Timetable.of(script(
+                            seed,
+                            "{\"fault\":\"drawn\",\"for\":200,\"every_s\":1,"
+                                    + "\"kinds\":[\"kill\",\"lost\",\"stop\"],\"most_members\":2}"))
+                    .phases()
+                    .get(0)
+                    .steps()) {
                 if (t.step() instanceof Timetable.Signal s && s.what() != Timetable.Sent.CONT) {
                     s.members().forEach(m -> assertTrue(down.add(m), m));
                 } else {
-                    down.removeAll(t.step() instanceof Timetable.Start s ? s.members() : ((Timetable.Signal) t.step()).members());
+                    down.removeAll(
+                            t.step() instanceof Timetable.Start s
+                                    ? s.members()
+                                    : ((Timetable.Signal) t.step()).members());
                 }
                 most = Math.max(most, down.size());
             }
@@ -59,7 +69,9 @@
     @Test
     void aFlipFlopEndsOffAndAPartitionThatMovesKeepsItsTimes() {
         List<Timetable.Timed> flips = steps("{\"at\":1,\"fault\":\"cut\",\"from\":[\"g1\"],\"for\":5,\"flip_s\":1}");
-        assertEquals(List.of(1.0, 2.0, 3.0, 4.0, 5.0, 6.0), flips.stream().map(Timetable.Timed::at).toList());
+        assertEquals(
+                List.of(1.0, 2.0, 3.0, 4.0, 5.0, 6.0),
+                flips.stream().map(Timetable.Timed::at).toList());
         assertTrue(flips.get(5).step() instanceof Timetable.Off);
         Map<Integer, Integer> open = new HashMap<>();
         for (Timetable.Timed t : steps("{\"fault\":\"partition\",\"into\":3,\"for\":10,\"move_s\":4}")) {
@@ -89,19 +101,29 @@
         assertEquals(0.75, links.on(ab).loss(), 1e-9);
         links.off(1);
         links.off(2);
-        assertEquals(List.of(0.1, 0.1), java.util.Arrays.stream(links.on(ab).fate(new Random(1))).boxed().toList());
+        assertEquals(
+                List.of(0.1, 0.1),
+                java.util.Arrays.stream(links.on(ab).fate(new Random(1)))
+                        .boxed()
+                        .toList());
         assertEquals(Links.Effect.NONE, links.on(new Pair("b", "a")), "one way only");
     }
 
     @Test
     void aFaultyScriptIsRefusedByItsKey() {
         for (String[] bad : new String[][] {
-                {"script[0].fault", "{\"fault\":\"fire\"}"}, {"script[0].share", "{\"fault\":\"loss\",\"share\":1.5}"},
-                {"script[0].from", "{\"fault\":\"cut\",\"from\":[\"g9\"]}"}, {"script[0].for", "{\"fault\":\"cut\",\"flip_s\":1}"},
-                {"script[0].members", "{\"fault\":\"kill\",\"members\":7}"}, {"script[0].at", "{\"fault\":\"kill\",\"at\":-1}"},
-                {"script[0].kinds", "{\"fault\":\"drawn\",\"for\":9,\"kinds\":[\"fire\"]}"},
-                {"script[0].into", "{\"fault\":\"partition\"}"}, {"script[0].folder", "{\"fault\":\"start\",\"folder\":\"x\"}"}}) {
-            String said = assertThrows(ConfigException.class, () -> script(1, bad[1])).getMessage();
+            {"script[0].fault", "{\"fault\":\"fire\"}"},
+            {"script[0].share", "{\"fault\":\"loss\",\"share\":1.5}"},
+            {"script[0].from", "{\"fault\":\"cut\",\"from\":[\"g9\"]}"},
+            {"script[0].for", "{\"fault\":\"cut\",\"flip_s\":1}"},
+            {"script[0].members", "{\"fault\":\"kill\",\"members\":7}"},
+            {"script[0].at", "{\"fault\":\"kill\",\"at\":-1}"},
+            {"script[0].kinds", "{\"fault\":\"drawn\",\"for\":9,\"kinds\":[\"fire\"]}"},
+            {"script[0].into", "{\"fault\":\"partition\"}"},
+            {"script[0].folder", "{\"fault\":\"start\",\"folder\":\"x\"}"}
+        }) {
+            String said =
+                    assertThrows(ConfigException.class, () -> script(1, bad[1])).getMessage();
             assertTrue(said.startsWith(bad[0] + ":"), said);
         }
     }
--- a/src/test/java/pepperdock/lab/keepers/ExplorerTest.java
+++ b/src/test/java/pepperdock/lab/keepers/ExplorerTest.java
@@ -25,7 +25,10 @@
 
     private static List<Explorer.Walk> walks(LongFunction<World> worlds, Explorer.Mix mix, int seeds, int steps) {
         Explorer explorer = new Explorer(worlds, mix);
-        return LongStream.rangeClosed(1, seeds).parallel().mapToObj(s -> explorer.walk(s, steps)).toList();
+        return LongStream.rangeClosed(1, seeds)
+                .parallel()
+                .mapToObj(s -> explorer.walk(s, steps))
+                .toList();
     }
 
     @ParameterizedTest(name = "{0}: {1} processes, {2} of them voters at first")
@@ -41,7 +44,9 @@
                 sums[i] += w.counts()[i];
             }
         });
-        assertTrue(sums[0] >= 400 && sums[1] >= 400, "what was played was worth it: " + List.of(sums[0], sums[1], sums[2]));
+        assertTrue(
+                sums[0] >= 400 && sums[1] >= 400,
+                "what was played was worth it: " + List.of(sums[0], sums[1], sums[2]));
     }
 
     private static int voters(String fault) {
@@ -63,20 +68,25 @@
 
                     @Override
                     protected boolean mayChange(Members to) {
-                        return fault.equals("two changes at once") ? !to.voters().isEmpty() : super.mayChange(to);
+                        return fault.equals("two changes at once")
+                                ? !to.voters().isEmpty()
+                                : super.mayChange(to);
                     }
 
                     @Override
                     protected boolean stays(long index, long indexTerm) {
-                        return fault.equals("a snapshot over newer entries") ? index <= commit() : super.stays(index, indexTerm);
+                        return fault.equals("a snapshot over newer entries")
+                                ? index <= commit()
+                                : super.stays(index, indexTerm);
                     }
                 };
             }
 
             @Override
             protected Saved found(Saved synced) {
-                return fault.equals("no durable vote") ? new Saved(new Hard(synced.hard().term(), 0), synced.snapshot(),
-                        synced.entries()) : synced;
+                return fault.equals("no durable vote")
+                        ? new Saved(new Hard(synced.hard().term(), 0), synced.snapshot(), synced.entries())
+                        : synced;
             }
 
             @Override
@@ -110,8 +120,14 @@
             """)
     void aPlantedFaultIsFound(String fault, Explorer.Mix mix, int seeds, int steps, String as) {
         List<Explorer.Walk> walks = walks(seed -> planted(fault, seed), mix, seeds, steps);
-        assertTrue(walks.stream().anyMatch(w -> w.found().stream().anyMatch(f -> f.contains(as))),
-                walks.stream().flatMap(w -> w.found().stream()).distinct().limit(20).toList().toString());
+        assertTrue(
+                walks.stream().anyMatch(w -> w.found().stream().anyMatch(f -> f.contains(as))),
+                walks.stream()
+                        .flatMap(w -> w.found().stream())
+                        .distinct()
+                        .limit(20)
+                        .toList()
+                        .toString());
     }
 
     private static void all(World w, Step.Kind kind, int... slots) {
@@ -162,7 +178,11 @@
         }
         all(w, Step.Kind.AGAIN, 0);
         elect(w, 4, 2, 3);
-        assertEquals(findings, w.found().stream().filter(f -> f.contains("has not what was committed")).count(),
+        assertEquals(
+                findings,
+                w.found().stream()
+                        .filter(f -> f.contains("has not what was committed"))
+                        .count(),
                 w.found().toString());
         assertTrue(w.counts()[0] >= 3, "leaders: " + w.counts()[0]);
     }
@@ -184,7 +204,12 @@
         all(w, Step.Kind.SYNC, 0, 0, 0, 0);
         // The other one takes all but the last, and the leader lets go of what it has applied.
         for (int i = 0; i < 3; i++) {
-            w.pass(Step.Kind.DELIVER, 0, 2, Message.Append.class, m -> !((Message.Append) m).entries().isEmpty());
+            w.pass(
+                    Step.Kind.DELIVER,
+                    0,
+                    2,
+                    Message.Append.class,
+                    m -> !((Message.Append) m).entries().isEmpty());
             all(w, Step.Kind.SYNC, 2);
             w.pass(Step.Kind.DELIVER, 2, 0, Message.Appended.class, m -> true);
         }
@@ -194,8 +219,13 @@
         w.pass(Step.Kind.TWICE, 0, 1, Message.Append.class, m -> ((Message.Append) m).prevIndex() == 3);
         for (int prev = 1; prev <= 4; prev++) {
             int at = prev;
-            w.pass(Step.Kind.DELIVER, 0, 1, Message.Append.class, m -> ((Message.Append) m).prevIndex() == at
-                    && !((Message.Append) m).entries().isEmpty());
+            w.pass(
+                    Step.Kind.DELIVER,
+                    0,
+                    1,
+                    Message.Append.class,
+                    m -> ((Message.Append) m).prevIndex() == at
+                            && !((Message.Append) m).entries().isEmpty());
         }
         w.pass(Step.Kind.DELIVER, 1, 0, Message.Appended.class, m -> !((Message.Appended) m).ok());
         w.pass(Step.Kind.DELIVER, 0, 1, Message.Install.class, m -> true);
@@ -206,18 +236,28 @@
         assertEquals(5, w.counts()[1], "committed, by the leader and this one");
         all(w, Step.Kind.CRASH, 0);
         elect(w, 1, 2);
-        assertEquals(findings, w.found().stream().filter(f -> f.contains("has not what was committed")).count(),
+        assertEquals(
+                findings,
+                w.found().stream()
+                        .filter(f -> f.contains("has not what was committed"))
+                        .count(),
                 w.found().toString());
     }
 
     @Test
     void aFailingWalkIsShortenedToAScriptThatPlaysAgain() {
         Explorer explorer = new Explorer(seed -> planted("a read from a deposed leader", seed), Explorer.Mix.ALL);
-        Explorer.Walk failing = LongStream.rangeClosed(1, 600).mapToObj(s -> explorer.walk(s, STEPS))
-                .filter(w -> !w.found().isEmpty()).findFirst().orElseThrow();
+        Explorer.Walk failing = LongStream.rangeClosed(1, 600)
+                .mapToObj(s -> explorer.walk(s, STEPS))
+                .filter(w -> !w.found().isEmpty())
+                .findFirst()
+                .orElseThrow();
         Explorer.Walk shorter = explorer.shorter(failing);
-        assertTrue(shorter.steps().size() < failing.steps().size() / 2, shorter.steps().size() + " of " + failing.steps().size());
-        List<Step> read = shorter.steps().stream().map(s -> Step.read(s.toString())).toList();
+        assertTrue(
+                shorter.steps().size() < failing.steps().size() / 2,
+                shorter.steps().size() + " of " + failing.steps().size());
+        List<Step> read =
+                shorter.steps().stream().map(s -> Step.read(s.toString())).toList();
         assertEquals(shorter.found(), explorer.play(failing.seed(), read).found());
     }
 }
--- a/src/test/java/pepperdock/members/CodecTest.java
+++ b/src/test/java/pepperdock/members/CodecTest.java
@@ -27,8 +27,14 @@
 
     private static Item item(Random r) {
         if (r.nextBoolean()) {
-            return new Card(name(r), r.nextLong(), r.nextInt(1 << 20), Status.values()[r.nextInt(3)], "127.255.255.255:65535",
-                    name(r), name(r));
+            return new Card(
+                    name(r),
+                    r.nextLong(),
+                    r.nextInt(1 << 20),
+                    Status.values()[r.nextInt(3)],
+                    "127.255.255.255:65535",
+                    name(r),
+                    name(r));
         }
         Map<String, Links.Said> said = new HashMap<>();
         for (int i = r.nextInt(9); i > 0; i--) {
@@ -38,7 +44,8 @@
     }
 
     private static Message message(Random r) {
-        Message.Head head = new Message.Head("fleet", name(r), r.nextLong(), r.nextInt(100), "[::1]:7400", r.nextLong());
+        Message.Head head =
+                new Message.Head("fleet", name(r), r.nextLong(), r.nextInt(100), "[::1]:7400", r.nextLong());
         List<Item> items = new ArrayList<>();
         for (int i = r.nextInt(5); i > 0; i--) {
             items.add(item(r));
--- a/src/test/java/pepperdock/members/MembersTest.java
+++ b/src/test/java/pepperdock/members/MembersTest.java
@@ -39,9 +39,14 @@
     private Members open(int number, List<View.Change> changes) throws Exception {
         Loop loop = new Loop(100, 1 << 20);
         loops.add(loop);
-        Keys file = Keys.of("", Config.parse("{\"name\":\"n" + number + "\",\"members\":{\"fleet\":\"f\",\"probe_s\":0.05,"
-                + "\"datagrams_per_s\":1000,\"bytes_per_s\":1000000,\"address\":\"" + HOSTS + number + ":7400\",\"seeds\":[\""
-                + HOSTS + "1:7400\"],\"ask\":\"" + HOSTS + number + ":7500\"}}", ""));
+        Keys file = Keys.of(
+                "",
+                Config.parse(
+                        "{\"name\":\"n" + number + "\",\"members\":{\"fleet\":\"f\",\"probe_s\":0.05,"
+                                + "\"datagrams_per_s\":1000,\"bytes_per_s\":1000000,\"address\":\"" + HOSTS + number
+                                + ":7400\",\"seeds\":[\""
+                                + HOSTS + "1:7400\"],\"ask\":\"" + HOSTS + number + ":7500\"}}",
+                        ""));
         Members m = Members.open(file, loop, Events.of(false));
         loop.execute(() -> m.watch(changes::add));
         return m;
@@ -85,7 +90,8 @@
             assertEquals(changes.get(0).number() + i, changes.get(i).number());
         }
         StringWriter err = new StringWriter();
-        assertEquals(1, Cli.run(new String[] {"members", HOSTS + "9:1"}, new PrintWriter(err), new PrintWriter(err, true)));
+        assertEquals(
+                1, Cli.run(new String[] {"members", HOSTS + "9:1"}, new PrintWriter(err), new PrintWriter(err, true)));
         assertTrue(err.toString().contains("members.ask"), err.toString());
     }
 }
--- a/src/test/java/pepperdock/membership/MembershipTest.java
+++ b/src/test/java/pepperdock/membership/MembershipTest.java
@@ -22,8 +22,13 @@
     private double now;
 
     private Membership add(String name, String address, long life) {
-        Membership m = new Membership(SETTINGS, "fleet", new Card(name, life, 0, Status.HERE, address, "z", address),
-                List.of("h1:1"), life, now);
+        Membership m = new Membership(
+                SETTINGS,
+                "fleet",
+                new Card(name, life, 0, Status.HERE, address, "z", address),
+                List.of("h1:1"),
+                life,
+                now);
         at.put(address, m);
         told.put(m, new ArrayList<>());
         return m;
@@ -65,11 +70,15 @@
     }
 
     private static View.Member seen(Membership by, String name) {
-        return by.view().members().stream().filter(m -> m.name().equals(name)).findFirst().orElseThrow();
+        return by.view().members().stream()
+                .filter(m -> m.name().equals(name))
+                .findFirst()
+                .orElseThrow();
     }
 
     private boolean noted(Membership m, String what) {
-        return told.get(m).stream().anyMatch(o -> o instanceof Output.Noted n && n.what().equals(what));
+        return told.get(m).stream()
+                .anyMatch(o -> o instanceof Output.Noted n && n.what().equals(what));
     }
 
     @Test
@@ -105,10 +114,16 @@
         pass(3);
         long state = a.state();
         List<Output> before = List.copyOf(told.get(b));
-        Membership stranger = new Membership(SETTINGS, "other", new Card("x", 9, 0, Status.HERE, "h9:1", "z", "m"),
-                List.of(), 9, now);
-        a.received(new Message.Ping(new Message.Head("other", "x", 9, 0, "h9:1", 0), "a", 1, 1,
-                List.of(new Card("x", 9, 0, Status.HERE, "h9:1", "z", "m"))), now);
+        Membership stranger = new Membership(
+                SETTINGS, "other", new Card("x", 9, 0, Status.HERE, "h9:1", "z", "m"), List.of(), 9, now);
+        a.received(
+                new Message.Ping(
+                        new Message.Head("other", "x", 9, 0, "h9:1", 0),
+                        "a",
+                        1,
+                        1,
+                        List.of(new Card("x", 9, 0, Status.HERE, "h9:1", "z", "m"))),
+                now);
         assertEquals(null, a.exchanged(stranger.digest(), now));
         assertEquals(2, a.counts()[3]);
         for (Output o : before) {
--- a/src/test/java/pepperdock/net/ClientGoneTest.java
+++ b/src/test/java/pepperdock/net/ClientGoneTest.java
@@ -27,10 +27,11 @@
 
     /** What the front was told, in order: each request taken, and each client gone. */
     private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+
     private final BlockingQueue<HttpServer.Reply> held = new LinkedBlockingQueue<>();
     private final Loop loop = new Loop(100, 1 << 18);
-    private final HttpServer server = new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1024,
-            () -> 10, new HttpServer.Service() {
+    private final HttpServer server = new HttpServer(
+            loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1024, () -> 10, new HttpServer.Service() {
                 private int taken;
 
                 @Override
@@ -47,7 +48,7 @@
                 }
             });
 
-    ClientGoneTest() throws IOException { }
+    ClientGoneTest() throws IOException {}
 
     @AfterEach
     void close() {
@@ -66,7 +67,9 @@
     }
 
     private enum Way {
-        CLOSE, HALF_CLOSE, RESET;
+        CLOSE,
+        HALF_CLOSE,
+        RESET;
 
         void go(Socket s) throws IOException {
             switch (this) {
@@ -157,7 +160,8 @@
     void whoSendsOnAndOnBehindARequestInHandIsToldSoAndItsRequestEnds() throws Exception {
         try (Socket s = ask(REQUEST)) {
             assertEquals("taken 1", next());
-            s.getOutputStream().write(REQUEST.repeat((5 << 18) / REQUEST.length()).getBytes(StandardCharsets.US_ASCII));
+            s.getOutputStream()
+                    .write(REQUEST.repeat((5 << 18) / REQUEST.length()).getBytes(StandardCharsets.US_ASCII));
             assertEquals("gone 1", next());
             assertEquals("413 close", head(s));
             assertTrue(told.isEmpty(), told::toString);
@@ -180,10 +184,10 @@
         BlockingQueue<Boolean> noDelay = new LinkedBlockingQueue<>();
         Connection.Handler none = new Connection.Handler() {
             @Override
-            public void received(Connection c) { }
+            public void received(Connection c) {}
 
             @Override
-            public void ended(Connection c) { }
+            public void ended(Connection c) {}
         };
         Loop.Listening at = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), () -> true, c -> {
             c.start(none);
--- a/src/test/java/pepperdock/net/ConnectionTest.java
+++ b/src/test/java/pepperdock/net/ConnectionTest.java
@@ -22,13 +22,14 @@
             }
 
             @Override
-            public void ended(Connection c) { }
+            public void ended(Connection c) {}
         };
         try (Loop loop = new Loop(10, 1 << 20)) {
-            Loop.Listening at = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), () -> true, c -> {
-                c.limitUnread(16 << 10);
-                c.start(lazy);
-            });
+            Loop.Listening at =
+                    loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), () -> true, c -> {
+                        c.limitUnread(16 << 10);
+                        c.start(lazy);
+                    });
             try (SocketChannel client = SocketChannel.open(at.address())) {
                 client.configureBlocking(false);
                 ByteBuffer bytes = ByteBuffer.allocate(1 << 16);
--- a/src/test/java/pepperdock/net/HttpClientTest.java
+++ b/src/test/java/pepperdock/net/HttpClientTest.java
@@ -38,7 +38,8 @@
     @ParameterizedTest
     @CsvSource({"false,half", "true,BROKEN"})
     void anAnswerWithoutALengthEndsWithItsServersEndAndNotWithAReset(boolean reset, String expected) throws Exception {
-        try (Loop loop = new Loop(10, 1 << 16); ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+        try (Loop loop = new Loop(10, 1 << 16);
+                ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             HttpClient client = new HttpClient(loop, (InetSocketAddress) server.getLocalSocketAddress(), 30, 1 << 16);
             loop.execute(() -> client.ask(HttpWriter.request("GET", "/", "h", "", new byte[0]), 30, then));
             try (Socket s = server.accept()) {
@@ -71,7 +72,8 @@
     /** A connection that comes up once nobody waits for it any more is closed, and nothing is written on it. */
     @Test
     void aRequestGivenUpWhileItsConnectionComesUpIsNeverWritten() throws Exception {
-        try (Loop loop = new Loop(10, 1 << 16); ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+        try (Loop loop = new Loop(10, 1 << 16);
+                ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             HttpClient client = new HttpClient(loop, (InetSocketAddress) server.getLocalSocketAddress(), 30, 1 << 16);
             loop.execute(() -> {
                 client.ask(HttpWriter.request("GET", "/", "h", "", new byte[0]), 30, then);
--- a/src/test/java/pepperdock/net/HttpServerTest.java
+++ b/src/test/java/pepperdock/net/HttpServerTest.java
@@ -30,12 +30,12 @@
     private static final int BIG = 24 << 20;
 
     private final Loop loop = new Loop(100, 1 << 25);
-    private final HttpServer server = new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1024,
-            () -> 1, new HttpServer.Service() {
+    private final HttpServer server = new HttpServer(
+            loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1024, () -> 1, new HttpServer.Service() {
                 @Override
                 public Runnable serve(HttpMessage request, HttpServer.Reply reply) {
                     reply.send(200, "text/plain", "", new byte[request.path().equals("/big") ? BIG : 0]);
-                    return () -> { };
+                    return () -> {};
                 }
 
                 @Override
@@ -44,7 +44,7 @@
                 }
             });
 
-    HttpServerTest() throws IOException { }
+    HttpServerTest() throws IOException {}
 
     @AfterEach
     void close() {
@@ -60,7 +60,9 @@
     /** The first line of an answer without a body, read to its end and no further. */
     private static String status(Socket client) throws IOException {
         StringBuilder head = new StringBuilder();
-        for (int b = client.getInputStream().read(); b >= 0; b = client.getInputStream().read()) {
+        for (int b = client.getInputStream().read();
+                b >= 0;
+                b = client.getInputStream().read()) {
             head.append((char) b);
             if (head.toString().endsWith("\r\n\r\n")) {
                 break;
@@ -139,25 +141,35 @@
             @Override
             public Runnable serve(HttpMessage request, HttpServer.Reply reply) {
                 reply.send(200, "text/plain", "", new byte[0]);
-                return () -> { };
+                return () -> {};
             }
 
             @Override
-            public void malformed(int status, String why, HttpServer.Reply reply) { }
+            public void malformed(int status, String why, HttpServer.Reply reply) {}
         };
-        HttpServer old = new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), Loop.Kind.SHARED, 2.5, 1024,
-                () -> 50, service);
+        HttpServer old = new HttpServer(
+                loop,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                Loop.Kind.SHARED,
+                2.5,
+                1024,
+                () -> 50,
+                service);
         try (Loop second = new Loop(100, 1 << 16)) {
             List<Socket> clients = new ArrayList<>();
             HttpServer[] other = new HttpServer[1];
-            whileHeldUp(() -> {
-                for (int i = 0; i < 40; i++) {
-                    if (i == 20) {
-                        other[0] = new HttpServer(second, old.address(), Loop.Kind.SHARED, 2.5, 1024, () -> 50, service);
-                    }
-                    clients.add(new Socket(old.address().getAddress(), old.address().getPort()));
-                }
-            }, old::handOver);
+            whileHeldUp(
+                    () -> {
+                        for (int i = 0; i < 40; i++) {
+                            if (i == 20) {
+                                other[0] = new HttpServer(
+                                        second, old.address(), Loop.Kind.SHARED, 2.5, 1024, () -> 50, service);
+                            }
+                            clients.add(new Socket(
+                                    old.address().getAddress(), old.address().getPort()));
+                        }
+                    },
+                    old::handOver);
             assertEquals(old.address(), other[0].address());
             for (Socket c : clients) {
                 c.setSoTimeout(30_000);
@@ -165,7 +177,8 @@
                 assertEquals("HTTP/1.1 200 OK", status(c));
                 c.close();
             }
-            try (Socket next = new Socket(old.address().getAddress(), old.address().getPort())) {
+            try (Socket next =
+                    new Socket(old.address().getAddress(), old.address().getPort())) {
                 next.getOutputStream().write(REQUEST);
                 assertEquals("HTTP/1.1 200 OK", status(next));
             }
@@ -190,7 +203,7 @@
         try (Socket client = connect()) {
             client.getOutputStream().write(REQUEST);
             assertEquals("HTTP/1.1 200 OK", status(client));
-            stopAfter(() -> { });
+            stopAfter(() -> {});
             client.getInputStream().readAllBytes();
         }
     }
--- a/src/test/java/pepperdock/opensearch/BothFrontsTest.java
+++ b/src/test/java/pepperdock/opensearch/BothFrontsTest.java
@@ -37,9 +37,17 @@
 
     /** Each trouble at a fresh stack, as what a module has met changes what it decides next. */
     @ParameterizedTest
-    @CsvSource({"0, 6, bad:5, 200, 5", "0, 6, later:4, 200, 5", "0, 6, 'bad:0,1', refused, 0", "1, 4, bad:3, refused, 0",
-        "1, 4, later:*, refused, 0", "2, 1, bad:0, 500, 0", "2, 1, later:*, refused, 0", "2, 1, silent:0, 500, 0",
-        "0, 6, silent:5, 200, 5"})
+    @CsvSource({
+        "0, 6, bad:5, 200, 5",
+        "0, 6, later:4, 200, 5",
+        "0, 6, 'bad:0,1', refused, 0",
+        "1, 4, bad:3, refused, 0",
+        "1, 4, later:*, refused, 0",
+        "2, 1, bad:0, 500, 0",
+        "2, 1, later:*, refused, 0",
+        "2, 1, silent:0, 500, 0",
+        "0, 6, silent:5, 200, 5"
+    })
     void eachTroubleEndsTheSameThroughBoth(int queryClass, int shards, String text, String kind, int in)
             throws Exception {
         List<Stack.Answer> answers = new ArrayList<>();
--- a/src/test/java/pepperdock/opensearch/SearchBackendTest.java
+++ b/src/test/java/pepperdock/opensearch/SearchBackendTest.java
@@ -35,8 +35,10 @@
      */
     @Test
     void aRequestThatWaitsForItsConnectionEndsWhenTheWorkerDrains() throws Exception {
-        Site site = Sites.with(Sites.SETTINGS.replace("\"MaxAttempts\":4", "\"MaxAttempts\":1")
-                .replace("\"DialTimeoutS\":0.25", "\"DialTimeoutS\":20")).withoutRepeats();
+        Site site = Sites.with(Sites.SETTINGS
+                        .replace("\"MaxAttempts\":4", "\"MaxAttempts\":1")
+                        .replace("\"DialTimeoutS\":0.25", "\"DialTimeoutS\":20"))
+                .withoutRepeats();
         BlockingQueue<String> ended = new LinkedBlockingQueue<>();
         Client client = new Client() {
             @Override
@@ -54,10 +56,11 @@
                 ended.add("failed " + q.parts().get(0).lastOutcome());
             }
         };
-        try (Loop loop = new Loop(100, 1 << 16); ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
-            SearchBackend backend = new SearchBackend(loop, site, new OpenSearchConfig(null,
-                    new LinkedHashMap<>(Map.of("wallets", 2)), true, 8, 2, 300));
-            Gatherer core = new Gatherer(site.module(), 3, loop, backend, () -> { });
+        try (Loop loop = new Loop(100, 1 << 16);
+                ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            SearchBackend backend = new SearchBackend(
+                    loop, site, new OpenSearchConfig(null, new LinkedHashMap<>(Map.of("wallets", 2)), true, 8, 2, 300));
+            Gatherer core = new Gatherer(site.module(), 3, loop, backend, () -> {});
             backend.start(core);
             Host host = new Host("w", "127.0.0.1:" + server.getLocalPort(), 0, 0, 0, Readiness.HEALTHY, 1, 0);
             Host drains = new Host("w", host.dial(), 0, 0, 0, Readiness.DRAINING, 1, 0);
--- a/src/test/java/pepperdock/opensearch/Stack.java
+++ b/src/test/java/pepperdock/opensearch/Stack.java
@@ -36,12 +36,13 @@
 final class Stack implements AutoCloseable {
 
     /** Times far beyond what loopback takes: only a query's own time-out runs out in these tests. */
-    static final String SETTINGS = Sites.SETTINGS.replace("\"GoalTimeS\":1.5,\"DeadlineS\":3", "\"GoalTimeS\":5,\"DeadlineS\":30")
+    static final String SETTINGS = Sites.SETTINGS
+            .replace("\"GoalTimeS\":1.5,\"DeadlineS\":3", "\"GoalTimeS\":5,\"DeadlineS\":30")
             .replace("\"GoalTimeS\":2.5,\"DeadlineS\":6", "\"GoalTimeS\":5,\"DeadlineS\":30")
             .replace("\"DialTimeoutS\":0.25", "\"DialTimeoutS\":20");
 
     /** A final answer in words common to both fronts: its kind, whether whole, and the value of each shard. */
-    record Answer(String kind, boolean whole, Map<Integer, String> values) { }
+    record Answer(String kind, boolean whole, Map<Integer, String> values) {}
 
     final StandIn does = new StandIn();
     final List<StandInSearchServer> backends = new ArrayList<>();
@@ -51,14 +52,20 @@
     private final Gatherer core;
     private final HttpServer server;
     private final boolean search;
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     Stack(boolean search, int scrollContexts) throws Exception {
         this.search = search;
         Site plain = Sites.with(SETTINGS);
         Site site = search ? plain.withoutRepeats() : plain;
-        OpenSearchConfig config = new OpenSearchConfig(null, new LinkedHashMap<>(Map.of("history", 0, "payouts", 1,
-                "wallets", 2)), true, 8, scrollContexts, 300);
+        OpenSearchConfig config = new OpenSearchConfig(
+                null,
+                new LinkedHashMap<>(Map.of("history", 0, "payouts", 1, "wallets", 2)),
+                true,
+                8,
+                scrollContexts,
+                300);
         List<Host> hosts = new ArrayList<>();
         for (int cell = 0; cell < 4; cell++) {
             hosts.add(new Host("w" + cell, worker(), 0, 0, cell, Readiness.HEALTHY, 1, 0));
@@ -72,7 +79,11 @@
         searches.start(core);
         list.start(core);
         searchFront = new SearchFront(site, config, core, loop, searches);
-        server = new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1 << 20, () -> 50,
+        server = new HttpServer(
+                loop,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                1 << 20,
+                () -> 50,
                 search ? searchFront : new Front(site, core, () -> true));
         CountDownLatch listed = new CountDownLatch(1);
         loop.execute(() -> {
@@ -130,23 +141,39 @@
         for (int s = 0; s < shards; s++) {
             double portion = s == shards - 1 ? left : left / 2;
             left -= portion;
-            ranges.append(s == 0 ? "" : ",").append("{\"range\":").append(s).append(",\"portion\":").append(portion)
+            ranges.append(s == 0 ? "" : ",")
+                    .append("{\"range\":")
+                    .append(s)
+                    .append(",\"portion\":")
+                    .append(portion)
                     .append('}');
         }
-        return search ? askSearch(queryClass, ranges.toString(), text, timeoutMs)
+        return search
+                ? askSearch(queryClass, ranges.toString(), text, timeoutMs)
                 : askPlatform(no, queryClass, ranges.toString(), text, timeoutMs);
     }
 
     private Answer askPlatform(int no, int queryClass, String ranges, String text, int timeoutMs) throws Exception {
-        HttpResponse<String> r = send("POST", "/api", "{\"ranges\":[" + ranges + "],\"predicate\":\"" + text + "\"}",
-                "Request-Id", "q" + no, "Request-Timeout-Ms", Integer.toString(timeoutMs), "Idempotency-Key", "k" + no,
-                "Request-Class", List.of("history-search", "payout-report", "balance-adjust").get(queryClass));
+        HttpResponse<String> r = send(
+                "POST",
+                "/api",
+                "{\"ranges\":[" + ranges + "],\"predicate\":\"" + text + "\"}",
+                "Request-Id",
+                "q" + no,
+                "Request-Timeout-Ms",
+                Integer.toString(timeoutMs),
+                "Idempotency-Key",
+                "k" + no,
+                "Request-Class",
+                List.of("history-search", "payout-report", "balance-adjust").get(queryClass));
         Map<Integer, String> values = new LinkedHashMap<>();
         boolean whole = false;
         if (r.statusCode() == 200) {
             whole = json(r).get("total").getAsBoolean();
-            json(r).getAsJsonArray("answers").forEach(a -> values.put(a.getAsJsonObject().get("range").getAsInt(),
-                    a.getAsJsonObject().get("blob").getAsString()));
+            json(r).getAsJsonArray("answers")
+                    .forEach(a -> values.put(
+                            a.getAsJsonObject().get("range").getAsInt(),
+                            a.getAsJsonObject().get("blob").getAsString()));
         }
         return new Answer(r.statusCode() == 503 ? "refused" : Integer.toString(r.statusCode()), whole, values);
     }
@@ -155,14 +182,19 @@
         Map<Integer, String> values = new LinkedHashMap<>();
         String time = "timeout=" + timeoutMs + "ms";
         if (queryClass == 2) {
-            HttpResponse<String> r = send("POST", "/wallets/_update/1?routing=0&" + time, "{\"script\":{\"source\":\"" + text + "\"}}");
+            HttpResponse<String> r =
+                    send("POST", "/wallets/_update/1?routing=0&" + time, "{\"script\":{\"source\":\"" + text + "\"}}");
             if (r.statusCode() == 200) {
                 values.put(0, json(r).get("blob").getAsString());
             }
-            return new Answer(r.statusCode() == 429 ? "refused" : Integer.toString(r.statusCode()),
-                    r.statusCode() == 200, values);
+            return new Answer(
+                    r.statusCode() == 429 ? "refused" : Integer.toString(r.statusCode()),
+                    r.statusCode() == 200,
+                    values);
         }
-        HttpResponse<String> r = send("POST", (queryClass == 0 ? "/history" : "/payouts") + "/_search?size=100&" + time,
+        HttpResponse<String> r = send(
+                "POST",
+                (queryClass == 0 ? "/history" : "/payouts") + "/_search?size=100&" + time,
                 "{\"query\":{\"query_string\":{\"query\":\"" + text + "\"}},\"ext\":{\"pepperdock\":{\"ranges\":["
                         + ranges + "]}}}");
         boolean whole = false;
--- a/src/test/java/pepperdock/opensearch/StandInSearchServer.java
+++ b/src/test/java/pepperdock/opensearch/StandInSearchServer.java
@@ -31,6 +31,7 @@
     final AtomicInteger opened = new AtomicInteger();
     /** Pages after the first wait for this, where a test wants to leave meanwhile. */
     volatile CountDownLatch hold = new CountDownLatch(0);
+
     final CountDownLatch held = new CountDownLatch(1);
     private final CountDownLatch closing = new CountDownLatch(1);
     private final StandIn does;
@@ -55,7 +56,8 @@
 
     private void serve(HttpExchange x) throws IOException {
         String body = new String(x.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
-        JsonObject asked = body.isEmpty() ? new JsonObject() : JsonParser.parseString(body).getAsJsonObject();
+        JsonObject asked =
+                body.isEmpty() ? new JsonObject() : JsonParser.parseString(body).getAsJsonObject();
         String path = x.getRequestURI().getPath();
         try {
             if (path.equals("/_search/scroll")) {
@@ -72,27 +74,40 @@
         Matcher m = SHARD.matcher(x.getRequestURI().getQuery());
         int shard = m.find() ? Integer.parseInt(m.group(1)) : -1;
         boolean update = path.contains("/_update/");
-        String text = update ? asked.getAsJsonObject("script").get("source").getAsString()
-                : asked.getAsJsonObject("query").getAsJsonObject("query_string").get("query").getAsString();
+        String text = update
+                ? asked.getAsJsonObject("script").get("source").getAsString()
+                : asked.getAsJsonObject("query")
+                        .getAsJsonObject("query_string")
+                        .get("query")
+                        .getAsString();
         Thread.sleep(StandIn.WORK_MS);
         switch (does.part(text, shard)) {
             case GOOD -> {
                 if (update) {
-                    answer(x, 200, "{\"_id\":\"1\",\"result\":\"updated\",\"_shards\":{\"total\":2,\"successful\":1,"
-                            + "\"failed\":0},\"blob\":\"" + StandIn.value(text, shard) + "\"}");
+                    answer(
+                            x,
+                            200,
+                            "{\"_id\":\"1\",\"result\":\"updated\",\"_shards\":{\"total\":2,\"successful\":1,"
+                                    + "\"failed\":0},\"blob\":\"" + StandIn.value(text, shard) + "\"}");
                 } else if (x.getRequestURI().getQuery().contains("scroll=")) {
                     String id = "c" + opened.incrementAndGet() + "-" + shard;
                     contexts.put(id, new AtomicInteger());
                     answer(x, 200, page(id, asked.get("size").getAsInt()));
                 } else {
-                    answer(x, 200, found(shard, 1, hit(shard, 0, StandIn.value(text, shard))).toString());
+                    answer(
+                            x,
+                            200,
+                            found(shard, 1, hit(shard, 0, StandIn.value(text, shard)))
+                                    .toString());
                 }
             }
             case BAD -> {
                 // The hard case: a success whose inside says that the shard failed.
                 JsonObject o = found(shard, 0);
-                o.add("_shards", JsonParser.parseString("{\"total\":1,\"successful\":0,\"failed\":1,\"failures\":"
-                        + "[{\"shard\":" + shard + ",\"reason\":{\"type\":\"circuit_breaking_exception\"}}]}"));
+                o.add(
+                        "_shards",
+                        JsonParser.parseString("{\"total\":1,\"successful\":0,\"failed\":1,\"failures\":"
+                                + "[{\"shard\":" + shard + ",\"reason\":{\"type\":\"circuit_breaking_exception\"}}]}"));
                 answer(x, 200, o.toString());
             }
             case LATER -> answer(x, 429, "{\"error\":{\"type\":\"rejected_execution_exception\"},\"status\":429}");
--- a/src/test/java/pepperdock/operator/BansTest.java
+++ b/src/test/java/pepperdock/operator/BansTest.java
@@ -61,8 +61,16 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "{\"version\":1,\"disab", "[]", "{\"version\":2,\"disabled\":[]}", "{\"version\":1}",
-        "{\"version\":1,\"disabled\":[{}]}", "{\"version\":1,\"disabled\":[],\"more\":1}"})
+    @ValueSource(
+            strings = {
+                "",
+                "{\"version\":1,\"disab",
+                "[]",
+                "{\"version\":2,\"disabled\":[]}",
+                "{\"version\":1}",
+                "{\"version\":1,\"disabled\":[{}]}",
+                "{\"version\":1,\"disabled\":[],\"more\":1}"
+            })
     void aDamagedFileIsPutAsideAndNobodyIsBanned(String text) throws Exception {
         Files.writeString(folder.resolve("bans.json"), text);
         assertEquals(Set.of(), new BanFile(folder).read());
--- a/src/test/java/pepperdock/operator/DoorTest.java
+++ b/src/test/java/pepperdock/operator/DoorTest.java
@@ -28,8 +28,15 @@
     private final List<String> banned = new ArrayList<>();
     /** No socket counts as free: the door's connections are beside the cap. */
     private final Loop loop = new Loop(0, 1 << 16);
-    private final HttpServer server = new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-            Loop.Kind.APART, 4, 4096, () -> CALLERS, new Door(new Door.Desk() {
+
+    private final HttpServer server = new HttpServer(
+            loop,
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+            Loop.Kind.APART,
+            4,
+            4096,
+            () -> CALLERS,
+            new Door(new Door.Desk() {
                 @Override
                 public boolean ready() {
                     return banned.isEmpty();
@@ -52,7 +59,7 @@
                 }
             }));
 
-    DoorTest() throws IOException { }
+    DoorTest() throws IOException {}
 
     @AfterEach
     void close() {
@@ -74,17 +81,33 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"GET /-/ready HTTP/1.1|200|{\"ready\":true}", "GET /-/metrics HTTP/1.1|200|svc.loads=0",
-        "POST /-/workers/s-1/disable HTTP/1.1|200|{\"disabled\":true}", "POST /-/workers/s%2D1/enable HTTP/1.1|200|{\"disabled\":false}",
-        "POST /-/workers/s-full/disable HTTP/1.1|500|disk full", "POST /-/workers/x/disable HTTP/1.1|404|ever listed",
-        "POST /-/workers//disable HTTP/1.1|400|worker id", "POST /-/workers/%zz/disable HTTP/1.1|400|worker id",
-        "POST /-/workers/disable HTTP/1.1|400|worker id", "POST /-/workers/s-1/ban HTTP/1.1|404|no such path", "GET / HTTP/1.1|404|no such path",
-        "GET /-/workers/s-1/disable HTTP/1.1|405|Allow: POST", "POST /-/ready HTTP/1.1|405|Allow: GET",
-        "POST /-/workers/s-1/disable HTTP/1.1~Content-Length: 2~~{}|400|body", "POST /-/workers/s-1/disable HTTP/1.1~Content-Length: 9999|413|error",
-        "nonsense|400|error"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "GET /-/ready HTTP/1.1|200|{\"ready\":true}",
+                "GET /-/metrics HTTP/1.1|200|svc.loads=0",
+                "POST /-/workers/s-1/disable HTTP/1.1|200|{\"disabled\":true}",
+                "POST /-/workers/s%2D1/enable HTTP/1.1|200|{\"disabled\":false}",
+                "POST /-/workers/s-full/disable HTTP/1.1|500|disk full",
+                "POST /-/workers/x/disable HTTP/1.1|404|ever listed",
+                "POST /-/workers//disable HTTP/1.1|400|worker id",
+                "POST /-/workers/%zz/disable HTTP/1.1|400|worker id",
+                "POST /-/workers/disable HTTP/1.1|400|worker id",
+                "POST /-/workers/s-1/ban HTTP/1.1|404|no such path",
+                "GET / HTTP/1.1|404|no such path",
+                "GET /-/workers/s-1/disable HTTP/1.1|405|Allow: POST",
+                "POST /-/ready HTTP/1.1|405|Allow: GET",
+                "POST /-/workers/s-1/disable HTTP/1.1~Content-Length: 2~~{}|400|body",
+                "POST /-/workers/s-1/disable HTTP/1.1~Content-Length: 9999|413|error",
+                "nonsense|400|error"
+            })
     void eachCallHasItsAnswerAndEachWrongOneItsOwn(String request, int status, String said) throws Exception {
         String answer = call(request.replace("~", "\r\n"));
-        assertTrue(answer.startsWith("HTTP/1.1 " + status + ' ') && answer.contains(said) && answer.contains("Connection: close"), answer);
+        assertTrue(
+                answer.startsWith("HTTP/1.1 " + status + ' ')
+                        && answer.contains(said)
+                        && answer.contains("Connection: close"),
+                answer);
         assertEquals(status == 200 && request.contains("workers") || status == 500, !banned.isEmpty());
     }
 
@@ -112,7 +135,8 @@
                 // Another's whole call is served between.
                 assertTrue(call("GET /-/metrics HTTP/1.1").contains("svc.loads"));
             }
-            assertTrue(new String(s.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).startsWith("HTTP/1.1 200"));
+            assertTrue(new String(s.getInputStream().readAllBytes(), StandardCharsets.US_ASCII)
+                    .startsWith("HTTP/1.1 200"));
         }
     }
 }
--- a/src/test/java/pepperdock/plan/BruteForce.java
+++ b/src/test/java/pepperdock/plan/BruteForce.java
@@ -6,7 +6,7 @@
 /** The greatest utilisation by looking at every set of nodes: what the planner must equal to the last digit. */
 final class BruteForce {
 
-    private BruteForce() { }
+    private BruteForce() {}
 
     /**
      * Most, over all sets of nodes in service without {@code unbounded} (-1: none), of the work that may go nowhere else
@@ -29,7 +29,9 @@
             }
             long capacity = 0;
             for (int n = 0; n < p.nodes().size(); n++) {
-                capacity += (set >> n & 1) == 1 && p.nodes().get(n).inService() ? p.nodes().get(n).capacity() : 0;
+                capacity += (set >> n & 1) == 1 && p.nodes().get(n).inService()
+                        ? p.nodes().get(n).capacity()
+                        : 0;
             }
             if (work.signum() > 0 && capacity == 0) {
                 return null;
--- a/src/test/java/pepperdock/plan/PlannerTest.java
+++ b/src/test/java/pepperdock/plan/PlannerTest.java
@@ -30,22 +30,31 @@
         List<Problem.Node> nodes = new ArrayList<>();
         int count = 1 + random.nextInt(8);
         for (int n = 0; n < count; n++) {
-            nodes.add(new Problem.Node("n" + n, random.nextInt(zones), random.nextInt(10) == 0 ? 0 : 1 + random.nextInt(30),
+            nodes.add(new Problem.Node(
+                    "n" + n,
+                    random.nextInt(zones),
+                    random.nextInt(10) == 0 ? 0 : 1 + random.nextInt(30),
                     random.nextInt(8) > 0));
         }
         List<Problem.Range> ranges = new ArrayList<>();
         for (int r = 0; r < 1 + random.nextInt(3 * count); r++) {
-            List<Integer> all = new ArrayList<>(IntStream.range(0, count).boxed().toList());
+            List<Integer> all =
+                    new ArrayList<>(IntStream.range(0, count).boxed().toList());
             Collections.shuffle(all, random);
-            ranges.add(new Problem.Range(r, random.nextInt(6) == 0 ? 0 : (long) (random.nextInt(20) * load),
+            ranges.add(new Problem.Range(
+                    r,
+                    random.nextInt(6) == 0 ? 0 : (long) (random.nextInt(20) * load),
                     all.subList(0, 1 + random.nextInt(Math.min(3, count)))));
         }
-        return new Problem(IntStream.range(0, zones).mapToObj(z -> "z" + z).toList(), crossing, rates, nodes, ranges, false);
+        return new Problem(
+                IntStream.range(0, zones).mapToObj(z -> "z" + z).toList(), crossing, rates, nodes, ranges, false);
     }
 
     private static List<Conflict.Work> all(Problem p) {
-        return IntStream.range(0, p.ranges().size()).boxed().flatMap(r -> IntStream.range(0, p.zones().size())
-                .mapToObj(z -> new Conflict.Work(r, z))).toList();
+        return IntStream.range(0, p.ranges().size())
+                .boxed()
+                .flatMap(r -> IntStream.range(0, p.zones().size()).mapToObj(z -> new Conflict.Work(r, z)))
+                .toList();
     }
 
     private static void sharesKeepTheLoads(Problem p, Plan plan) {
@@ -57,7 +66,8 @@
                 for (int i = 0; i < p.ranges().get(r).holders().size(); i++) {
                     int node = p.ranges().get(r).holders().get(i);
                     double share = plan.shares().get(r).get(z)[i];
-                    assertTrue(share >= 0 && (share == 0 || p.open(z, node)), "a share for a node that may not have one");
+                    assertTrue(
+                            share >= 0 && (share == 0 || p.open(z, node)), "a share for a node that may not have one");
                     sum += share;
                     load[node] += share * p.ranges().get(r).work() * p.rates()[z] / rates;
                 }
@@ -71,7 +81,8 @@
         for (int n = 0; n < load.length; n++) {
             if (plan.utilisation().get(n) != null && p.nodes().get(n).capacity() > 0) {
                 double used = plan.utilisation().get(n).value();
-                assertEquals(used, load[n] / p.nodes().get(n).capacity(), NEAR * (1 + used), "utilisation of node " + n);
+                assertEquals(
+                        used, load[n] / p.nodes().get(n).capacity(), NEAR * (1 + used), "utilisation of node " + n);
             }
         }
     }
@@ -106,7 +117,8 @@
     private static void smallest(Problem p, Conflict c, String about) {
         assertFalse(holds(BruteForce.greatest(p, c.work(), -1)), about);
         for (Conflict.Work w : c.work()) {
-            List<Conflict.Work> less = c.work().stream().filter(x -> !x.equals(w)).toList();
+            List<Conflict.Work> less =
+                    c.work().stream().filter(x -> !x.equals(w)).toList();
             assertTrue(holds(BruteForce.greatest(p, less, -1)), about + " without " + w);
         }
         for (int n : c.nodes()) {
@@ -135,8 +147,8 @@
     /** A slow node whose partner drains keeps the range that only it can serve; its other range moves over. */
     @Test
     void aSlowNodeWhosePartnerDrainsGivesAwayWhatOthersHoldToo() {
-        Plan plan = Planner.plan(ring(false, new long[] {100, 50, 100, 100}, new boolean[] {true, true, false, true},
-                10, 30, 30, 10));
+        Plan plan = Planner.plan(
+                ring(false, new long[] {100, 50, 100, 100}, new boolean[] {true, true, false, true}, 10, 30, 30, 10));
         assertTrue(plan.solved());
         assertEquals(1, plan.shares().get(1).get(0)[0], NEAR, "range 1: its other holder drains");
         assertEquals(1, plan.shares().get(0).get(0)[0], NEAR, "range 0 goes to its other holder");
@@ -146,15 +158,16 @@
     /** The second level is as low as it can be too, not only the greatest. */
     @Test
     void belowTheFullestNodeTheOthersAreEvenedOutToo() {
-        Plan plan = Planner.plan(ring(false, new long[] {10, 100, 100, 100}, new boolean[] {true, true, true, true},
-                0, 60, 60, 0));
+        Plan plan = Planner.plan(
+                ring(false, new long[] {10, 100, 100, 100}, new boolean[] {true, true, true, true}, 0, 60, 60, 0));
         assertEquals(new Ratio(java.math.BigInteger.valueOf(2), java.math.BigInteger.valueOf(5)), plan.greatest());
         assertEquals(Ratio.ZERO, plan.utilisation().get(0));
     }
 
     @Test
     void aRangeWhoseHoldersAllDrainIsNamed() {
-        Conflict c = Planner.plan(ring(false, new long[] {9, 9, 9, 9}, new boolean[] {true, false, false, true}, 1, 1, 1))
+        Conflict c = Planner.plan(
+                        ring(false, new long[] {9, 9, 9, 9}, new boolean[] {true, false, false, true}, 1, 1, 1))
                 .conflict();
         assertEquals(List.of(new Conflict.Work(1, 0)), c.work());
         assertEquals(List.of(), c.nodes());
@@ -174,14 +187,20 @@
     void amongSpreadsOfTheSameLoadsTheOneOfFewestCrossingsIsTaken() {
         double[][] crossing = {{0, 1}, {1, 0}};
         List<Problem.Node> nodes = List.of(new Problem.Node("a", 0, 100, true), new Problem.Node("b", 1, 100, true));
-        List<Problem.Range> ranges = List.of(new Problem.Range(0, 40, List.of(0, 1)), new Problem.Range(1, 40, List.of(0, 1)));
-        Plan plan = Planner.plan(new Problem(List.of("east", "west"), crossing, new long[] {1, 1}, nodes, ranges, false));
+        List<Problem.Range> ranges =
+                List.of(new Problem.Range(0, 40, List.of(0, 1)), new Problem.Range(1, 40, List.of(0, 1)));
+        Plan plan =
+                Planner.plan(new Problem(List.of("east", "west"), crossing, new long[] {1, 1}, nodes, ranges, false));
         assertEquals(0, plan.crossings(), NEAR);
         assertEquals(1, plan.shares().get(0).get(0)[0], NEAR);
         assertEquals(1, plan.shares().get(0).get(1)[1], NEAR);
-        Plan barred = Planner.plan(new Problem(List.of("east", "west"),
-                new double[][] {{0, 1}, {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY}}, new long[] {1, 1}, nodes,
-                ranges, false));
+        Plan barred = Planner.plan(new Problem(
+                List.of("east", "west"),
+                new double[][] {{0, 1}, {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY}},
+                new long[] {1, 1},
+                nodes,
+                ranges,
+                false));
         assertEquals(List.of(new Conflict.Work(0, 1)), barred.conflict().work());
     }
 
--- a/src/test/java/pepperdock/plan/UpkeepTest.java
+++ b/src/test/java/pepperdock/plan/UpkeepTest.java
@@ -19,8 +19,9 @@
     private final Upkeep upkeep = new Upkeep(new Upkeep.Ring(12, NODES, 2), 5, 0.15, LEAST);
 
     private static List<Member> nodes(int... draining) {
-        return IntStream.range(0, NODES).mapToObj(n -> new Member("n" + n, n,
-                IntStream.of(draining).noneMatch(d -> d == n))).toList();
+        return IntStream.range(0, NODES)
+                .mapToObj(n -> new Member("n" + n, n, IntStream.of(draining).noneMatch(d -> d == n)))
+                .toList();
     }
 
     /** Each node serves so many parts; n1 takes {@code factor} times the common time. */
--- a/src/test/java/pepperdock/platform/EdgeSettingsTest.java
+++ b/src/test/java/pepperdock/platform/EdgeSettingsTest.java
@@ -33,8 +33,10 @@
     private final StandIn does = new StandIn();
 
     private static JsonObject settings() {
-        return JsonParser.parseString(Sites.SETTINGS.replace("\"GoalTimeS\":1.5,\"DeadlineS\":3", "\"GoalTimeS\":5,\"DeadlineS\":30")
-                .replace("\"GoalTimeS\":2.5,\"DeadlineS\":6", "\"GoalTimeS\":5,\"DeadlineS\":30")).getAsJsonObject();
+        return JsonParser.parseString(Sites.SETTINGS
+                        .replace("\"GoalTimeS\":1.5,\"DeadlineS\":3", "\"GoalTimeS\":5,\"DeadlineS\":30")
+                        .replace("\"GoalTimeS\":2.5,\"DeadlineS\":6", "\"GoalTimeS\":5,\"DeadlineS\":30"))
+                .getAsJsonObject();
     }
 
     private static JsonObject in(String part, Object... pairs) {
@@ -65,10 +67,19 @@
     }
 
     static Stream<JsonObject> edges() {
-        return Stream.of(oneClass(), in("FamilyInfo", "Slices", 1, "Cells", 1, "Span", 1), in("FamilyInfo", "Batch", 1),
-                in("Limits", "Cancel", false), in("Limits", "RetryAfter", false), in("Limits", "MayDuplicate", false),
-                in("Limits", "MaxAttempts", 1), in("Limits", "Multiplex", 1), in("Limits", "Multiplex", 3),
-                eachClass("WindowS", 0), eachClass("GoalTimeS", 0.28, "DeadlineS", 0.28), eachClass("LateWorth", 0, "Worth", 0));
+        return Stream.of(
+                oneClass(),
+                in("FamilyInfo", "Slices", 1, "Cells", 1, "Span", 1),
+                in("FamilyInfo", "Batch", 1),
+                in("Limits", "Cancel", false),
+                in("Limits", "RetryAfter", false),
+                in("Limits", "MayDuplicate", false),
+                in("Limits", "MaxAttempts", 1),
+                in("Limits", "Multiplex", 1),
+                in("Limits", "Multiplex", 3),
+                eachClass("WindowS", 0),
+                eachClass("GoalTimeS", 0.28, "DeadlineS", 0.28),
+                eachClass("LateWorth", 0, "Worth", 0));
     }
 
     /** Asks for one part of each shard given, and reads the one answer. */
@@ -82,9 +93,13 @@
                 hosts.add(new Host("w" + cell, workers.get(cell).dial(), 0, 0, cell, Readiness.HEALTHY, 1, 0));
             }
             WorkerPool pool = new WorkerPool(loop, site);
-            Gatherer core = new Gatherer(site.module(), 3, loop, pool, () -> { });
+            Gatherer core = new Gatherer(site.module(), 3, loop, pool, () -> {});
             pool.start(core);
-            HttpServer server = new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1 << 16, () -> 8,
+            HttpServer server = new HttpServer(
+                    loop,
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                    1 << 16,
+                    () -> 8,
                     new Front(site, core, () -> true));
             loop.execute(() -> core.listed(ListKind.HELD, hosts));
             StringBuilder ranges = new StringBuilder();
@@ -92,10 +107,14 @@
                 ranges.append(s == 0 ? "" : ",").append("{\"range\":" + s + ",\"portion\":" + 1.0 / shards + '}');
             }
             String body = "{\"ranges\":[" + ranges + "],\"predicate\":\"" + text + "\"}";
-            try (Socket s = new Socket(server.address().getAddress(), server.address().getPort())) {
-                s.getOutputStream().write(("POST /api HTTP/1.1\r\nRequest-Id: a\r\nIdempotency-Key: k\r\nRequest-Class: " + name
-                        + "\r\nRequest-Timeout-Ms: " + ms + "\r\nConnection: close\r\nContent-Length: " + body.length()
-                        + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+            try (Socket s =
+                    new Socket(server.address().getAddress(), server.address().getPort())) {
+                s.getOutputStream()
+                        .write(("POST /api HTTP/1.1\r\nRequest-Id: a\r\nIdempotency-Key: k\r\nRequest-Class: " + name
+                                        + "\r\nRequest-Timeout-Ms: " + ms + "\r\nConnection: close\r\nContent-Length: "
+                                        + body.length()
+                                        + "\r\n\r\n" + body)
+                                .getBytes(StandardCharsets.US_ASCII));
                 return new String(s.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
             }
         } finally {
@@ -114,7 +133,8 @@
             double deadlineS = site.module().classes().get(c).deadlineS();
             String said = ask(settings, site.classes().get(c), "t" + c, shards, (int) (deadlineS * 1000));
             assertTrue(said.startsWith("HTTP/1.1 200"), settings + "\n" + said);
-            JsonObject answer = JsonParser.parseString(said.substring(said.indexOf("\r\n\r\n"))).getAsJsonObject();
+            JsonObject answer = JsonParser.parseString(said.substring(said.indexOf("\r\n\r\n")))
+                    .getAsJsonObject();
             assertTrue(answer.get("total").getAsBoolean(), said);
             assertEquals(shards, answer.getAsJsonArray("answers").size());
             for (int s = 0; s < shards; s++) {
--- a/src/test/java/pepperdock/platform/FrontTest.java
+++ b/src/test/java/pepperdock/platform/FrontTest.java
@@ -25,7 +25,8 @@
 
 class FrontTest {
 
-    private static final String QUERY = "POST /api HTTP/1.1~Request-Id: a~Request-Class: payout-report~Request-Timeout-Ms: 900";
+    private static final String QUERY =
+            "POST /api HTTP/1.1~Request-Id: a~Request-Class: payout-report~Request-Timeout-Ms: 900";
 
     private interface Talk {
         void with(InetSocketAddress server) throws Exception;
@@ -36,9 +37,13 @@
         Site site = Sites.small();
         try (Loop loop = new Loop(100, 1 << 16)) {
             WorkerPool pool = new WorkerPool(loop, site);
-            Gatherer core = new Gatherer(site.module(), 3, loop, pool, () -> { });
+            Gatherer core = new Gatherer(site.module(), 3, loop, pool, () -> {});
             pool.start(core);
-            HttpServer server = new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1000, () -> 8,
+            HttpServer server = new HttpServer(
+                    loop,
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                    1000,
+                    () -> 8,
                     new Front(site, core, () -> true));
             loop.execute(() -> core.listed(ListKind.HELD, workers));
             talk.with(server.address());
@@ -78,7 +83,8 @@
         try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             Host worker = new Host("w", "127.0.0.1:" + silent.getLocalPort(), 0, 0, 0, Readiness.HEALTHY, 1, 0);
             serve(List.of(worker), server -> {
-                try (Socket first = client(server, query("a")); Socket taken = silent.accept()) {
+                try (Socket first = client(server, query("a"));
+                        Socket taken = silent.accept()) {
                     taken.getInputStream().readNBytes(5);
                     String second = query("a").replace("payout-report", "history-search~Connection: close");
                     try (Socket s = client(server, second)) {
@@ -133,24 +139,38 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "GET /-/ready HTTP/1.1~Connection: close~~|200", "HEAD /-/ready HTTP/1.1~Connection: close~~|405",
-        "GET /nowhere HTTP/1.1~Connection: close~~|404", "GET /api HTTP/1.1~Connection: close~~|405",
-        "POST /api HTTP/1.1~Connection: close~Content-Length: 2~~{}|400", "POST /api HTTP/1.1~Content-Length: 1001~~|413",
-        "what~~|400"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "GET /-/ready HTTP/1.1~Connection: close~~|200", "HEAD /-/ready HTTP/1.1~Connection: close~~|405",
+                "GET /nowhere HTTP/1.1~Connection: close~~|404", "GET /api HTTP/1.1~Connection: close~~|405",
+                "POST /api HTTP/1.1~Connection: close~Content-Length: 2~~{}|400",
+                        "POST /api HTTP/1.1~Content-Length: 1001~~|413",
+                "what~~|400"
+            })
     void whatIsMalformedHasTheStatusThatFits(String text, int status) throws Exception {
         assertTrue(say(text).startsWith("HTTP/1.1 " + status), text);
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"[]", "{\"ranges\":[],\"predicate\":\"x\"}", "{\"ranges\":[{\"range\":12,\"portion\":1}],\"predicate\":\"x\"}",
-        "{\"ranges\":[{\"range\":1,\"portion\":1}]}",
-        "{\"ranges\":[{\"range\":1,\"portion\":0.5},{\"range\":2,\"portion\":0.4}],\"predicate\":\"x\"}",
-        "{\"ranges\":[{\"range\":1,\"portion\":1.5},{\"range\":2,\"portion\":-0.5}],\"predicate\":\"x\"}",
-        "{\"ranges\":[{\"range\":1,\"portion\":1}],\"predicate\":\"x\"} x", "{'ranges':[{'range':1,'portion':1}],'predicate':'x'}",
-        "{\"ranges\":[{\"range\":1.5,\"portion\":1}],\"predicate\":\"x\"}", "{\"ranges\":[{\"range\":\"1\",\"portion\":1}],\"predicate\":\"x\"}",
-        "{\"ranges\":[{\"range\":1,\"portion\":1}],\"predicate\":7}", "{\"ranges\":[{\"range\":1,\"portion\":1}],\"predicate\":\"\u00ff\"}",
-        "{\"ranges\":[{\"range\":1,\"portion\":1}],\"predicate\":\"x\",\"predicate\":\"y\"}", "{\"ranges\":[{\"range\":1,\"portion\":0.5},{\"range\":1,\"portion\":0.5}],\"predicate\":\"x\"}"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "[]",
+                "{\"ranges\":[],\"predicate\":\"x\"}",
+                "{\"ranges\":[{\"range\":12,\"portion\":1}],\"predicate\":\"x\"}",
+                "{\"ranges\":[{\"range\":1,\"portion\":1}]}",
+                "{\"ranges\":[{\"range\":1,\"portion\":0.5},{\"range\":2,\"portion\":0.4}],\"predicate\":\"x\"}",
+                "{\"ranges\":[{\"range\":1,\"portion\":1.5},{\"range\":2,\"portion\":-0.5}],\"predicate\":\"x\"}",
+                "{\"ranges\":[{\"range\":1,\"portion\":1}],\"predicate\":\"x\"} x",
+                "{'ranges':[{'range':1,'portion':1}],'predicate':'x'}",
+                "{\"ranges\":[{\"range\":1.5,\"portion\":1}],\"predicate\":\"x\"}",
+                "{\"ranges\":[{\"range\":\"1\",\"portion\":1}],\"predicate\":\"x\"}",
+                "{\"ranges\":[{\"range\":1,\"portion\":1}],\"predicate\":7}",
+                "{\"ranges\":[{\"range\":1,\"portion\":1}],\"predicate\":\"\u00ff\"}",
+                "{\"ranges\":[{\"range\":1,\"portion\":1}],\"predicate\":\"x\",\"predicate\":\"y\"}",
+                "{\"ranges\":[{\"range\":1,\"portion\":0.5},{\"range\":1,\"portion\":0.5}],\"predicate\":\"x\"}"
+            })
     void aBodyThatIsNoQueryIsABadRequest(String body) throws Exception {
         String said = say(QUERY + "~Connection: close~Content-Length: " + body.length() + "~~" + body);
         assertTrue(said.startsWith("HTTP/1.1 400"), said);
--- a/src/test/java/pepperdock/platform/LeftQueriesTest.java
+++ b/src/test/java/pepperdock/platform/LeftQueriesTest.java
@@ -32,8 +32,10 @@
 
     private static byte[] request(String id) {
         String body = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"x\"}";
-        return ("POST /api HTTP/1.1\r\nRequest-Id: " + id + "\r\nRequest-Class: payout-report\r\nRequest-Timeout-Ms: 60000\r\n"
-                + "Content-Length: " + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII);
+        return ("POST /api HTTP/1.1\r\nRequest-Id: " + id
+                        + "\r\nRequest-Class: payout-report\r\nRequest-Timeout-Ms: 60000\r\n" + "Content-Length: "
+                        + body.length() + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.US_ASCII);
     }
 
     private static long left(Loop loop, Gatherer core) throws InterruptedException {
@@ -45,27 +47,37 @@
     /** Half of them close, half are reset; of all of them none is sent once the connection is there. */
     @Test
     void noneIsSentOnceItsClientHasGone() throws Exception {
-        Site site = Sites.with(Sites.SETTINGS.replace("\"DialTimeoutS\":0.25", "\"DialTimeoutS\":60").replace("\"MostHeld\":40", "\"MostHeld\":400")
+        Site site = Sites.with(Sites.SETTINGS
+                .replace("\"DialTimeoutS\":0.25", "\"DialTimeoutS\":60")
+                .replace("\"MostHeld\":40", "\"MostHeld\":400")
                 .replace("\"GoalTimeS\":2.5,\"DeadlineS\":6", "\"GoalTimeS\":60,\"DeadlineS\":60"));
         // Its queue holds two: whoever comes third waits for the connection until one of them is taken.
-        try (ServerSocket worker = new ServerSocket(0, 1, InetAddress.getLoopbackAddress()); Loop loop = new Loop(500, 1 << 18)) {
+        try (ServerSocket worker = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Loop loop = new Loop(500, 1 << 18)) {
             List<Socket> before = new ArrayList<>();
             for (int i = 0; i < 2; i++) {
                 before.add(new Socket(worker.getInetAddress(), worker.getLocalPort()));
             }
             WorkerPool pool = new WorkerPool(loop, site);
-            Gatherer core = new Gatherer(site.module(), 3, loop, pool, () -> { });
+            Gatherer core = new Gatherer(site.module(), 3, loop, pool, () -> {});
             pool.start(core);
-            HttpServer server = new HttpServer(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1 << 16, () -> 100,
+            HttpServer server = new HttpServer(
+                    loop,
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                    1 << 16,
+                    () -> 100,
                     new Front(site, core, () -> true));
-            loop.execute(() -> core.listed(ListKind.HELD, List.of(new Host("w", "127.0.0.1:" + worker.getLocalPort(), 0, 0, 0,
-                    Readiness.HEALTHY, 1, 0))));
+            loop.execute(() -> core.listed(
+                    ListKind.HELD,
+                    List.of(new Host("w", "127.0.0.1:" + worker.getLocalPort(), 0, 0, 0, Readiness.HEALTHY, 1, 0))));
             List<Socket> clients = new ArrayList<>();
             for (int i = 0; i < LEFT; i++) {
-                clients.add(new Socket(server.address().getAddress(), server.address().getPort()));
+                clients.add(new Socket(
+                        server.address().getAddress(), server.address().getPort()));
                 clients.get(i).getOutputStream().write(request("left" + i));
             }
-            try (Socket stays = new Socket(server.address().getAddress(), server.address().getPort())) {
+            try (Socket stays =
+                    new Socket(server.address().getAddress(), server.address().getPort())) {
                 stays.getOutputStream().write(request("stays"));
                 BlockingQueue<Integer> held = new LinkedBlockingQueue<>();
                 do {
--- a/src/test/java/pepperdock/platform/StandIn.java
+++ b/src/test/java/pepperdock/platform/StandIn.java
@@ -12,7 +12,12 @@
 public final class StandIn {
 
     /** What a worker does with a part. */
-    public enum Does { GOOD, BAD, LATER, SILENT }
+    public enum Does {
+        GOOD,
+        BAD,
+        LATER,
+        SILENT
+    }
 
     /**
      * How long a call takes: as in service far more than a machine's own hiccups, which the module would otherwise take
--- a/src/test/java/pepperdock/platform/StandInWorker.java
+++ b/src/test/java/pepperdock/platform/StandInWorker.java
@@ -54,8 +54,10 @@
                 if (what != StandIn.Does.SILENT) {
                     String word = what == StandIn.Does.GOOD ? "good" : what == StandIn.Does.BAD ? "bad" : "later";
                     String value = what == StandIn.Does.GOOD ? StandIn.value(text, shard) : "";
-                    s.getOutputStream().write(Frames.frame('q', (words[0] + ' ' + word + " 1 qps=3.5\n" + value)
-                            .getBytes(StandardCharsets.UTF_8)));
+                    s.getOutputStream()
+                            .write(Frames.frame(
+                                    'q',
+                                    (words[0] + ' ' + word + " 1 qps=3.5\n" + value).getBytes(StandardCharsets.UTF_8)));
                 }
             }
         }
--- a/src/test/java/pepperdock/platform/WatchTest.java
+++ b/src/test/java/pepperdock/platform/WatchTest.java
@@ -28,7 +28,8 @@
 
 class WatchTest {
 
-    private static final String HOST = "{\"host\":\"%s\",\"dial\":\"127.0.0.1:1\",\"block\":0,\"health\":\"in_service\",\"born_ms\":0}";
+    private static final String HOST =
+            "{\"host\":\"%s\",\"dial\":\"127.0.0.1:1\",\"block\":0,\"health\":\"in_service\",\"born_ms\":0}";
 
     private final Site site = Sites.small();
     private final Loop loop = new Loop(100, 1 << 16);
@@ -60,8 +61,9 @@
     }
 
     private static void answer(Socket s, int status, String body) throws IOException {
-        s.getOutputStream().write(("HTTP/1.1 " + status + " X\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
-                .getBytes(StandardCharsets.US_ASCII));
+        s.getOutputStream()
+                .write(("HTTP/1.1 " + status + " X\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                        .getBytes(StandardCharsets.US_ASCII));
     }
 
     private Collection<Host> list() throws InterruptedException {
@@ -73,11 +75,17 @@
     @Test
     void eachAnswerArmsTheNextCallAndAFailureIsAskedAgain() throws Exception {
         try (Socket s = server.accept()) {
-            BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
             assertEquals("/api/targets?since=41", asked(in));
             // Lists may come indented.
-            answer(s, 200, ("{\"seq\":42,\"whole\":false,\"hosts\":[" + HOST.formatted("a") + ',' + HOST.formatted("b") + "]}")
-                    .replace(",", ",\r\n\t  ").replace("{", "{\n    ").replace("]", "\n]"));
+            answer(
+                    s,
+                    200,
+                    ("{\"seq\":42,\"whole\":false,\"hosts\":[" + HOST.formatted("a") + ',' + HOST.formatted("b") + "]}")
+                            .replace(",", ",\r\n\t  ")
+                            .replace("{", "{\n    ")
+                            .replace("]", "\n]"));
             assertEquals(2, list().size());
             assertEquals("/api/targets?since=42", asked(in));
             answer(s, 200, "{\"seq\":43,\"whole\":true,\"hosts\":[" + HOST.formatted("b") + "]}");
@@ -85,12 +93,14 @@
             assertEquals("/api/targets?since=43", asked(in));
         }
         try (Socket s = server.accept()) {
-            BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
             assertEquals("/api/targets?since=43", asked(in));
             answer(s, 200, "{\"hosts\":[{\"host\":7}]}");
         }
         try (Socket s = server.accept()) {
-            BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
             assertEquals("/api/targets?since=43", asked(in));
         }
     }
@@ -102,7 +112,8 @@
     @Test
     void aCallOutlastsTheLimitOfAListThatIsOverbooked() throws Exception {
         try (Socket s = server.accept()) {
-            BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
             assertEquals("/api/targets?since=41", asked(in));
             Thread.sleep(2200);
             answer(s, 200, "{\"seq\":42,\"whole\":false,\"hosts\":[" + HOST.formatted("a") + "]}");
@@ -125,7 +136,8 @@
     @ValueSource(strings = {"", "HTTP/1.1 200 X\r\nContent-Length: 90\r\n\r\n{\"seq\":42,"})
     void aCallThatFallsSilentIsOpenedAnewAtOnceAndMayNotWait(String said) throws Exception {
         try (Socket s = server.accept()) {
-            BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
             assertEquals("/api/targets?since=41", asked(in));
             s.getOutputStream().write(said.getBytes(StandardCharsets.US_ASCII));
             try (Socket anew = server.accept()) {
@@ -144,8 +156,10 @@
         try (ServerSocket other = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             loop.execute(() -> watch.move((InetSocketAddress) other.getLocalSocketAddress()));
             Socket silent = other.accept();
-            try (silent; Socket anew = other.accept()) {
-                BufferedReader in = new BufferedReader(new InputStreamReader(anew.getInputStream(), StandardCharsets.US_ASCII));
+            try (silent;
+                    Socket anew = other.accept()) {
+                BufferedReader in =
+                        new BufferedReader(new InputStreamReader(anew.getInputStream(), StandardCharsets.US_ASCII));
                 assertEquals("/api/targets", asked(in));
                 answer(anew, 200, "{\"seq\":7,\"whole\":true,\"hosts\":[" + HOST.formatted("c") + "]}");
                 assertEquals("c", list().iterator().next().id());
@@ -162,8 +176,10 @@
             other(Sites.SETTINGS.replace("\"Discovery\":\"subscribe\"", "\"Discovery\":\"automatic\""), agent);
             for (int i = 0; i < 3; i++) {
                 try (Socket s = agent.accept()) {
-                    assertEquals("/api/targets?since=41", asked(new BufferedReader(new InputStreamReader(s.getInputStream(),
-                            StandardCharsets.US_ASCII))));
+                    assertEquals(
+                            "/api/targets?since=41",
+                            asked(new BufferedReader(
+                                    new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII))));
                 }
             }
         }
@@ -184,8 +200,10 @@
     /** The old watch must end: what it still told would go over the new list. */
     @Test
     void aMoveAsksTheNewAddressForTheWholeListAndEndsTheOldWatch() throws Exception {
-        try (ServerSocket other = new ServerSocket(0, 50, InetAddress.getLoopbackAddress()); Socket old = server.accept()) {
-            BufferedReader in = new BufferedReader(new InputStreamReader(old.getInputStream(), StandardCharsets.US_ASCII));
+        try (ServerSocket other = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                Socket old = server.accept()) {
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(old.getInputStream(), StandardCharsets.US_ASCII));
             assertEquals("/api/targets?since=41", asked(in));
             loop.execute(() -> watch.move((InetSocketAddress) other.getLocalSocketAddress()));
             assertEquals(-1, in.read());
