--- a/src/test/java/pepperdock/platform/WorkerPoolTest.java
+++ b/src/test/java/pepperdock/platform/WorkerPoolTest.java
@@ -31,11 +31,12 @@
 /** How an attempt ends when its worker does not answer it: by the protocol's table. */
 class WorkerPoolTest {
 
-    private final Site site = Sites.with(Sites.SETTINGS.replace("\"MaxAttempts\":4", "\"MaxAttempts\":1")
+    private final Site site = Sites.with(Sites.SETTINGS
+            .replace("\"MaxAttempts\":4", "\"MaxAttempts\":1")
             .replace("\"DialTimeoutS\":0.25", "\"DialTimeoutS\":20"));
     private final Loop loop = new Loop(100, 1 << 16);
     private final WorkerPool pool = new WorkerPool(loop, site);
-    private final Gatherer core = new Gatherer(site.module(), 3, loop, pool, () -> { });
+    private final Gatherer core = new Gatherer(site.module(), 3, loop, pool, () -> {});
     private final BlockingQueue<String> ended = new LinkedBlockingQueue<>();
     private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
 
@@ -55,13 +56,14 @@
 
     /** Asks for one part that only this worker holds, once; its final answer says how the attempt ended. */
     private void ask(int queryClass) {
-        ask(queryClass, () -> { });
+        ask(queryClass, () -> {});
     }
 
     private void ask(int queryClass, Runnable next) {
         loop.execute(() -> {
             core.listed(ListKind.COMPLETE, List.of(host(Readiness.HEALTHY)));
-            core.take(new Ask("q", queryClass, "k", 30, List.of(new Ask.Piece(0, 1)), new byte[] {'t'}, null),
+            core.take(
+                    new Ask("q", queryClass, "k", 30, List.of(new Ask.Piece(0, 1)), new byte[] {'t'}, null),
                     new Client() {
                         @Override
                         public void answered(Query q, boolean whole) {
@@ -145,11 +147,21 @@
 
     /** The connection stays open in each case: waiting for it to end, or for the rest, would take the query's whole time. */
     @ParameterizedTest
-    @ValueSource(strings = {"?q.0 good 1 -~v", "qq.0 fine 1 -~v", "qq.9 good 1 -~v", "qno line", "rcan't read it", "oq.0 good"})
+    @ValueSource(
+            strings = {
+                "?q.0 good 1 -~v",
+                "qq.0 fine 1 -~v",
+                "qq.9 good 1 -~v",
+                "qno line",
+                "rcan't read it",
+                "oq.0 good"
+            })
     void aSpoiltAnswerIsAnAttemptThatMayHaveRun(String said) throws Exception {
         byte[] bytes = said.replace("~", "\n").getBytes(java.nio.charset.StandardCharsets.US_ASCII);
-        assertEquals("failed " + Outcome.RESET, endingAfter(pepperdock.frame.Frames.frame((char) bytes[0],
-                java.util.Arrays.copyOfRange(bytes, 1, bytes.length))));
+        assertEquals(
+                "failed " + Outcome.RESET,
+                endingAfter(pepperdock.frame.Frames.frame(
+                        (char) bytes[0], java.util.Arrays.copyOfRange(bytes, 1, bytes.length))));
     }
 
     @Test
@@ -172,13 +184,13 @@
 
     private static final Client NOBODY = new Client() {
         @Override
-        public void answered(Query q, boolean whole) { }
+        public void answered(Query q, boolean whole) {}
 
         @Override
-        public void refused(Query q, double pauseS) { }
+        public void refused(Query q, double pauseS) {}
 
         @Override
-        public void failed(Query q, boolean overdue) { }
+        public void failed(Query q, boolean overdue) {}
     };
 
     /** Found on a recorded day: calls went on into a connection that had gone silent, until all in it had timed out. */
@@ -188,11 +200,11 @@
         server.setSoTimeout(30_000);
         try (Loop own = new Loop(100, 1 << 16)) {
             WorkerPool workers = new WorkerPool(own, quick);
-            Gatherer gatherer = new Gatherer(quick.module(), 3, own, workers, () -> { });
+            Gatherer gatherer = new Gatherer(quick.module(), 3, own, workers, () -> {});
             workers.start(gatherer);
             own.execute(() -> gatherer.listed(ListKind.COMPLETE, List.of(host(Readiness.HEALTHY))));
-            java.util.function.Consumer<String> take = id -> own.execute(() -> gatherer.take(new Ask(id, 2, "k", 30,
-                    List.of(new Ask.Piece(0, 1)), new byte[] {'t'}, null), NOBODY));
+            java.util.function.Consumer<String> take = id -> own.execute(() -> gatherer.take(
+                    new Ask(id, 2, "k", 30, List.of(new Ask.Piece(0, 1)), new byte[] {'t'}, null), NOBODY));
             take.accept("first");
             try (Socket silent = server.accept()) {
                 silent.getInputStream().readNBytes(5);
@@ -227,7 +239,8 @@
         List<String> got = new java.util.ArrayList<>();
         do {
             byte[] frame = in.readNBytes(in.readInt());
-            got.add(new String(frame, 0, Math.min(frame.length, 16), java.nio.charset.StandardCharsets.US_ASCII).split(" ")[0]);
+            got.add(new String(frame, 0, Math.min(frame.length, 16), java.nio.charset.StandardCharsets.US_ASCII)
+                    .split(" ")[0]);
         } while (!got.get(got.size() - 1).equals("o"));
         return got;
     }
@@ -242,16 +255,17 @@
         server.setSoTimeout(30_000);
         try (Loop own = new Loop(100, BIG + (1 << 20))) {
             WorkerPool workers = new WorkerPool(own, site);
-            Gatherer gatherer = new Gatherer(site.module(), 3, own, workers, () -> { });
+            Gatherer gatherer = new Gatherer(site.module(), 3, own, workers, () -> {});
             workers.start(gatherer);
-            java.util.function.BiFunction<String, byte[], Ask> ask = (id, text) -> new Ask(id, 2, "k", 30,
-                    List.of(new Ask.Piece(0, 1)), text, null);
+            java.util.function.BiFunction<String, byte[], Ask> ask =
+                    (id, text) -> new Ask(id, 2, "k", 30, List.of(new Ask.Piece(0, 1)), text, null);
             own.execute(() -> {
                 gatherer.listed(ListKind.COMPLETE, List.of(host(Readiness.HEALTHY)));
                 gatherer.take(ask.apply("big", new byte[BIG]), NOBODY);
             });
             try (Socket s = server.accept()) {
-                java.io.DataInputStream in = new java.io.DataInputStream(new java.io.BufferedInputStream(s.getInputStream()));
+                java.io.DataInputStream in =
+                        new java.io.DataInputStream(new java.io.BufferedInputStream(s.getInputStream()));
                 in.mark(8);
                 in.readInt();
                 in.reset();
@@ -285,8 +299,8 @@
     void anIdThatIsUsedAgainGoesOnAConnectionThatOwesItNothing() throws Exception {
         server.setSoTimeout(30_000);
         BlockingQueue<Query> taken = new LinkedBlockingQueue<>();
-        java.util.function.Consumer<byte[]> take = text -> loop.execute(() -> taken.add(core.take(new Ask("q", 0, "", 30,
-                List.of(new Ask.Piece(0, 1)), text, null), NOBODY)));
+        java.util.function.Consumer<byte[]> take = text -> loop.execute(() ->
+                taken.add(core.take(new Ask("q", 0, "", 30, List.of(new Ask.Piece(0, 1)), text, null), NOBODY)));
         loop.execute(() -> core.listed(ListKind.COMPLETE, List.of(host(Readiness.HEALTHY))));
         take.accept(new byte[] {'a'});
         try (Socket old = server.accept()) {
@@ -297,14 +311,16 @@
             try (Socket anew = server.accept()) {
                 byte[] head = anew.getInputStream().readNBytes(5);
                 assertEquals('b', anew.getInputStream().readNBytes(head[3] - 1)[head[3] - 2]);
-                // The late answer, first seen to be read: a probe of ours that follows it on that connection is no matter.
+                // The late answer, first seen to be read: a probe of ours that follows it on that connection is no
+                // matter.
                 old.getOutputStream().write(result("q.0 good 1 -\nold"));
                 anew.getOutputStream().write(result("q.0 good 1 -\nnew"));
                 Query second = taken.take();
                 byte[] value = null;
                 while (value == null) {
                     BlockingQueue<java.util.Optional<byte[]>> is = new LinkedBlockingQueue<>();
-                    loop.execute(() -> is.add(java.util.Optional.ofNullable(second.parts().get(0).value())));
+                    loop.execute(() -> is.add(
+                            java.util.Optional.ofNullable(second.parts().get(0).value())));
                     value = is.take().orElse(null);
                 }
                 assertEquals("new", new String(value, java.nio.charset.StandardCharsets.US_ASCII));
@@ -318,7 +334,7 @@
         server.setSoTimeout(30_000);
         try (Loop own = new Loop(100, BIG + (1 << 20))) {
             WorkerPool workers = new WorkerPool(own, site);
-            Gatherer gatherer = new Gatherer(site.module(), 3, own, workers, () -> { });
+            Gatherer gatherer = new Gatherer(site.module(), 3, own, workers, () -> {});
             workers.start(gatherer);
             BlockingQueue<Query> taken = new LinkedBlockingQueue<>();
             java.util.function.Consumer<byte[]> take = text -> own.execute(() -> taken.add(gatherer.take(
@@ -361,11 +377,12 @@
     /** Our idle close against half a late line: it ends nothing that is in hand, and the next call goes on a new connection. */
     @Test
     void anIdleCloseOverHalfALateLineHarmsNothing() throws Exception {
-        Site quick = Sites.with(Sites.SETTINGS.replace("\"DialTimeoutS\":0.25", "\"DialTimeoutS\":20,\"ConnIdleS\":0.2"));
+        Site quick =
+                Sites.with(Sites.SETTINGS.replace("\"DialTimeoutS\":0.25", "\"DialTimeoutS\":20,\"ConnIdleS\":0.2"));
         server.setSoTimeout(30_000);
         try (Loop own = new Loop(100, 1 << 18)) {
             WorkerPool workers = new WorkerPool(own, quick);
-            Gatherer gatherer = new Gatherer(quick.module(), 3, own, workers, () -> { });
+            Gatherer gatherer = new Gatherer(quick.module(), 3, own, workers, () -> {});
             workers.start(gatherer);
             BlockingQueue<Query> taken = new LinkedBlockingQueue<>();
             java.util.function.Consumer<String> take = id -> own.execute(() -> taken.add(gatherer.take(
@@ -378,13 +395,16 @@
                 Query left = taken.take();
                 own.execute(() -> gatherer.gone(left));
                 byte[] give = s.getInputStream().readNBytes(4);
-                assertEquals("nleft.0", new String(s.getInputStream().readNBytes(give[3]), java.nio.charset.StandardCharsets.US_ASCII));
+                assertEquals(
+                        "nleft.0",
+                        new String(s.getInputStream().readNBytes(give[3]), java.nio.charset.StandardCharsets.US_ASCII));
                 s.getOutputStream().write(java.util.Arrays.copyOf(result("left.0 good 1 -\nvalue"), 12));
                 s.setSoTimeout(30_000);
                 try {
                     assertEquals(-1, s.getInputStream().read());
                 } catch (java.net.SocketException e) {
-                    // A close over bytes that were not read yet is a reset; what it could take with it has been read above.
+                    // A close over bytes that were not read yet is a reset; what it could take with it has been read
+                    // above.
                     assertTrue(e.getMessage().contains("reset"), e::toString);
                 }
                 take.accept("next");
@@ -405,7 +425,7 @@
         server.setSoTimeout(30_000);
         try (Loop own = new Loop(100, 1 << 18)) {
             WorkerPool workers = new WorkerPool(own, quick);
-            Gatherer gatherer = new Gatherer(quick.module(), 3, own, workers, () -> { });
+            Gatherer gatherer = new Gatherer(quick.module(), 3, own, workers, () -> {});
             workers.start(gatherer);
             own.execute(() -> {
                 gatherer.listed(ListKind.COMPLETE, List.of(host(Readiness.HEALTHY)));
@@ -434,8 +454,8 @@
         java.util.concurrent.CompletableFuture<Query> taken = new java.util.concurrent.CompletableFuture<>();
         loop.execute(() -> {
             core.listed(ListKind.COMPLETE, List.of(host(Readiness.HEALTHY)));
-            taken.complete(core.take(new Ask("q", 0, "", 30, List.of(new Ask.Piece(0, 1)), new byte[] {'t'}, null),
-                    NOBODY));
+            taken.complete(
+                    core.take(new Ask("q", 0, "", 30, List.of(new Ask.Piece(0, 1)), new byte[] {'t'}, null), NOBODY));
         });
         server.setSoTimeout(30_000);
         try (Socket s = server.accept()) {
--- a/src/test/java/pepperdock/store/StoreTest.java
+++ b/src/test/java/pepperdock/store/StoreTest.java
@@ -31,6 +31,7 @@
 
     @TempDir
     Path folder;
+
     private final Loop loop = new Loop(100, 16 << 20);
     private final Map<String, InetSocketAddress> members = new LinkedHashMap<>();
 
@@ -63,8 +64,8 @@
     }
 
     private Store open(String self) throws Exception {
-        Store s = on(() -> new Store(new StoreConfig(self, "a", Map.copyOf(members), folder.resolve(self), 0.05, 3),
-                loop));
+        Store s = on(
+                () -> new Store(new StoreConfig(self, "a", Map.copyOf(members), folder.resolve(self), 0.05, 3), loop));
         if (s.address() != null) {
             members(s.address().getPort());
         }
