Run Error Prone in make lint and make test, and mend what it finds

Cause: javac's warnings do not see ignored results, integer divisions, platform charsets or unused members.

`make lint` and `make test` use it; the plain build neither fetches nor runs it. Found and mended: - plan.Planner: an equal share of work was divided as whole numbers, so up to n-1 units of a demand were lost and a better spread could fail its check and be thrown away; - lab.fleet.History: a member's line with a null `what` ended the reader with an exception instead of being noted as unreadable; - store.StoreTest: acknowledgements that nobody looked at are now asserted; int arithmetic widened late in DecideTest; - platform charset in Main, inner classes that need no outer instance, an always-equal comparison in lab.fleet.Timetable. Suppressed with a reason: four places.

A planted unused method fails `-Plint compile` and passes `compile`. The tests of the touched packages pass.

--- a/Makefile
+++ b/Makefile
@@ -6,13 +6,13 @@
 build:
 	$(MVN) -q -Dmaven.test.skip=true package
 
-# The formatter's check, unit, property and loopback tests, then the built jar over the simulator's wire.
+# The formatter and the linters, unit, property and loopback tests, then the built jar over the simulator's wire.
 test:
-	$(MVN) spotless:check verify
+	$(MVN) -Plint spotless:check verify
 
-# The formatter's check, and every compiler warning as an error, in the tests too.
+# The formatter, the linters, and every compiler warning as an error, in the tests too.
 lint:
-	$(MVN) -q spotless:check clean test-compile
+	$(MVN) -q -Plint spotless:check clean test-compile
 
 # Formats the whole tree.
 format:
--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -1,7 +1,9 @@
 package pepperdock;
 
 import java.io.IOException;
+import java.io.PrintStream;
 import java.io.PrintWriter;
+import java.nio.charset.Charset;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -86,10 +88,14 @@
                 }
                 System.exit(0);
             }
-            default -> System.exit(Cli.run(args, new PrintWriter(System.out, true), new PrintWriter(System.err, true)));
+            default -> System.exit(Cli.run(args, writer(System.out), writer(System.err)));
         }
     }
 
+    private static PrintWriter writer(PrintStream stream) {
+        return new PrintWriter(stream, true, Charset.defaultCharset());
+    }
+
     private static void stop(String why, int status) {
         System.err.println(why);
         System.exit(status);
--- a/src/main/java/pepperdock/dnssd/DnsSd.java
+++ b/src/main/java/pepperdock/dnssd/DnsSd.java
@@ -92,7 +92,7 @@
 
     /** Browses and resolves whatever is not kept any more, tells the whole list, and sets the next round. */
     private void round() {
-        lookup(service, Type.PTR)
+        CompletableFuture<?> unused = lookup(service, Type.PTR)
                 .thenCompose(instances -> {
                     List<CompletableFuture<Host>> hosts = new ArrayList<>();
                     for (Record r : instances) {
--- a/src/main/java/pepperdock/lab/fleet/Heartbeat.java
+++ b/src/main/java/pepperdock/lab/fleet/Heartbeat.java
@@ -21,6 +21,7 @@
         thread.start();
     }
 
+    @SuppressWarnings("NonAtomicVolatileUpdate") // This thread alone writes it; others only read.
     private void run() {
         double last = history.now();
         while (!closed) {
--- a/src/main/java/pepperdock/lab/fleet/History.java
+++ b/src/main/java/pepperdock/lab/fleet/History.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
+import com.google.gson.JsonPrimitive;
 import java.io.BufferedWriter;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -41,8 +42,10 @@
         JsonObject event;
         try {
             event = JsonParser.parseString(line).getAsJsonObject();
-            event.get("what").getAsString();
-        } catch (JsonParseException | IllegalStateException | NullPointerException e) {
+        } catch (JsonParseException | IllegalStateException e) {
+            event = new JsonObject();
+        }
+        if (!(event.get("what") instanceof JsonPrimitive)) {
             event = new JsonObject();
             event.addProperty("what", "unreadable");
             event.addProperty("line", line.substring(0, Math.min(200, line.length())));
--- a/src/main/java/pepperdock/lab/fleet/Timetable.java
+++ b/src/main/java/pepperdock/lab/fleet/Timetable.java
@@ -69,10 +69,7 @@
         for (Act act : script.acts()) {
             if (act instanceof Script.Await await) {
                 phases.add(new Phase(
-                        writer.taken(),
-                        new Script.Await(
-                                await.condition(),
-                                new Whom(await.whom() == Whom.ALL ? script.names() : writer.drawn(await.whom()), 0))));
+                        writer.taken(), new Script.Await(await.condition(), new Whom(writer.drawn(await.whom()), 0))));
             } else {
                 writer.add(act);
             }
--- a/src/main/java/pepperdock/lab/keepers/Explorer.java
+++ b/src/main/java/pepperdock/lab/keepers/Explorer.java
@@ -76,7 +76,9 @@
                 Step.Kind.AGAIN,
                 2));
 
+        @SuppressWarnings("ImmutableEnumChecker") // Filled in the constructor and only read after it.
         private final EnumMap<Step.Kind, Integer> parts;
+
         private final int sum;
 
         Mix(Map<Step.Kind, Integer> parts) {
--- a/src/main/java/pepperdock/lab/keepers/World.java
+++ b/src/main/java/pepperdock/lab/keepers/World.java
@@ -34,7 +34,7 @@
     private static final int ARRIVALS = 50;
 
     /** A process that may be running, on its disk. */
-    final class Slot {
+    static final class Slot {
         final int number;
         long id;
         Disk disk;
@@ -160,7 +160,7 @@
             case SYNC -> sync(slot);
             case PROPOSE -> raft.propose(bytes(nextData++));
             case READ -> {
-                long token = reads.size() + 1;
+                long token = reads.size() + 1L;
                 reads.put(token, committed);
                 read(raft, token);
             }
--- a/src/main/java/pepperdock/membership/Membership.java
+++ b/src/main/java/pepperdock/membership/Membership.java
@@ -685,6 +685,7 @@
     }
 
     /** Gossip for one datagram; none where the budget is short: probes go first. */
+    @SuppressWarnings("UnusedVariable") // The clock goes from the signature when this class is split.
     private List<Item> rides(double now) {
         if (bytes < RESERVE * settings.bytesPerS()) {
             return List.of();
@@ -694,6 +695,7 @@
     }
 
     /** {@code reserve} is how much of the reserve this may use: all of it, or none. */
+    @SuppressWarnings("UnusedVariable") // The clock goes from the signature when this class is split.
     private void send(String address, Message m, double reserve, double now) {
         int size = m.head().size() + UDP_AND_IP;
         if (m instanceof Ping p) {
--- a/src/main/java/pepperdock/net/SharedAddress.java
+++ b/src/main/java/pepperdock/net/SharedAddress.java
@@ -37,7 +37,7 @@
             channel.configureBlocking(false);
             channel.bind(at, backlog);
             AcceptingChannel<StreamConnection> server = server(worker, channel, options);
-            server.getAcceptSetter().set(accept::handleEvent);
+            server.getAcceptSetter().set(accept);
             return server;
         } catch (IOException | RuntimeException e) {
             IoUtils.safeClose(channel);
--- a/src/main/java/pepperdock/operator/Operator.java
+++ b/src/main/java/pepperdock/operator/Operator.java
@@ -103,7 +103,7 @@
             serving.forEach(then -> then.accept(true));
         }
         if (disk != null) {
-            disk.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+            var unused = disk.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         }
         HttpServer server =
                 new HttpServer(loop, at, Loop.Kind.APART, CALL_S, BODY_MOST, () -> CALLERS_MOST, new Door(this));
--- a/src/main/java/pepperdock/plan/Planner.java
+++ b/src/main/java/pepperdock/plan/Planner.java
@@ -278,7 +278,7 @@
             for (int i = 0; i < flow[d].length; i++, x += 2) {
                 flow[d][i] = Math.max(
                         0,
-                        demands.get(d).work() / flow[d].length
+                        (double) demands.get(d).work() / flow[d].length
                                 + (result.doubleValue(x) - result.doubleValue(x + 1)) * unit);
             }
         }
--- a/src/main/java/pepperdock/store/Store.java
+++ b/src/main/java/pepperdock/store/Store.java
@@ -147,7 +147,7 @@
     // ---- The wire ------------------------------------------------------------
 
     /** A connection between members; whatever is malformed ends that connection only. */
-    private abstract class Peer implements Connection.Handler {
+    private abstract static class Peer implements Connection.Handler {
         private final FrameParser parser = new FrameParser(FRAME_MOST, LETTERS);
 
         abstract void frame(Connection c, Frame f) throws IOException;
--- a/src/main/java/pepperdock/store/raft/Message.java
+++ b/src/main/java/pepperdock/store/raft/Message.java
@@ -30,6 +30,8 @@
             implements Message {}
 
     /**
+     * The answer to entries.
+     *
      * @param ok the log is the sender's up to {@code index}; otherwise it isn't at {@code index}, the one before the entries
      * @param hint where not ok: the last index at which the two may still agree, and {@code hintTerm} its term here
      */
--- a/src/main/java/pepperdock/store/raft/Settings.java
+++ b/src/main/java/pepperdock/store/raft/Settings.java
@@ -1,6 +1,8 @@
 package pepperdock.store.raft;
 
 /**
+ * What consensus goes by: counts of ticks, entries and bytes.
+ *
  * @param electionTicks after so many ticks without a sign of a leader, up to twice as many by chance, another is elected; as
  *     many without signs of a majority, and a leader gives up
  * @param heartbeatTicks between two signs of life of a leader
--- a/src/test/java/pepperdock/aggregator/DecideTest.java
+++ b/src/test/java/pepperdock/aggregator/DecideTest.java
@@ -679,7 +679,7 @@
     void connectionsBrokenEverywhereDoNotCrowdTheRest() {
         Scene scene = new Scene().start("a", "b", "c", "d");
         for (int round = 0; round < 4; round++) {
-            long id = 1 + round;
+            long id = 1L + round;
             int before = scene.did.sends.size();
             scene.query(id, 6, Scene.equal(4));
             scene.module.endBatch();
@@ -1016,7 +1016,7 @@
             scene.query(i, 6, 1.0);
             scene.module.endBatch();
             scene.at(scene.now + 0.1);
-            scene.end(i * 100, 0, Outcome.OK, 0.1);
+            scene.end(i * 100L, 0, Outcome.OK, 0.1);
             scene.module.endBatch();
         }
         assertEquals(0, scene.did.count("refuse"));
@@ -1034,7 +1034,7 @@
             for (int i = 1; i <= 60; i++) {
                 scene.query(i, 6, 1.0);
                 scene.module.endBatch();
-                scene.end(i * 100, 0, Outcome.OK, 1.2);
+                scene.end(i * 100L, 0, Outcome.OK, 1.2);
             }
             refused[tenant] = scene.did.count("refuse");
         }
@@ -1076,7 +1076,7 @@
 
     @Test
     void manyInstancesTogetherKeepAColdSearcherWithinItsAllowance() {
-        int sent = 0;
+        long sent = 0;
         for (int i = 0; i < 60; i++) {
             Scene scene = new Scene();
             scene.instances = 60;
@@ -1306,7 +1306,7 @@
         }
         scene.module.endBatch();
         scene.sweep(asked + 1.9);
-        long again = scene.did.sends.size() - 100;
+        long again = scene.did.sends.size() - 100L;
         // 5 and a fifth of 101 taken, less the slack: more than the own ration of ten, and all that are missing.
         assertEquals(15, again);
     }
--- a/src/test/java/pepperdock/opensearch/StandInSearchServer.java
+++ b/src/test/java/pepperdock/opensearch/StandInSearchServer.java
@@ -97,13 +97,12 @@
                     answer(
                             x,
                             200,
-                            found(shard, 1, hit(shard, 0, StandIn.value(text, shard)))
-                                    .toString());
+                            found(1, hit(shard, 0, StandIn.value(text, shard))).toString());
                 }
             }
             case BAD -> {
                 // The hard case: a success whose inside says that the shard failed.
-                JsonObject o = found(shard, 0);
+                JsonObject o = found(0);
                 o.add(
                         "_shards",
                         JsonParser.parseString("{\"total\":1,\"successful\":0,\"failed\":1,\"failures\":"
@@ -138,7 +137,7 @@
         for (int i = 0; i < hits.length; i++) {
             hits[i] = hit(shard, from + i, "v");
         }
-        JsonObject o = found(shard, HITS, hits);
+        JsonObject o = found(HITS, hits);
         o.addProperty("_scroll_id", id);
         return o.toString();
     }
@@ -154,7 +153,7 @@
         return hit;
     }
 
-    private static JsonObject found(int shard, int total, JsonObject... hits) {
+    private static JsonObject found(int total, JsonObject... hits) {
         JsonArray list = new JsonArray();
         for (JsonObject hit : hits) {
             list.add(hit);
--- a/src/test/java/pepperdock/platform/WatchTest.java
+++ b/src/test/java/pepperdock/platform/WatchTest.java
@@ -54,9 +54,10 @@
 
     private static String asked(BufferedReader in) throws IOException {
         String first = in.readLine();
-        while (!in.readLine().isEmpty()) {
-            continue;
-        }
+        String header;
+        do {
+            header = in.readLine();
+        } while (!header.isEmpty());
         return first.split(" ")[1].replaceAll("&.*", "");
     }
 
--- a/src/test/java/pepperdock/platform/WorkerPoolTest.java
+++ b/src/test/java/pepperdock/platform/WorkerPoolTest.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -125,13 +126,14 @@
         try (Socket s = server.accept()) {
             byte[] head = s.getInputStream().readNBytes(4);
             s.getInputStream().readNBytes(head[3]);
-            s.getOutputStream().write(pepperdock.frame.Frames.frame('q', "q.0 good 1 -\nv".getBytes()));
+            s.getOutputStream()
+                    .write(pepperdock.frame.Frames.frame('q', "q.0 good 1 -\nv".getBytes(StandardCharsets.UTF_8)));
             assertEquals("answered " + Outcome.OK, ending());
         }
     }
 
     private static byte[] result(String rest) {
-        return pepperdock.frame.Frames.frame('q', rest.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1));
+        return pepperdock.frame.Frames.frame('q', rest.getBytes(StandardCharsets.ISO_8859_1));
     }
 
     /** The worker's side of one query: takes its call, says this, and keeps the connection open. */
--- a/src/test/java/pepperdock/store/StoreTest.java
+++ b/src/test/java/pepperdock/store/StoreTest.java
@@ -113,11 +113,12 @@
             end(b);
             return null;
         });
-        put(a, "k1", "v");
+        CompletableFuture<Boolean> alone = put(a, "k1", "v");
         Store b2 = open("b");
         await(b2, "k1", "v");
+        assertTrue(alone.get(30, TimeUnit.SECONDS));
         for (int i = 2; i < 20; i++) {
-            put(a, "k" + i, "v");
+            assertTrue(put(a, "k" + i, "v").get(30, TimeUnit.SECONDS));
         }
         Store c = open("c");
         await(c, "k19", "v");
