--- a/src/main/java/pepperdock/lab/fleet/Links.java
+++ b/src/main/java/pepperdock/lab/fleet/Links.java
@@ -16,6 +16,7 @@
     /** From one member to another; the way back is another pair. */
     record Pair(String from, String to) {}
 
+    /** What a fault does to a link. */
     enum Kind {
         /** Nothing gets through, of datagrams or streams; what was sent on a stream waits. */
         CUT,
--- a/src/main/java/pepperdock/lab/fleet/Script.java
+++ b/src/main/java/pepperdock/lab/fleet/Script.java
@@ -82,6 +82,7 @@
     /** All faults on links that have no end of their own end. */
     record Heal(double at) implements Act {}
 
+    /** What is done to a process. */
     enum What {
         STOP,
         CONTINUE,
--- a/src/main/java/pepperdock/lab/fleet/Timetable.java
+++ b/src/main/java/pepperdock/lab/fleet/Timetable.java
@@ -32,16 +32,19 @@
     /** Seconds from the start of the phase. */
     record Timed(double at, Step step) {}
 
+    /** One thing that the rig does at a time. */
     sealed interface Step permits On, Off, Cut, Signal, Start, Disk, Clock {}
 
     /** Fault number so-and-so begins. */
     record On(int number, Links.Fault fault) implements Step {}
 
+    /** The fault of that number ends. */
     record Off(int number) implements Step {}
 
     /** Streams on these pairs are reset. */
     record Cut(Set<Pair> pairs) implements Step {}
 
+    /** Signals to a process. */
     enum Sent {
         STOP,
         CONT,
@@ -49,13 +52,16 @@
         TERM
     }
 
+    /** The signal goes to these members. */
     record Signal(Sent what, List<String> members) implements Step {}
 
+    /** These members are started, with an empty folder or on new ports where it says so. */
     record Start(List<String> members, boolean emptyFolder, boolean newPorts) implements Step {}
 
     /** What is with these members' disks from now on, as {@link FaultyDisk} reads it; empty where nothing is. */
     record Disk(List<String> members, String is) implements Step {}
 
+    /** The clocks of these members are moved by so many seconds. */
     record Clock(List<String> members, double byS) implements Step {}
 
     boolean any(Class<? extends Step> kind) {
--- a/src/main/java/pepperdock/membership/Message.java
+++ b/src/main/java/pepperdock/membership/Message.java
@@ -31,6 +31,7 @@
     /** Are you there, you of this name and life? Sequence numbers are the sender's own, by subject. */
     record Ping(Head head, String to, long life, long seq, List<Item> gossip) implements Message {}
 
+    /** The answer to a ping. */
     record Ack(Head head, long seq, List<Item> gossip) implements Message {}
 
     /** Answers a ping that wanted another life, or another name, at this address: the one asked for is not here. */
@@ -48,5 +49,6 @@
     /** What the other lacks or holds otherwise, and the names of which the sender wants the same. */
     record Reply(Head head, List<Item> items, List<String> wanted) implements Message {}
 
+    /** The items that a reply asked for. */
     record Rest(Head head, List<Item> items) implements Message {}
 }
--- a/src/main/java/pepperdock/store/raft/Message.java
+++ b/src/main/java/pepperdock/store/raft/Message.java
@@ -19,6 +19,7 @@
      */
     record AskVote(long from, long term, long lastIndex, long lastTerm, boolean pre, boolean told) implements Message {}
 
+    /** The answer to a request for a vote. */
     record Vote(long from, long term, boolean pre, boolean granted) implements Message {}
 
     /**
--- a/src/main/java/pepperdock/store/raft/Output.java
+++ b/src/main/java/pepperdock/store/raft/Output.java
@@ -5,6 +5,7 @@
 /** What the machine wants done, in this order. */
 public sealed interface Output {
 
+    /** A message to a peer. */
     record Send(long to, Message message) implements Output {}
 
     /**
--- a/src/main/java/pepperdock/store/raft/Progress.java
+++ b/src/main/java/pepperdock/store/raft/Progress.java
@@ -6,6 +6,7 @@
 /** What a leader knows of one peer's log, and how it sends to it. */
 final class Progress {
 
+    /** How a leader sends to a peer. */
     enum How {
         /** Where the logs part is not known: one message at a time. */
         PROBE,
