Ask for the list again within three seconds of a call that failed

Cause: Decide.targets let the pause after failed calls grow to half of AskWithinS, drawn up to 1.5 times that: 7.5 s with AskWithinS 10.

Change: from one call to the next at most half of 6 s (or of AskWithinS, if that is less), random part included: 3 s + 1 s for a connection that does not come up + 2 s for an answer that waits its turn = 6 s, with the grace for drains (0.5 s) in reserve. A call that failed late leaves the rest of the 3 s. Pauses still double from 0.25 to 0.75 s.

--- a/src/main/java/pepperdock/aggregator/Decide.java
+++ b/src/main/java/pepperdock/aggregator/Decide.java
@@ -71,13 +71,17 @@
     private static final double TRIAL_MOST_AIMS = 2;
     /** Share of the cold allowance that is used; it is reckoned with one core, which leaves room besides. */
     private static final double COLD_SAFETY = 0.9;
+    /** The protocol's: whatever a call missed counts as told so long after the list could be reached. */
+    private static final double TOLD_S = 6;
+    /** First pause before asking for the list again, as a share of that time or AskWithinS; it doubles. */
+    private static final double ASK_AGAIN_SHARE = 1.0 / 12;
     /**
-     * Pause before asking for the list again, in shares of AskWithinS; doubles up to the most, which with
-     * its random half more leaves time for the answer: later, changes since its return would count as told.
+     * From one call to the next at most this share of the same, as the list may be back right after a call
+     * that failed: what is left is for a connection that comes up late and for an answer that waits its turn.
      */
-    private static final double ASK_AGAIN_SHARE = 0.05;
-
-    private static final double ASK_MOST_SHARE = 0.5;
+    private static final double ASK_APART_SHARE = 0.5;
+    /** The random part of a pause makes it up to so many times as long. */
+    private static final double ASK_SPREAD_MOST = 1.5;
     /** The first call comes within so many seconds for each instance there is, and within the first pause. */
     private static final double FIRST_ASK_S = 0.005;
     /** An attempt out for this share of its class's aim counts as a time-out for the ceiling. */
@@ -138,6 +142,7 @@
     private boolean subscribed;
     private final IdleLimit idleLimit = new IdleLimit();
     private double askAt = Double.NaN;
+    private double askedAt = Double.NEGATIVE_INFINITY;
     private double askPause;
     private Shares planned = (shard, searcher) -> 1;
 
@@ -1003,10 +1008,7 @@
             if (subscribed) {
                 askPause = 0;
             } else {
-                double within = settings.rules().askWithinS();
-                askPause = Math.max(2 * askPause, ASK_AGAIN_SHARE * within);
-                askPause = Math.min(ASK_MOST_SHARE * within, askPause);
-                askAt = now + askPause * (0.5 + asking.nextDouble());
+                askAgain();
                 return;
             }
         }
@@ -1041,6 +1043,20 @@
         return searchers.size();
     }
 
+    /** How long a gatherer without a watch may have an old list: by the protocol, or less by the settings. */
+    private double staleS() {
+        double within = settings.rules().askWithinS();
+        return within > 0 ? Math.min(within, TOLD_S) : TOLD_S;
+    }
+
+    /** A call has failed: the next comes after a pause that doubles, in time for news since this one. */
+    private void askAgain() {
+        double first = ASK_AGAIN_SHARE * staleS();
+        double left = askedAt + ASK_APART_SHARE * staleS() - now;
+        askPause = Math.max(first, Math.min(2 * askPause, left / ASK_SPREAD_MOST));
+        askAt = now + askPause * (ASK_SPREAD_MOST - 1 + asking.nextDouble());
+    }
+
     /**
      * Asks for the list where there is no watch, at moments of its own: the list is one service for all
      * instances, and fails calls that wait; those that fail together and ask again together fail again.
@@ -1048,13 +1064,11 @@
     private void follow() {
         if (Double.isNaN(askAt)) {
             askAt = now
-                    + asking.nextDouble()
-                            * Math.min(
-                                    settings.instances() * FIRST_ASK_S,
-                                    ASK_AGAIN_SHARE * settings.rules().askWithinS());
+                    + asking.nextDouble() * Math.min(settings.instances() * FIRST_ASK_S, ASK_AGAIN_SHARE * staleS());
         }
         if (!subscribed && !asked && now >= askAt) {
             asked = true;
+            askedAt = now;
             actions.subscribe();
         }
     }
--- a/src/test/java/pepperdock/core/GathererTest.java
+++ b/src/test/java/pepperdock/core/GathererTest.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import pepperdock.aggregator.Aggregator.ListKind;
 import pepperdock.aggregator.Aggregator.Outcome;
 import pepperdock.aggregator.Aggregator.Readiness;
@@ -15,6 +17,10 @@
 
 class GathererTest {
 
+    private static final double STEP_S = 0.01;
+    /** What waits for a moment is looked at in sweeps 25 ms apart, in batches of 5 ms; and two steps of the clock. */
+    private static final double SWEEP_S = 0.025 + 0.005 + 2 * STEP_S;
+
     private final Bench bench = new Bench();
 
     @Test
@@ -211,15 +217,32 @@
         assertEquals(calls, bench.calls.size());
     }
 
-    /** Held to a list for as long as it may go unasked, counted from its return: asked later, news would count before. */
-    @Test
-    void howeverOftenAskingFailsTheNextCallComesWithinTheTimeForAsking() {
+    /**
+     * The list may be back right after a call that failed, and its news count as told 6 s later: by then the next call's
+     * connection (1 s) and an answer that waits its turn (2 s) have to fit in. Was: up to 7.5 s after the failure.
+     */
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 1, 2, 2.5})
+    void howeverOftenAskingFailsTheNextCallComesInTimeForWhatItMissed(double failsAfterS) {
+        double apartS = Math.max(3, failsAfterS + 0.75) + SWEEP_S;
+        bench.core.listed(ListKind.FAILED, List.of());
+        awaitCall(apartS);
         for (int i = 0; i < 40; i++) {
+            double calledAt = bench.clock.now();
+            bench.clock.advance(failsAfterS);
             bench.core.listed(ListKind.FAILED, List.of());
-            int before = bench.subscribed;
-            bench.clock.advance(7.6);
-            assertEquals(before + 1, bench.subscribed, "10 s less the list's own time, after failure " + i);
+            awaitCall(calledAt + apartS - bench.clock.now());
+        }
+    }
+
+    /** Moves on to the next call for the list, which has to come within so long. */
+    private void awaitCall(double withinS) {
+        int before = bench.subscribed;
+        double end = bench.clock.now() + withinS;
+        while (bench.subscribed == before && bench.clock.now() < end) {
+            bench.clock.advance(STEP_S);
         }
+        assertEquals(before + 1, bench.subscribed);
     }
 
     @Test
