Open the list's watch again by a call that does not wait, and turn timers off for sure

Now it does not wait: given up alone after 3 s, with another beside it; its answer arms the watch. One more call for each failure.

Where lists come unasked, what the agent has counts at once; the next try at an agent that broke came up to 1.5 s after the last one. Now within 0.375 s, so that its answer fits into the grace of a drain.

Loop.after: a timer turned off in the turn in which it fell due ran all the same (XNIO takes all that are due out of its queue together, where remove finds none): a move to another address in that turn was followed by a second call beside the first.

Tests: WatchTest (five endings of a watch, a late call and the one beside it, a move amid them and within the module's pause), LoopTest; the first, the agent's and LoopTest's fail without the mends.

--- a/src/main/java/pepperdock/net/Loop.java
+++ b/src/main/java/pepperdock/net/Loop.java
@@ -69,19 +69,24 @@
 
     @Override
     public Timer after(double seconds, Runnable task) {
+        boolean[] off = {false};
+        Runnable unlessOff = () -> {
+            if (!off[0]) {
+                task.run();
+            }
+        };
         if (seconds <= 0) {
-            boolean[] off = {false};
-            execute(() -> {
-                if (!off[0]) {
-                    task.run();
-                }
-            });
+            execute(unlessOff);
             return () -> off[0] = true;
         }
         try {
             XnioExecutor.Key key =
-                    thread.executeAfter(() -> guarded(task), (long) (seconds * 1e6) + 1, TimeUnit.MICROSECONDS);
-            return key::remove;
+                    thread.executeAfter(() -> guarded(unlessOff), (long) (seconds * 1e6) + 1, TimeUnit.MICROSECONDS);
+            return () -> {
+                // Timers that fall due in one turn are taken out of the queue together, where remove finds none.
+                off[0] = true;
+                key.remove();
+            };
         } catch (RejectedExecutionException e) {
             // The loop has been closed: nothing falls due any more.
             return () -> {};
--- a/src/main/java/pepperdock/platform/Watch.java
+++ b/src/main/java/pepperdock/platform/Watch.java
@@ -25,7 +25,10 @@
 public final class Watch implements Discovery {
 
     private static final System.Logger LOG = System.getLogger("pepperdock.platform");
-    /** The first call brings what changed since the list we hold, so that the start does not wait. */
+    /**
+     * The first call, and the first after a failure, bring what changed since the list we hold and do not wait for news: one
+     * that is lost is known as such so much earlier.
+     */
     static final int FIRST_WAIT_MS = 1;
     /** How long a call may wait for news; what it has not told by two seconds later counts as told. */
     static final int WAIT_MS = 8000;
@@ -48,10 +51,13 @@
     private static final double DIAL_S = 1;
     /** Of a call in place of a silent one: a way that is lost must leave time for one more. */
     private static final double DIAL_ANEW_S = 0.5;
-    /** Where lists come unasked: from one try at the agent to the next, doubled up to the most. */
+    /**
+     * Where lists come unasked: from one try at the agent to the next, doubled up to the most. What the agent has counts at
+     * once, so that the next try and its answer have to fit into the half second that is allowed after word of a drain.
+     */
     private static final double AGENT_LEAST_S = 0.1;
 
-    private static final double AGENT_MOST_S = 1;
+    static final double AGENT_MOST_S = 0.25;
     private static final int LIST_MOST = 1 << 20;
     private static final String WHOLE = "/api/targets";
 
@@ -210,6 +216,7 @@
     /** Where the list has to be asked for the module decides when to ask again; until then there is no watch. */
     private void failed(String why) {
         LOG.log(System.Logger.Level.WARNING, "node list watch failed: {0}", why);
+        first = true;
         closeAll();
         dialAt(at, DIAL_S);
         if (site.module().mustAsk()) {
--- /dev/null
+++ b/src/test/java/pepperdock/net/LoopTest.java
@@ -0,0 +1,47 @@
+package pepperdock.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import pepperdock.core.Clock;
+
+class LoopTest {
+
+    private static final double SOON_S = 0.001;
+
+    private final Loop loop = new Loop(10, 1 << 10);
+
+    LoopTest() throws IOException {}
+
+    @AfterEach
+    void close() {
+        loop.close();
+    }
+
+    /** The loop is held up until both are due: they were taken out of the queue together, and the second ran though off. */
+    @Test
+    void aTimerThatIsTurnedOffInTheTurnInWhichItFallsDueDoesNotRun() throws Exception {
+        List<String> ran = new ArrayList<>();
+        CompletableFuture<List<String>> history = new CompletableFuture<>();
+        loop.execute(() -> {
+            Clock.Timer[] second = {null};
+            loop.after(SOON_S, () -> {
+                ran.add("first");
+                second[0].cancel();
+            });
+            second[0] = loop.after(2 * SOON_S, () -> ran.add("second"));
+            double due = loop.now() + 4 * SOON_S;
+            while (loop.now() < due) {
+                Thread.onSpinWait();
+            }
+            loop.after(SOON_S, () -> history.complete(List.copyOf(ran)));
+        });
+        assertEquals(List.of("first"), history.get(30, TimeUnit.SECONDS));
+    }
+}
--- a/src/test/java/pepperdock/platform/WatchTest.java
+++ b/src/test/java/pepperdock/platform/WatchTest.java
@@ -12,12 +12,16 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import pepperdock.aggregator.Aggregator.ListKind;
 import pepperdock.config.Site;
@@ -168,6 +172,160 @@
         }
     }
 
+    private static BufferedReader reader(Socket s) throws IOException {
+        return new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
+    }
+
+    private static String changes(long seq, String host) {
+        return "{\"seq\":" + seq + ",\"whole\":false,\"hosts\":[" + HOST.formatted(host) + "]}";
+    }
+
+    /** How a watch that waits for news ends without telling any. */
+    enum Ending {
+        REFUSED_503 {
+            @Override
+            void end(Socket s) throws IOException {
+                answer(s, 503, "");
+            }
+        },
+        CLOSED {
+            @Override
+            void end(Socket s) {}
+        },
+        RESET {
+            @Override
+            void end(Socket s) throws IOException {
+                s.setSoLinger(true, 0);
+            }
+        },
+        HALF_ANSWERED {
+            @Override
+            void end(Socket s) throws IOException {
+                s.getOutputStream()
+                        .write("HTTP/1.1 200 X\r\nContent-Length: 90\r\n\r\n{\"seq\":43,"
+                                .getBytes(StandardCharsets.US_ASCII));
+            }
+        },
+        RESET_IN_AN_ANSWER_WITHOUT_LENGTH {
+            @Override
+            void end(Socket s) throws IOException {
+                s.getOutputStream().write("HTTP/1.1 200 X\r\n\r\n{\"seq\":43,".getBytes(StandardCharsets.US_ASCII));
+                s.setSoLinger(true, 0);
+            }
+        };
+
+        /** What comes before the connection is closed. */
+        abstract void end(Socket s) throws IOException;
+    }
+
+    /**
+     * A call after a failure is one whose loss must be known soon: whatever it misses counts as told 6 s after the list could
+     * be reached. Was: it might wait 8 s for news, and was given up half a second after that.
+     */
+    @ParameterizedTest
+    @EnumSource(Ending.class)
+    void aWatchThatEndsWithoutNewsIsOpenedAgainByACallThatDoesNotWait(Ending how) throws Exception {
+        try (Socket s = server.accept()) {
+            BufferedReader in = reader(s);
+            asked(in);
+            answer(s, 200, changes(42, "a"));
+            assertEquals(1, list().size());
+            assertEquals("GET /api/targets?since=42&timeout_ms=" + Watch.WAIT_MS + " HTTP/1.1", in.readLine());
+            how.end(s);
+        }
+        try (Socket s = server.accept()) {
+            BufferedReader in = reader(s);
+            assertEquals("GET /api/targets?since=42&timeout_ms=" + Watch.FIRST_WAIT_MS + " HTTP/1.1", in.readLine());
+            while (!in.readLine().isEmpty()) {
+                continue;
+            }
+            answer(s, 200, changes(43, "b"));
+            assertEquals(2, list().size());
+            assertEquals("GET /api/targets?since=43&timeout_ms=" + Watch.WAIT_MS + " HTTP/1.1", in.readLine());
+        }
+    }
+
+    /** Of a late call and the one beside it the first answer counts; an older one behind it must not go over it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void ofALateCallAndTheOneBesideItOneAnswerCounts(boolean lateOneAnswers) throws Exception {
+        try (Socket late = server.accept()) {
+            BufferedReader inLate = reader(late);
+            asked(inLate);
+            try (Socket beside = server.accept()) {
+                BufferedReader inBeside = reader(beside);
+                assertEquals("/api/targets?since=41", asked(inBeside));
+                answer(lateOneAnswers ? late : beside, 200, changes(43, "new"));
+                assertEquals("new", list().iterator().next().id());
+                assertEquals("/api/targets?since=43", asked(lateOneAnswers ? inLate : inBeside));
+                Socket other = lateOneAnswers ? beside : late;
+                assertEquals(-1, (lateOneAnswers ? inBeside : inLate).read());
+                answer(other, 200, changes(42, "old"));
+                answer(lateOneAnswers ? late : beside, 200, changes(44, "newer"));
+                assertEquals(
+                        Set.of("new", "newer"), list().stream().map(Host::id).collect(Collectors.toSet()));
+            }
+        }
+    }
+
+    @Test
+    void aMoveEndsALateCallAndTheOneBesideIt() throws Exception {
+        try (ServerSocket other = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                Socket late = server.accept()) {
+            BufferedReader inLate = reader(late);
+            asked(inLate);
+            try (Socket beside = server.accept()) {
+                BufferedReader inBeside = reader(beside);
+                asked(inBeside);
+                loop.execute(() -> watch.move((InetSocketAddress) other.getLocalSocketAddress()));
+                try (Socket moved = other.accept()) {
+                    BufferedReader in = reader(moved);
+                    assertEquals("/api/targets", asked(in));
+                    assertEquals(-1, inLate.read());
+                    assertEquals(-1, inBeside.read());
+                    answer(moved, 200, changes(7, "c"));
+                    assertEquals("c", list().iterator().next().id());
+                    assertEquals("/api/targets?since=7", asked(in));
+                }
+            }
+        }
+    }
+
+    /** Who connects to the server behind the calls stands behind them in its queue: each call would be one more. */
+    @Test
+    void aMoveWithinTheModulesPauseMakesOneCall() throws Exception {
+        try (ServerSocket other = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Socket s = server.accept();
+            asked(reader(s));
+            s.close();
+            loop.execute(() -> watch.move((InetSocketAddress) other.getLocalSocketAddress()));
+            try (Socket moved = other.accept()) {
+                BufferedReader in = reader(moved);
+                assertEquals("/api/targets", asked(in));
+                CompletableFuture<Void> pauseOver = new CompletableFuture<>();
+                loop.execute(() -> {
+                    watch.subscribe();
+                    pauseOver.complete(null);
+                });
+                pauseOver.get(30, TimeUnit.SECONDS);
+                answer(moved, 200, changes(7, "c"));
+                assertEquals("/api/targets?since=7", asked(in));
+                try (Socket last = new Socket(other.getInetAddress(), other.getLocalPort());
+                        Socket next = other.accept()) {
+                    assertEquals(last.getLocalPort(), next.getPort());
+                }
+            }
+        }
+    }
+
+    /** Word of a drain counts at once where lists come unasked, and half a second later nothing may go. */
+    @Test
+    void theNextTryAtAnAgentFitsIntoTheGraceOfADrain() {
+        assertTrue(
+                1.5 * Watch.AGENT_MOST_S < site.module().rules().drainGraceS() - 0.1,
+                "with its random part, and an answer");
+    }
+
     /** Where the settings say that lists come unasked the module never asks: found by reading, no watch was ever opened. */
     @Test
     void whereListsComeUnaskedTheWatchOpensItselfAndAgainAfterAFailure() throws Exception {
