Where lists come unasked, be ready once the agent has told its list

Cause: Main.serve made itself ready right after the list of the file had been taken in (begin.run), with the first call to the agent on its way. What the agent has counts as told from the first moment of a new process, so that a query in that gap could go to a worker long draining by what the agent had.

Change: where lists come unasked, ready waits for the agent's list, for 1.5 s at most, as an agent that is silent has nothing to tell. Where the list is asked for nothing changes: ready waits for nobody.

--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -52,6 +52,11 @@
     private static final int CLIENTS_SHARE = 3;
     /** Beside another process of the same gatherer, ready when the list has been asked for, or after so long. */
     private static final double LIST_S = 3;
+    /**
+     * Where lists come unasked, what the agent has counts as told from a new process's first moment: ready once its list is
+     * here, or after so long. An agent that is silent has nothing to tell.
+     */
+    static final double UNASKED_LIST_S = 1.5;
 
     private static final int BODY_MOST = 64 << 10;
     private static final int SEARCH_BODY_MOST = 1 << 20;
@@ -253,11 +258,16 @@
             }
             core.listed(ListKind.HELD, config.known().hosts());
             if (operator == null || !operator.beside()) {
-                begin.run();
+                if (watch == null || config.site().module().mustAsk()) {
+                    begin.run();
+                } else {
+                    whenListed(core, loop, UNASKED_LIST_S, begin);
+                }
             } else {
-                whenAsked(
+                whenListed(
                         core,
                         loop,
+                        LIST_S,
                         () -> operator.serve(() -> {
                             fronts.run();
                             begin.run();
@@ -304,8 +314,8 @@
         }
     }
 
-    /** Once the list has been asked for and has come; else after a while, as what is known serves too. */
-    private static void whenAsked(Gatherer core, Loop loop, Runnable then) {
+    /** Once the list has come; else after {@code mostS} seconds, as what is known serves too. */
+    private static void whenListed(Gatherer core, Loop loop, double mostS, Runnable then) {
         boolean[] done = {false};
         Runnable once = () -> {
             if (!done[0]) {
@@ -314,7 +324,7 @@
             }
         };
         core.whenListed(hosts -> once.run());
-        loop.after(LIST_S, once);
+        loop.after(mostS, once);
     }
 
     private static Path folder(Map<String, String> env) {
