Count what cold workers get from 2, 20 and 30 instances, against the operators' bound

ColdFleet plays real modules that share nothing, under uneven traffic, a burst or a surge, with neighbours back cold and new workers joining, in simulated time, and judges from the record of what reached each worker.

Seen while building it: under single-part queries the instances' own ceilings keep the sum low even without the rule, so the planted faults need a flood of large queries to break the bound.

--- /dev/null
+++ b/src/test/java/pepperdock/lab/ColdWorkersTest.java
@@ -0,0 +1,81 @@
+package pepperdock.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The operators' bound on what a cold worker gets from all instances together; the measured form has some hundred seeds. */
+class ColdWorkersTest {
+
+    private static final int SEEDS = 3;
+
+    private static double worst(ColdFleet.Day day) {
+        double worst = 0;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            worst = Math.max(worst, ColdFleet.play(day, seed).worst());
+        }
+        return worst;
+    }
+
+    private static void staysWithin(ColdFleet.Day day) {
+        double worst = worst(day);
+        assertTrue(worst > 0 && worst <= 1, worst + " of the bound: " + day);
+    }
+
+    @Test
+    void theSumOfTwoTwentyAndThirtyInstancesStaysWithinTheBound() {
+        for (int instances : new int[] {2, 20, 30}) {
+            staysWithin(ColdFleet.single(instances, 1));
+            staysWithin(ColdFleet.single(instances, 1).traffic(1.2, 1.9));
+            staysWithin(ColdFleet.single(instances, 1).traffic(0.05, 20));
+        }
+        staysWithin(ColdFleet.ledger(30, 2));
+    }
+
+    @Test
+    void soItDoesWithInstancesToldLateReplacedOrLost() {
+        for (ColdFleet.Day day : List.of(ColdFleet.single(20, 1), ColdFleet.single(30, 1))) {
+            staysWithin(day.trouble(10, 0, 0));
+            staysWithin(day.trouble(2, 0.7, 0));
+            staysWithin(day.trouble(2, 0, 0.7));
+        }
+    }
+
+    @Test
+    void soItDoesInAFloodOfLargeQueries() {
+        for (int instances : new int[] {2, 20, 30}) {
+            staysWithin(flood(instances));
+        }
+    }
+
+    /** The check itself: what breaks the bound is found out. */
+    @Test
+    void instancesThatReckonThatTheyAreAloneBreakTheBound() {
+        breaks(flood(20).with(ColdFleet.Fault.ALONE));
+        breaks(flood(30).with(ColdFleet.Fault.ALONE));
+    }
+
+    @Test
+    void instancesThatHearOfNoStartTimesBreakTheBound() {
+        for (int instances : new int[] {2, 20, 30}) {
+            breaks(flood(instances).with(ColdFleet.Fault.UNDATED));
+        }
+    }
+
+    /** More than the instances' own ceilings keep from cold workers without the rule. */
+    private static ColdFleet.Day flood(int instances) {
+        return ColdFleet.ledger(instances, 1).traffic(0.8, 25);
+    }
+
+    private static void breaks(ColdFleet.Day day) {
+        double worst = worst(day);
+        assertTrue(worst > 1, worst + " of the bound: " + day);
+    }
+
+    @Test
+    void theSameSeedIsTheSameDay() {
+        assertEquals(ColdFleet.play(ColdFleet.single(20, 1), 5), ColdFleet.play(ColdFleet.single(20, 1), 5));
+    }
+}
