--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -263,26 +263,28 @@
                 operate(operator, config, loop, core);
             }
             core.listed(ListKind.HELD, config.known().hosts());
-            if (operator == null || !operator.beside()) {
-                if (watch == null || config.site().module().mustAsk()) {
-                    begin.run();
-                } else {
-                    whenListed(core, loop, UNASKED_LIST_S, begin);
-                }
-            } else {
-                whenListed(
-                        core,
-                        loop,
-                        LIST_S,
-                        () -> operator.serve(() -> {
-                            fronts.run();
-                            begin.run();
-                        }));
-            }
+            boolean unasked = watch != null && !config.site().module().mustAsk();
+            becomeReady(operator, unasked, core, loop, fronts, begin);
         });
         return servers;
     }
 
+    /** Begins to serve, at once or when the list has come; {@code unasked} where an agent tells the list. */
+    private static void becomeReady(
+            Operator operator, boolean unasked, Gatherer core, Loop loop, Runnable fronts, Runnable begin) {
+        if (operator != null && operator.beside()) {
+            Runnable takeOver = () -> {
+                fronts.run();
+                begin.run();
+            };
+            whenListed(core, loop, LIST_S, () -> operator.serve(takeOver));
+        } else if (unasked) {
+            whenListed(core, loop, UNASKED_LIST_S, begin);
+        } else {
+            begin.run();
+        }
+    }
+
     /** Where clients connect; shared with another process where operators may upgrade this one. */
     private static List<HttpServer> listen(Config config, Loop loop, Front front, SearchFront searchFront) {
         IntSupplier clients = () ->
