Measure the gatherer's data path by workers, fan-out and load: lab scale data

Cause: nobody could say what a part costs, alone and with sockets, at the sizes of the operators' target. Change: package lab.scale and the command lab scale data: decisions alone in simulated time; a gatherer in a process of its own between an open-loop load generator and emulated workers on loopback; memory by open connections; lines through the sizes; JSON and a page. Nothing of it is loaded by serve.

--- /dev/null
+++ b/src/main/java/pepperdock/lab/scale/Deployment.java
@@ -0,0 +1,149 @@
+package pepperdock.lab.scale;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.util.ArrayList;
+import java.util.List;
+import pepperdock.config.Config;
+import pepperdock.config.Keys;
+import pepperdock.config.Site;
+import pepperdock.core.Ask;
+import pepperdock.core.Host;
+
+/**
+ * What is measured: a shard for each worker, each shard held by so many of them, and one class of queries that repeats
+ * harmlessly. Workers and fan-out vary independently: a query asks for shards that are evenly spread over all.
+ *
+ * @param workers how many, each a cell of its own
+ * @param holders workers that hold a shard
+ * @param tickS least time between two batches of the module, in seconds
+ * @param copies whether a part may be sent again, and a second copy run while the first is out
+ * @param aimS an answer is worth most within so many seconds
+ * @param deadlineS how long a client waits, in seconds
+ */
+record Deployment(int workers, int holders, double tickS, boolean copies, double aimS, double deadlineS) {
+
+    static final String CLASS = "search";
+    /** The operators' target: 99 answers of 100 within so many seconds. */
+    static final double AIM_S = 0.051;
+
+    private static final double DEADLINE_S = 0.25;
+    private static final int ATTEMPTS_WITH_COPIES = 3;
+    /** Gatherers of the target, each of which reckons with the others. */
+    private static final int GATHERERS = 500;
+
+    private static final int GATHERER_ADDRESS = 255;
+    private static final int GATHERER_PORT = 8000;
+    private static final int WORKER_PORT = 9000;
+    private static final int WORKERS_AN_OCTET = 250;
+    /** Sockets for a worker and for clients, with room to spare: nothing here is to be bounded by the cap. */
+    private static final int SOCKETS_A_WORKER = 3;
+
+    private static final int SOCKETS_MORE = 4000;
+
+    /** With the times of the operators' target. */
+    static Deployment ofTarget(int workers, int holders, double tickS, boolean copies) {
+        return new Deployment(workers, holders, tickS, copies, AIM_S, DEADLINE_S);
+    }
+
+    /** The site's settings, as a configuration file has them. */
+    JsonObject settings() {
+        return JsonParser.parseString("""
+                        {"Discovery":"subscribe","FailureDomains":["zone-1"],"Instances":%d,"Kinds":["std"],"TickS":%s,
+                         "Zone":0,
+                         "FamilyInfo":{"Batch":8,"Cells":%d,"FloorByClass":[1],"NeedByClass":[1],"SecondStep":[0],
+                           "ShortWorth":[1],"Slices":%d,"Span":%d},
+                         "Limits":{"Cancel":true,"ConnIdleS":60,"DialTimeoutS":1,"MaxAttempts":%d,"MaxRetryAfterS":0.1,
+                           "MayDuplicate":%s,"MayProbe":false,"MostHeld":100000000,"Multiplex":100,"RetryAfter":true},
+                         "Report":{"Names":[],"Source":"off"},
+                         "RequestClasses":[{"Name":"%s","GoalTimeS":%s,"DeadlineS":%s,"Effect":"read_like",
+                           "LateWorth":0.1,"Worth":1}],
+                         "Rules":{"AnswerSlackS":0.002,"AskWithinS":10,"ColdFrom":1,"FallMultiple":2,"FallS":1,
+                           "StopSendingWithinS":0.5,"WarmUpS":0}}""".formatted(
+                                GATHERERS,
+                                tickS,
+                                workers,
+                                workers,
+                                holders,
+                                copies ? ATTEMPTS_WITH_COPIES : 1,
+                                copies,
+                                CLASS,
+                                aimS,
+                                deadlineS))
+                .getAsJsonObject();
+    }
+
+    Site site() {
+        return Site.read(Keys.of("settings", settings()));
+    }
+
+    /** The gatherer's file; all addresses are in 127.{@code block}.0.0/16. */
+    JsonObject config(int block) {
+        JsonObject sockets = new JsonObject();
+        sockets.addProperty("sockets", workers * SOCKETS_A_WORKER + SOCKETS_MORE);
+        JsonObject known = new JsonObject();
+        known.addProperty("seq", 1);
+        known.addProperty("whole", true);
+        JsonArray entries = new JsonArray();
+        for (int i = 0; i < workers; i++) {
+            JsonObject entry = new JsonObject();
+            entry.addProperty("host", worker(i));
+            entry.addProperty("dial", workerAddress(block, i) + ':' + WORKER_PORT);
+            entry.addProperty("site", "zone-1");
+            entry.addProperty("class", "std");
+            entry.addProperty("block", i);
+            entry.addProperty("health", "in_service");
+            entries.add(entry);
+        }
+        known.add("hosts", entries);
+        JsonObject config = new JsonObject();
+        config.addProperty("name", "gatherer");
+        config.addProperty("listen", gathererAddress(block) + ':' + GATHERER_PORT);
+        config.addProperty("events", true);
+        config.add("limits", sockets);
+        config.add("known", known);
+        config.add("settings", settings());
+        return config;
+    }
+
+    /** The workers, as the list has them. */
+    List<Host> hosts(int block) {
+        return Config.read(Keys.of("", config(block)), java.util.Map.of())
+                .known()
+                .hosts();
+    }
+
+    static String worker(int number) {
+        return "w" + number;
+    }
+
+    static String gathererAddress(int block) {
+        return "127." + block + '.' + GATHERER_ADDRESS + ".1";
+    }
+
+    static int gathererPort() {
+        return GATHERER_PORT;
+    }
+
+    static String workerAddress(int block, int number) {
+        return "127." + block + '.' + number / WORKERS_AN_OCTET + '.' + (1 + number % WORKERS_AN_OCTET);
+    }
+
+    static int workerPort() {
+        return WORKER_PORT;
+    }
+
+    /** The parts of a query: shards spread evenly over all, from a first one on. */
+    List<Ask.Piece> pieces(int fanOut, int first) {
+        if (fanOut > workers) {
+            throw new IllegalArgumentException("fan-out " + fanOut + " over " + workers + " shards");
+        }
+        List<Ask.Piece> pieces = new ArrayList<>(fanOut);
+        for (int i = 0; i < fanOut; i++) {
+            int shard = (int) ((first + (long) i * workers / fanOut) % workers);
+            pieces.add(new Ask.Piece(shard, 1.0 / fanOut));
+        }
+        return pieces;
+    }
+}
