Measure what the node list costs a gatherer, by its length: lab scale list

Need: docs/CAPACITY.md asks what each role costs at 3,700 workers; nothing measured the list. A command decodes and takes in whole lists and changes of one entry, with the production classes, no sockets.

--- a/src/main/java/pepperdock/cli/ScaleCommand.java
+++ b/src/main/java/pepperdock/cli/ScaleCommand.java
@@ -22,7 +22,7 @@
         mixinStandardHelpOptions = true,
         versionProvider = Cli.Version.class,
         description = "Measure how cost grows with the size of the deployment (docs/design/scale.md).",
-        subcommands = ScaleCommand.DataCommand.class)
+        subcommands = {ScaleCommand.DataCommand.class, ScaleListCommand.class})
 final class ScaleCommand implements Runnable {
 
     @Spec
--- /dev/null
+++ b/src/main/java/pepperdock/cli/ScaleListCommand.java
@@ -0,0 +1,42 @@
+package pepperdock.cli;
+
+import java.io.PrintWriter;
+import java.util.List;
+import java.util.concurrent.Callable;
+import pepperdock.lab.scale.NodeListCost;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Measures what the node list costs one gatherer, by its length. */
+@Command(
+        name = "list",
+        mixinStandardHelpOptions = true,
+        versionProvider = Cli.Version.class,
+        description =
+                "Measure bytes, processor time and allocation of the node list at a gatherer, by its length; prints a"
+                        + " line of JSON each.")
+final class ScaleListCommand implements Callable<Integer> {
+
+    @Option(
+            names = "--workers",
+            split = ",",
+            paramLabel = "N",
+            defaultValue = "100,300,1000,3700",
+            description = "Default: ${DEFAULT-VALUE}")
+    private List<Integer> workers;
+
+    @Option(names = "--rounds", paramLabel = "N", defaultValue = "200", description = "Default: ${DEFAULT-VALUE}")
+    private int rounds;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        PrintWriter out = spec.commandLine().getOut();
+        NodeListCost.run(workers, rounds, out::println);
+        return 0;
+    }
+}
