--- a/src/main/java/pepperdock/cli/ExploreCommand.java
+++ b/src/main/java/pepperdock/cli/ExploreCommand.java
@@ -9,26 +9,26 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.LongStream;
-import pepperdock.lab.keepers.Explorer;
-import pepperdock.lab.keepers.Step;
-import pepperdock.lab.keepers.World;
-import pepperdock.store.raft.Settings;
+import pepperdock.lab.raft.Explorer;
+import pepperdock.lab.raft.Step;
+import pepperdock.lab.raft.World;
+import pepperdock.store.raft.RaftSettings;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
 
-/** The keepers' consensus in simulated time. */
+/** The store's consensus in simulated time. */
 @Command(
         name = "explore",
         mixinStandardHelpOptions = true,
         versionProvider = Cli.Version.class,
         description =
-                "Take the keepers' consensus through losses, crashes and changes drawn by seeds, and check each step.")
+                "Take the store's consensus through losses, crashes and changes drawn by seeds, and check each step.")
 final class ExploreCommand implements Callable<Integer> {
 
     /** Small enough that snapshots, pieces and full windows come in every walk. */
-    static final Settings SETTINGS = new Settings(5, 1, 48, 4, 4096, 1);
+    static final RaftSettings SETTINGS = new RaftSettings(5, 1, 48, 4, 4096, 1);
 
     @Option(
             names = "--seeds",
@@ -94,7 +94,7 @@
                         sums[i].addAndGet(w.counts()[i]);
                     }
                 })
-                .filter(w -> !w.found().isEmpty())
+                .filter(w -> !w.violations().isEmpty())
                 .findFirst()
                 .orElse(null);
         out.println(seeds + " walks of " + steps + " steps, " + mix + ", " + processes + " processes, " + voters
@@ -104,16 +104,16 @@
             out.println("passed");
             return 0;
         }
-        Explorer.Walk shorter = explorer.shorter(failing);
+        Explorer.Walk shortened = explorer.shortened(failing);
         out.println("seed " + failing.seed() + " fails; shortened to "
-                + shorter.steps().size() + " steps:");
-        shorter.steps().forEach(out::println);
-        return tell(out, shorter);
+                + shortened.steps().size() + " steps:");
+        shortened.steps().forEach(out::println);
+        return tell(out, shortened);
     }
 
     private static int tell(PrintWriter out, Explorer.Walk walk) {
-        walk.found().forEach(f -> out.println("FOUND " + f));
-        out.println(walk.found().isEmpty() ? "passed" : "failed");
-        return walk.found().isEmpty() ? 0 : 1;
+        walk.violations().forEach(f -> out.println("FOUND " + f));
+        out.println(walk.violations().isEmpty() ? "passed" : "failed");
+        return walk.violations().isEmpty() ? 0 : 1;
     }
 }
--- a/src/main/java/pepperdock/lab/keepers/Disk.java
+++ b/src/main/java/pepperdock/lab/raft/Disk.java
@@ -1,25 +1,25 @@
-package pepperdock.lab.keepers;
+package pepperdock.lab.raft;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import pepperdock.store.raft.Entry;
-import pepperdock.store.raft.Hard;
+import pepperdock.store.raft.HardState;
+import pepperdock.store.raft.LogEntry;
 import pepperdock.store.raft.Output.Write;
-import pepperdock.store.raft.Saved;
+import pepperdock.store.raft.PersistedState;
 import pepperdock.store.raft.Snapshot;
 
 /** What a disk has synced, and the writes that it has not. */
 class Disk {
 
-    private Hard hard = Saved.NOTHING.hard();
+    private HardState hardState = PersistedState.NOTHING.hardState();
     private Snapshot snapshot;
-    private final List<Entry> entries = new ArrayList<>();
+    private final List<LogEntry> entries = new ArrayList<>();
     final Deque<Write> open = new ArrayDeque<>();
 
-    Disk(Saved begins) {
-        hard = begins.hard();
+    Disk(PersistedState begins) {
+        hardState = begins.hardState();
         snapshot = begins.snapshot();
         entries.addAll(begins.entries());
     }
@@ -40,8 +40,8 @@
     }
 
     private void keep(Write w) {
-        if (w.hard() != null) {
-            hard = w.hard();
+        if (w.hardState() != null) {
+            hardState = w.hardState();
         }
         if (w.cut() > 0) {
             entries.removeIf(e -> e.index() >= w.cut());
@@ -49,19 +49,19 @@
         if (w.snapshot() != null) {
             snapshot = w.snapshot();
         }
-        for (Entry e : w.entries()) {
+        for (LogEntry e : w.entries()) {
             entries.removeIf(x -> x.index() >= e.index());
             entries.add(e);
         }
     }
 
-    Saved saved() {
-        return new Saved(hard, snapshot, List.copyOf(entries));
+    PersistedState saved() {
+        return new PersistedState(hardState, snapshot, List.copyOf(entries));
     }
 
     /** The term of what it holds at an index; -1 where that is nothing, -2 where a snapshot stands for it. */
     long term(long index) {
-        for (Entry e : entries) {
+        for (LogEntry e : entries) {
             if (e.index() == index) {
                 return e.term();
             }
--- a/src/main/java/pepperdock/lab/keepers/Explorer.java
+++ b/src/main/java/pepperdock/lab/raft/Explorer.java
@@ -1,4 +1,4 @@
-package pepperdock.lab.keepers;
+package pepperdock.lab.raft;
 
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -102,7 +102,7 @@
     private static final int SHORTER_TRIES = 4000;
 
     /** What a walk found, empty where nothing; its steps up to there; and what it saw. */
-    public record Walk(long seed, List<String> found, List<Step> steps, long[] counts) {}
+    public record Walk(long seed, List<String> violations, List<Step> steps, long[] counts) {}
 
     private final LongFunction<World> worlds;
     private final Mix mix;
@@ -127,20 +127,20 @@
         World world = worlds.apply(seed);
         int taken = 0;
         try {
-            while (taken < steps.size() && world.found().isEmpty()) {
+            while (taken < steps.size() && world.violations().isEmpty()) {
                 world.take(steps.get(taken++));
             }
-            if (world.found().isEmpty()) {
+            if (world.violations().isEmpty()) {
                 world.settle(SETTLE_ROUNDS);
             }
         } catch (IllegalStateException | IllegalArgumentException | IndexOutOfBoundsException e) {
-            world.found().add("the machine broke: " + e);
+            world.violations().add("the machine broke: " + e);
         }
-        return new Walk(seed, List.copyOf(world.found()), List.copyOf(steps.subList(0, taken)), world.counts());
+        return new Walk(seed, List.copyOf(world.violations()), List.copyOf(steps.subList(0, taken)), world.counts());
     }
 
     /** A shorter walk that still fails: parts are left out, large ones first, as long as something is found. */
-    public Walk shorter(Walk failing) {
+    public Walk shortened(Walk failing) {
         Walk best = failing;
         int tries = 0;
         for (int part = best.steps().size() / 2; part >= 1; part /= 2) {
@@ -152,7 +152,7 @@
                                 best.steps().size()));
                 Walk w = play(best.seed(), rest);
                 tries++;
-                if (w.found().isEmpty()) {
+                if (w.violations().isEmpty()) {
                     from += part;
                 } else {
                     best = w;
--- a/src/main/java/pepperdock/store/raft/Candidate.java
+++ b/src/main/java/pepperdock/store/raft/Candidate.java
@@ -21,50 +21,54 @@
     }
 
     @Override
-    Standing standing() {
-        return pre ? Standing.ASKING : Standing.CANDIDATE;
+    PeerState state() {
+        return pre ? PeerState.PRE_CANDIDATE : PeerState.CANDIDATE;
     }
 
     @Override
     void begins() {
         if (!pre) {
-            raft.candidacy();
+            raft.startNewTerm();
         }
         long term = raft.term() + (pre ? 1 : 0);
-        for (Long voter : raft.log.members().voters()) {
+        for (Long voter : raft.log.configuration().voters()) {
             if (voter != raft.id) {
-                raft.say(voter, new Message.AskVote(raft.id, term, raft.log.last(), raft.log.lastTerm(), pre, told));
+                raft.sendOnceSynced(
+                        voter,
+                        new Message.RequestVote(raft.id, term, raft.log.lastIndex(), raft.log.lastTerm(), pre, told));
             }
         }
         // One's own vote counts like all others: once it is on disk.
         raft.onceSynced(() -> {
-            if (raft.isNow(this)) {
-                counted(raft.id, true);
+            if (raft.isCurrent(this)) {
+                countVote(raft.id, true);
             }
         });
     }
 
     @Override
     void tick() {
-        if (raft.impatient()) {
+        if (raft.electionTimedOut()) {
             raft.become(new Candidate(raft, true, false));
         }
     }
 
     @Override
     void received(Message m) {
-        if (m instanceof Message.Vote v && v.pre() == pre && v.term() == raft.term() + (pre && v.granted() ? 1 : 0)) {
-            counted(v.from(), v.granted());
+        if (m instanceof Message.VoteResponse v
+                && v.pre() == pre
+                && v.term() == raft.term() + (pre && v.granted() ? 1 : 0)) {
+            countVote(v.from(), v.granted());
         }
     }
 
-    private void counted(long from, boolean granted) {
+    private void countVote(long from, boolean granted) {
         votes.putIfAbsent(from, granted);
-        Members members = raft.log.members();
-        if (members.most(p -> votes.getOrDefault(p, false))) {
+        Configuration configuration = raft.log.configuration();
+        if (configuration.hasMajority(p -> votes.getOrDefault(p, false))) {
             raft.become(pre ? new Candidate(raft, false, false) : new Leader(raft));
-        } else if (members.most(p -> !votes.getOrDefault(p, true))) {
-            raft.follow(raft.term(), 0);
+        } else if (configuration.hasMajority(p -> !votes.getOrDefault(p, true))) {
+            raft.becomeFollower(raft.term(), 0);
         }
     }
 }
--- a/src/main/java/pepperdock/store/raft/Follower.java
+++ b/src/main/java/pepperdock/store/raft/Follower.java
@@ -8,18 +8,18 @@
     }
 
     @Override
-    Standing standing() {
-        return Standing.FOLLOWER;
+    PeerState state() {
+        return PeerState.FOLLOWER;
     }
 
     @Override
     void tick() {
-        if (raft.impatient()) {
-            raft.forgetLeader();
-            if (raft.log.members().votes(raft.id)) {
+        if (raft.electionTimedOut()) {
+            raft.clearLeader();
+            if (raft.log.configuration().votes(raft.id)) {
                 raft.become(new Candidate(raft, true, false));
             } else {
-                raft.patient();
+                raft.resetElectionTimer();
             }
         }
     }
--- a/src/main/java/pepperdock/store/raft/Leader.java
+++ b/src/main/java/pepperdock/store/raft/Leader.java
@@ -14,100 +14,100 @@
  */
 final class Leader extends Role {
 
-    private record Asked(long token, long index, long round) {}
+    private record PendingRead(long token, long index, long round) {}
 
     private final Map<Long, Progress> peers = new TreeMap<>();
-    private final Deque<Asked> reads = new ArrayDeque<>();
+    private final Deque<PendingRead> reads = new ArrayDeque<>();
     /** Reads that wait for the first entry of this term to be committed: before, what is committed is not known. */
-    private final Deque<Long> early = new ArrayDeque<>();
+    private final Deque<Long> readsBeforeFirstCommit = new ArrayDeque<>();
 
     private long round;
     /** A read has come since the last round began. */
-    private boolean askedFor;
+    private boolean readRoundDue;
 
-    private boolean beat;
-    private int sinceBeat;
-    private int sinceLook;
+    private boolean heartbeatDue;
+    private int ticksSinceHeartbeat;
+    private int ticksSinceQuorumCheck;
     /** Who is to lead next; 0 for nobody. */
-    private long heir;
+    private long transferTarget;
 
-    private int heirTicks;
-    private boolean heirTold;
+    private int transferTicks;
+    private boolean transferSent;
 
     Leader(Raft raft) {
         super(raft);
     }
 
     @Override
-    Standing standing() {
-        return Standing.LEADER;
+    PeerState state() {
+        return PeerState.LEADER;
     }
 
     @Override
     void begins() {
-        raft.leadsItself();
-        refresh();
-        add(Entry.EMPTY, null);
-        beat = true;
+        raft.setLeaderToSelf();
+        trackPeers();
+        add(LogEntry.EMPTY, null);
+        heartbeatDue = true;
     }
 
     @Override
     void ends() {
-        reads.forEach(a -> raft.tell(new Output.Unread(a.token())));
-        early.forEach(t -> raft.tell(new Output.Unread(t)));
+        reads.forEach(a -> raft.output(new Output.ReadRejected(a.token())));
+        readsBeforeFirstCommit.forEach(t -> raft.output(new Output.ReadRejected(t)));
         reads.clear();
-        early.clear();
+        readsBeforeFirstCommit.clear();
     }
 
-    long heldBy(long peer) {
-        return peer == raft.id ? raft.log.durable() : peers.containsKey(peer) ? peers.get(peer).match : -1;
+    long matchIndex(long peer) {
+        return peer == raft.id ? raft.log.durableIndex() : peers.containsKey(peer) ? peers.get(peer).match : -1;
     }
 
     /** Those that take part now, no others. */
-    private void refresh() {
-        peers.keySet().removeIf(p -> raft.log.members().of(p) == null);
-        for (Peer p : raft.log.members().all()) {
+    private void trackPeers() {
+        peers.keySet().removeIf(p -> raft.log.configuration().peer(p) == null);
+        for (Peer p : raft.log.configuration().peers()) {
             if (p.id() != raft.id) {
-                peers.computeIfAbsent(p.id(), x -> new Progress(raft.log.last() + 1));
+                peers.computeIfAbsent(p.id(), x -> new Progress(raft.log.lastIndex() + 1));
             }
         }
     }
 
-    private long add(byte[] data, Members members) {
-        long index = raft.log.last() + 1;
-        raft.log.add(new Entry(index, raft.term(), data, members));
-        if (members != null) {
-            refresh();
+    private long add(byte[] data, Configuration configuration) {
+        long index = raft.log.lastIndex() + 1;
+        raft.log.add(new LogEntry(index, raft.term(), data, configuration));
+        if (configuration != null) {
+            trackPeers();
         }
         return index;
     }
 
     @Override
-    long propose(byte[] data, Members members) {
-        return heir != 0 || raft.log.uncommitted() + data.length > raft.settings.uncommittedBytes()
+    long propose(byte[] data, Configuration configuration) {
+        return transferTarget != 0 || raft.log.uncommittedBytes() + data.length > raft.settings.uncommittedBytes()
                 ? 0
-                : add(data, members);
+                : add(data, configuration);
     }
 
     // ---- Time ------------------------------------------------------------
 
     @Override
     void tick() {
-        if (++sinceBeat >= raft.settings.heartbeatTicks()) {
-            beat = true;
+        if (++ticksSinceHeartbeat >= raft.settings.heartbeatTicks()) {
+            heartbeatDue = true;
         }
-        if (heir != 0 && ++heirTicks >= raft.settings.electionTicks()) {
-            heir = 0;
+        if (transferTarget != 0 && ++transferTicks >= raft.settings.electionTicks()) {
+            transferTarget = 0;
         }
-        if (++sinceLook >= raft.settings.electionTicks()) {
-            sinceLook = 0;
-            if (!raft.log.members().most(p -> p == raft.id || peers.get(p).active)) {
-                raft.follow(raft.term(), 0);
+        if (++ticksSinceQuorumCheck >= raft.settings.electionTicks()) {
+            ticksSinceQuorumCheck = 0;
+            if (!raft.log.configuration().hasMajority(p -> p == raft.id || peers.get(p).active)) {
+                raft.becomeFollower(raft.term(), 0);
                 return;
             }
             peers.values().forEach(p -> p.active = false);
         }
-        raft.patient();
+        raft.resetElectionTimer();
     }
 
     // ---- Answers ------------------------------------------------------------
@@ -119,32 +119,32 @@
             return;
         }
         p.active = true;
-        if (m instanceof Message.Appended a) {
+        if (m instanceof Message.AppendResponse a) {
             p.round = Math.max(p.round, a.round());
             if (a.ok()) {
                 p.holds(a.index());
-                committed();
+                advanceCommit();
             } else {
-                parted(p, a);
+                onMismatch(p, a);
             }
-        } else if (m instanceof Message.Installed i) {
+        } else if (m instanceof Message.InstallResponse i) {
             p.round = Math.max(p.round, i.round());
-            if (p.how == Progress.How.SNAPSHOT && p.snapshot.index() == i.index()) {
+            if (p.mode == Progress.Mode.SNAPSHOT && p.snapshot.index() == i.index()) {
                 p.offset = (int) Math.min(i.held(), p.snapshot.state().length);
                 p.waiting = false;
             }
         }
-        answerReads();
+        answerConfirmedReads();
     }
 
     /** Its log is another one at that index. */
-    private void parted(Progress p, Message.Appended a) {
-        if (p.how == Progress.How.STREAM) {
+    private void onMismatch(Progress p, Message.AppendResponse a) {
+        if (p.mode == Progress.Mode.REPLICATE) {
             if (a.index() > p.match) {
                 p.probe();
             }
-        } else if (p.how == Progress.How.PROBE && p.next - 1 == a.index()) {
-            long same = raft.log.noLaterThan(a.hint(), a.hintTerm());
+        } else if (p.mode == Progress.Mode.PROBE && p.next - 1 == a.index()) {
+            long same = raft.log.lastIndexNotAfterTerm(a.hint(), a.hintTerm());
             p.next = Math.max(p.match, Math.min(a.index() - 1, same)) + 1;
             p.waiting = false;
         }
@@ -152,54 +152,54 @@
 
     @Override
     void written() {
-        committed();
-        answerReads();
+        advanceCommit();
+        answerConfirmedReads();
     }
 
-    private void committed() {
-        long reached = raft.log.members().reached(this::heldBy);
-        if (reached > raft.log.commit() && raft.mayCommit(reached) && raft.log.commit(reached)) {
-            List<Long> waited = List.copyOf(early);
-            early.clear();
+    private void advanceCommit() {
+        long reached = raft.log.configuration().majorityIndex(this::matchIndex);
+        if (reached > raft.log.commitIndex() && raft.mayCommit(reached) && raft.log.commitTo(reached)) {
+            List<Long> waited = List.copyOf(readsBeforeFirstCommit);
+            readsBeforeFirstCommit.clear();
             waited.forEach(this::read);
-            if (!raft.log.members().votes(raft.id) && raft.membersSettled()) {
-                leaveTo();
+            if (!raft.log.configuration().votes(raft.id) && raft.configurationCommitted()) {
+                stepDown();
             }
         }
     }
 
     /** Those who vote from now on have one that holds all: it is told to lead, and this one leads no more. */
-    private void leaveTo() {
+    private void stepDown() {
         flush();
-        raft.log.members().voters().stream()
-                .filter(v -> heldBy(v) >= raft.log.commit())
+        raft.log.configuration().voters().stream()
+                .filter(v -> matchIndex(v) >= raft.log.commitIndex())
                 .findFirst()
-                .ifPresent(v -> raft.send(v, new Message.Now(raft.id, raft.term())));
-        raft.follow(raft.term(), 0);
+                .ifPresent(v -> raft.send(v, new Message.TimeoutNow(raft.id, raft.term())));
+        raft.becomeFollower(raft.term(), 0);
     }
 
     // ---- Reads ------------------------------------------------------------
 
     @Override
     void read(long token) {
-        if (raft.log.term(raft.log.commit()) != raft.term()) {
-            early.add(token);
+        if (raft.log.term(raft.log.commitIndex()) != raft.term()) {
+            readsBeforeFirstCommit.add(token);
             return;
         }
-        askedFor = true;
-        reads.add(new Asked(token, raft.log.commit(), round + 1));
+        readRoundDue = true;
+        reads.add(new PendingRead(token, raft.log.commitIndex(), round + 1));
     }
 
     /** Those whose round a majority has answered: nobody else led when they came. */
-    private void answerReads() {
+    private void answerConfirmedReads() {
         while (!reads.isEmpty()
                 && raft.log
-                        .members()
-                        .most(v -> v == raft.id
+                        .configuration()
+                        .hasMajority(v -> v == raft.id
                                 ? reads.peek().round() <= round
                                 : peers.get(v).round >= reads.peek().round())) {
-            Asked a = reads.poll();
-            raft.tell(new Output.Read(a.token(), a.index()));
+            PendingRead a = reads.poll();
+            raft.output(new Output.ReadReady(a.token(), a.index()));
         }
     }
 
@@ -207,12 +207,12 @@
 
     @Override
     boolean transfer(long to) {
-        if (to == raft.id || !raft.log.members().votes(to)) {
+        if (to == raft.id || !raft.log.configuration().votes(to)) {
             return false;
         }
-        heir = to;
-        heirTicks = 0;
-        heirTold = false;
+        transferTarget = to;
+        transferTicks = 0;
+        transferSent = false;
         return true;
     }
 
@@ -220,60 +220,66 @@
 
     @Override
     void flush() {
-        if (beat || askedFor) {
+        if (heartbeatDue || readRoundDue) {
             round++;
-            sinceBeat = beat ? 0 : sinceBeat;
-            askedFor = false;
+            ticksSinceHeartbeat = heartbeatDue ? 0 : ticksSinceHeartbeat;
+            readRoundDue = false;
         }
         peers.forEach((id, p) -> send(id, p));
-        beat = false;
-        Progress next = peers.get(heir);
-        if (next != null && !heirTold && next.match == raft.log.last()) {
-            heirTold = true;
-            raft.send(heir, new Message.Now(raft.id, raft.term()));
+        heartbeatDue = false;
+        Progress next = peers.get(transferTarget);
+        if (next != null && !transferSent && next.match == raft.log.lastIndex()) {
+            transferSent = true;
+            raft.send(transferTarget, new Message.TimeoutNow(raft.id, raft.term()));
         }
-        answerReads();
+        answerConfirmedReads();
     }
 
     private void send(long to, Progress p) {
-        if (beat) {
+        if (heartbeatDue) {
             // What was on its way may be lost.
             p.waiting = false;
         }
-        if (p.how != Progress.How.SNAPSHOT && p.next < raft.log.first()) {
+        if (p.mode != Progress.Mode.SNAPSHOT && p.next < raft.log.firstIndex()) {
             p.send(raft.log.snapshot());
         }
-        if (p.how == Progress.How.SNAPSHOT) {
-            piece(to, p);
+        if (p.mode == Progress.Mode.SNAPSHOT) {
+            sendSnapshot(to, p);
             return;
         }
         boolean sent = false;
-        while (!p.waiting && p.inFlight.size() < raft.settings.inFlight() && p.next <= raft.log.last()) {
-            List<Entry> some = raft.log.from(p.next, raft.settings.messageBytes());
-            append(to, p, some);
+        while (!p.waiting && p.inFlight.size() < raft.settings.inFlight() && p.next <= raft.log.lastIndex()) {
+            List<LogEntry> entries = raft.log.entriesFrom(p.next, raft.settings.messageBytes());
+            sendEntries(to, p, entries);
             sent = true;
-            if (p.how == Progress.How.STREAM) {
-                p.next += some.size();
+            if (p.mode == Progress.Mode.REPLICATE) {
+                p.next += entries.size();
                 p.inFlight.add(p.next - 1);
             } else {
                 p.waiting = true;
             }
         }
-        if (!sent && (p.roundSent < round || p.commitSent < Math.min(raft.log.commit(), p.match))) {
-            append(to, p, List.of());
+        if (!sent && (p.roundSent < round || p.commitSent < Math.min(raft.log.commitIndex(), p.match))) {
+            sendEntries(to, p, List.of());
         }
     }
 
-    private void append(long to, Progress p, List<Entry> some) {
+    private void sendEntries(long to, Progress p, List<LogEntry> entries) {
         p.roundSent = round;
-        p.commitSent = raft.log.commit();
+        p.commitSent = raft.log.commitIndex();
         raft.send(
                 to,
-                new Message.Append(
-                        raft.id, raft.term(), p.next - 1, raft.log.term(p.next - 1), some, raft.log.commit(), round));
+                new Message.AppendEntries(
+                        raft.id,
+                        raft.term(),
+                        p.next - 1,
+                        raft.log.term(p.next - 1),
+                        entries,
+                        raft.log.commitIndex(),
+                        round));
     }
 
-    private void piece(long to, Progress p) {
+    private void sendSnapshot(long to, Progress p) {
         if (p.waiting && p.roundSent == round) {
             return;
         }
@@ -281,12 +287,12 @@
         int end = Math.min(state.length, p.offset + raft.settings.messageBytes());
         raft.send(
                 to,
-                new Message.Install(
+                new Message.InstallSnapshot(
                         raft.id,
                         raft.term(),
                         p.snapshot.index(),
                         p.snapshot.term(),
-                        p.snapshot.members(),
+                        p.snapshot.configuration(),
                         state.length,
                         p.offset,
                         Arrays.copyOfRange(state, p.offset, end),
--- a/src/main/java/pepperdock/store/raft/Log.java
+++ b/src/main/java/pepperdock/store/raft/Log.java
@@ -12,11 +12,11 @@
  */
 final class Log {
 
-    private static final class Handed {
+    private static final class PendingWrite {
         private final long write;
         private long to;
 
-        Handed(long write, long to) {
+        PendingWrite(long write, long to) {
             this.write = write;
             this.to = to;
         }
@@ -26,24 +26,24 @@
     private long base;
 
     private long baseTerm;
-    private final List<Entry> entries = new ArrayList<>();
-    private final TreeMap<Long, Members> members = new TreeMap<>();
+    private final List<LogEntry> entries = new ArrayList<>();
+    private final TreeMap<Long, Configuration> configurations = new TreeMap<>();
     private Snapshot snapshot;
-    private long commit;
-    private long applied;
-    private long durable;
-    private final List<Handed> handed = new ArrayList<>();
+    private long commitIndex;
+    private long appliedIndex;
+    private long durableIndex;
+    private final List<PendingWrite> pendingWrites = new ArrayList<>();
     /** The first entry that was not handed to the disk; and what it has to cut off first, 0 for nothing. */
-    private long fresh;
+    private long firstUnwritten;
 
-    private long cut;
-    private boolean freshSnapshot;
+    private long truncateFrom;
+    private boolean snapshotUnwritten;
     /** Bytes of what is not committed. */
-    private int open;
+    private int uncommittedBytes;
 
-    Log(Snapshot snapshot, List<Entry> kept) {
+    Log(Snapshot snapshot, List<LogEntry> kept) {
         this.snapshot = snapshot;
-        members.put(snapshot.index(), snapshot.members());
+        configurations.put(snapshot.index(), snapshot.configuration());
         boolean whole = kept.isEmpty() || kept.get(0).index() <= snapshot.index() + 1;
         if (!whole) {
             throw new IllegalArgumentException(
@@ -51,19 +51,19 @@
         }
         base = snapshot.index();
         baseTerm = snapshot.term();
-        for (Entry e : kept) {
+        for (LogEntry e : kept) {
             // Older ones are left behind by a crash between a snapshot and the end of its clearing up.
-            if (e.index() == last() + 1) {
+            if (e.index() == lastIndex() + 1) {
                 add(e);
             }
         }
-        commit = snapshot.index();
-        applied = snapshot.index();
-        durable = last();
-        fresh = last() + 1;
+        commitIndex = snapshot.index();
+        appliedIndex = snapshot.index();
+        durableIndex = lastIndex();
+        firstUnwritten = lastIndex() + 1;
     }
 
-    long last() {
+    long lastIndex() {
         return base + entries.size();
     }
 
@@ -72,7 +72,7 @@
     }
 
     /** The first entry that can still be sent. */
-    long first() {
+    long firstIndex() {
         return base + 1;
     }
 
@@ -80,23 +80,23 @@
     long term(long index) {
         return index == base
                 ? baseTerm
-                : index < base || index > last() ? -1 : get(index).term();
+                : index < base || index > lastIndex() ? -1 : get(index).term();
     }
 
-    Entry get(long index) {
+    LogEntry get(long index) {
         return entries.get((int) (index - base - 1));
     }
 
-    long commit() {
-        return commit;
+    long commitIndex() {
+        return commitIndex;
     }
 
-    long durable() {
-        return durable;
+    long durableIndex() {
+        return durableIndex;
     }
 
-    long applied() {
-        return applied;
+    long appliedIndex() {
+        return appliedIndex;
     }
 
     Snapshot snapshot() {
@@ -104,32 +104,32 @@
     }
 
     /** Those of the newest entry that names any, committed or not. */
-    Members members() {
-        return members.lastEntry().getValue();
+    Configuration configuration() {
+        return configurations.lastEntry().getValue();
     }
 
     /** The index of that entry. */
-    long membersAt() {
-        return members.lastKey();
+    long configurationIndex() {
+        return configurations.lastKey();
     }
 
     /** Those as of an index. */
-    private Members membersAt(long index) {
-        Map.Entry<Long, Members> e = members.floorEntry(index);
-        return e == null ? Members.NONE : e.getValue();
+    private Configuration configurationAt(long index) {
+        Map.Entry<Long, Configuration> e = configurations.floorEntry(index);
+        return e == null ? Configuration.NONE : e.getValue();
     }
 
-    void add(Entry e) {
+    void add(LogEntry e) {
         entries.add(e);
-        open += e.size();
-        if (e.members() != null) {
-            members.put(e.index(), e.members());
+        uncommittedBytes += e.size();
+        if (e.configuration() != null) {
+            configurations.put(e.index(), e.configuration());
         }
     }
 
     /** The largest index up to {@code from} whose term is no later than that one. */
-    long noLaterThan(long from, long term) {
-        long i = Math.min(from, last());
+    long lastIndexNotAfterTerm(long from, long term) {
+        long i = Math.min(from, lastIndex());
         while (i > base && term(i) > term) {
             i--;
         }
@@ -140,19 +140,19 @@
      * Takes entries in that follow on one held here. Those that are here already stay, with all that follows them: the message
      * may be an old one. At the first that differs the rest is replaced.
      */
-    void merge(List<Entry> all) {
-        for (Entry e : all) {
+    void merge(List<LogEntry> all) {
+        for (LogEntry e : all) {
             if (e.index() <= base || term(e.index()) == e.term()) {
                 continue;
             }
-            if (e.index() <= last()) {
-                if (e.index() <= commit) {
+            if (e.index() <= lastIndex()) {
+                if (e.index() <= commitIndex) {
                     throw new IllegalStateException("entry " + e.index() + " is committed, and another is sent for it");
                 }
-                List<Entry> rest = entries.subList((int) (e.index() - base - 1), entries.size());
-                rest.forEach(x -> open -= x.size());
+                List<LogEntry> rest = entries.subList((int) (e.index() - base - 1), entries.size());
+                rest.forEach(x -> uncommittedBytes -= x.size());
                 rest.clear();
-                members.tailMap(e.index(), true).clear();
+                configurations.tailMap(e.index(), true).clear();
                 replacedFrom(e.index());
             }
             add(e);
@@ -160,20 +160,20 @@
     }
 
     private void replacedFrom(long from) {
-        durable = Math.min(durable, from - 1);
-        handed.forEach(h -> h.to = Math.min(h.to, from - 1));
-        if (from < fresh) {
-            cut = cut == 0 ? from : Math.min(cut, from);
-            fresh = from;
+        durableIndex = Math.min(durableIndex, from - 1);
+        pendingWrites.forEach(h -> h.to = Math.min(h.to, from - 1));
+        if (from < firstUnwritten) {
+            truncateFrom = truncateFrom == 0 ? from : Math.min(truncateFrom, from);
+            firstUnwritten = from;
         }
     }
 
     /** Entries from an index on, of so many bytes, but one at least where there is one. */
-    List<Entry> from(long index, int bytes) {
-        List<Entry> some = new ArrayList<>();
+    List<LogEntry> entriesFrom(long index, int bytes) {
+        List<LogEntry> some = new ArrayList<>();
         int sum = 0;
-        for (long i = index; i <= last(); i++) {
-            Entry e = get(i);
+        for (long i = index; i <= lastIndex(); i++) {
+            LogEntry e = get(i);
             sum += e.size();
             if (sum > bytes && !some.isEmpty()) {
                 break;
@@ -183,58 +183,59 @@
         return some;
     }
 
-    int uncommitted() {
-        return open;
+    int uncommittedBytes() {
+        return uncommittedBytes;
     }
 
     /** Nothing is ever taken back from what is committed. Returns whether there is more of it now. */
-    boolean commit(long index) {
-        long to = Math.min(index, last());
-        if (to <= commit) {
+    boolean commitTo(long index) {
+        long to = Math.min(index, lastIndex());
+        if (to <= commitIndex) {
             return false;
         }
-        for (long i = commit + 1; i <= to; i++) {
-            open -= get(i).size();
+        for (long i = commitIndex + 1; i <= to; i++) {
+            uncommittedBytes -= get(i).size();
         }
-        commit = to;
+        commitIndex = to;
         return true;
     }
 
     /** What is to be applied now: committed, and on this disk. */
-    List<Entry> toApply() {
-        long to = Math.min(commit, durable);
-        if (to <= applied) {
+    List<LogEntry> toApply() {
+        long to = Math.min(commitIndex, durableIndex);
+        if (to <= appliedIndex) {
             return List.of();
         }
-        List<Entry> some = List.copyOf(entries.subList((int) (applied - base), (int) (to - base)));
-        applied = to;
+        List<LogEntry> some = List.copyOf(entries.subList((int) (appliedIndex - base), (int) (to - base)));
+        appliedIndex = to;
         return some;
     }
 
     // ---- The disk ------------------------------------------------------------
 
-    boolean anythingFresh() {
-        return fresh <= last() || cut > 0 || freshSnapshot;
+    boolean hasUnwritten() {
+        return firstUnwritten <= lastIndex() || truncateFrom > 0 || snapshotUnwritten;
     }
 
     /** What is not handed to the disk yet, handed to it with this write. */
-    Output.Write hand(long write, Hard hard) {
-        List<Entry> some =
-                fresh > last() ? List.of() : List.copyOf(entries.subList((int) (fresh - base - 1), entries.size()));
-        Output.Write all = new Output.Write(write, hard, freshSnapshot ? snapshot : null, cut, some);
-        if (!some.isEmpty() || freshSnapshot) {
-            handed.add(new Handed(write, last()));
+    Output.Write nextWrite(long write, HardState hardState) {
+        List<LogEntry> some = firstUnwritten > lastIndex()
+                ? List.of()
+                : List.copyOf(entries.subList((int) (firstUnwritten - base - 1), entries.size()));
+        Output.Write all = new Output.Write(write, hardState, snapshotUnwritten ? snapshot : null, truncateFrom, some);
+        if (!some.isEmpty() || snapshotUnwritten) {
+            pendingWrites.add(new PendingWrite(write, lastIndex()));
         }
-        fresh = last() + 1;
-        cut = 0;
-        freshSnapshot = false;
+        firstUnwritten = lastIndex() + 1;
+        truncateFrom = 0;
+        snapshotUnwritten = false;
         return all;
     }
 
     /** All writes up to this one are synced. */
     void written(long write) {
-        while (!handed.isEmpty() && handed.get(0).write <= write) {
-            durable = Math.max(durable, handed.remove(0).to);
+        while (!pendingWrites.isEmpty() && pendingWrites.get(0).write <= write) {
+            durableIndex = Math.max(durableIndex, pendingWrites.remove(0).to);
         }
     }
 
@@ -242,12 +243,12 @@
 
     /** What was applied up to an index has come to this; entries well before it are let go. */
     void compact(long index, byte[] state, int kept) {
-        if (index <= snapshot.index() || index > applied) {
+        if (index <= snapshot.index() || index > appliedIndex) {
             throw new IllegalArgumentException(
-                    "snapshot of " + index + ", with " + snapshot.index() + " held and " + applied + " applied");
+                    "snapshot of " + index + ", with " + snapshot.index() + " held and " + appliedIndex + " applied");
         }
-        snapshot = new Snapshot(index, term(index), membersAt(index), state);
-        freshSnapshot = true;
+        snapshot = new Snapshot(index, term(index), configurationAt(index), state);
+        snapshotUnwritten = true;
         long to = index - kept;
         if (to > base) {
             long term = term(to);
@@ -255,26 +256,26 @@
             base = to;
             baseTerm = term;
         }
-        Members then = membersAt(index);
-        members.headMap(index, true).clear();
-        members.put(index, then);
+        Configuration then = configurationAt(index);
+        configurations.headMap(index, true).clear();
+        configurations.put(index, then);
     }
 
     /** Puts another's snapshot in place of all there is. */
     void restore(Snapshot s) {
         entries.clear();
-        members.clear();
-        members.put(s.index(), s.members());
+        configurations.clear();
+        configurations.put(s.index(), s.configuration());
         base = s.index();
         baseTerm = s.term();
         snapshot = s;
-        commit = s.index();
-        applied = s.index();
-        handed.clear();
-        durable = 0;
-        fresh = s.index() + 1;
-        cut = 1;
-        freshSnapshot = true;
-        open = 0;
+        commitIndex = s.index();
+        appliedIndex = s.index();
+        pendingWrites.clear();
+        durableIndex = 0;
+        firstUnwritten = s.index() + 1;
+        truncateFrom = 1;
+        snapshotUnwritten = true;
+        uncommittedBytes = 0;
     }
 }
--- a/src/main/java/pepperdock/store/raft/Entry.java
+++ b/src/main/java/pepperdock/store/raft/LogEntry.java
@@ -4,9 +4,9 @@
  * One place in the log. Either {@code data}, or who takes part from here on, or neither: a leader's first entry.
  *
  * @param index counted from 1
- * @param members in force as soon as a log has it, committed or not; null in all other entries
+ * @param configuration in force as soon as a log has it, committed or not; null in all other entries
  */
-public record Entry(long index, long term, byte[] data, Members members) {
+public record LogEntry(long index, long term, byte[] data, Configuration configuration) {
 
     static final byte[] EMPTY = new byte[0];
     private static final int HEAD = 32;
@@ -14,6 +14,8 @@
 
     /** Bytes that it takes up, about. */
     public int size() {
-        return HEAD + data.length + (members == null ? 0 : PEER * members.all().size());
+        return HEAD
+                + data.length
+                + (configuration == null ? 0 : PEER * configuration.peers().size());
     }
 }
--- a/src/main/java/pepperdock/store/raft/Output.java
+++ b/src/main/java/pepperdock/store/raft/Output.java
@@ -15,20 +15,21 @@
      *
      * @param cut whatever was held from this index on is void, also where no entries follow; 0 where nothing is
      */
-    record Write(long number, Hard hard, Snapshot snapshot, long cut, List<Entry> entries) implements Output {}
+    record Write(long number, HardState hardState, Snapshot snapshot, long cut, List<LogEntry> entries)
+            implements Output {}
 
     /** Committed, and on this disk: to be applied, once each and in this order. */
-    record Apply(List<Entry> entries) implements Output {}
+    record Apply(List<LogEntry> entries) implements Output {}
 
     /** Takes the place of all that was applied. */
     record Restore(Snapshot snapshot) implements Output {}
 
     /** This peer's part, its term and its leader (0 where it knows none) have changed. */
-    record Role(Standing standing, long term, long leader) implements Output {}
+    record StateChange(PeerState state, long term, long leader) implements Output {}
 
     /** A read asked for may be answered once entries up to this index are applied. */
-    record Read(long token, long index) implements Output {}
+    record ReadReady(long token, long index) implements Output {}
 
     /** It can't be answered here: this peer does not lead, or no longer. */
-    record Unread(long token) implements Output {}
+    record ReadRejected(long token) implements Output {}
 }
--- a/src/main/java/pepperdock/store/raft/Saved.java
+++ b/src/main/java/pepperdock/store/raft/PersistedState.java
@@ -6,7 +6,7 @@
  * What a disk holds when a process starts: the last of each that was written and synced. Entries follow on each other, and
  * begin no later than right after the snapshot.
  */
-public record Saved(Hard hard, Snapshot snapshot, List<Entry> entries) {
+public record PersistedState(HardState hardState, Snapshot snapshot, List<LogEntry> entries) {
 
-    public static final Saved NOTHING = new Saved(new Hard(0, 0), Snapshot.NONE, List.of());
+    public static final PersistedState NOTHING = new PersistedState(new HardState(0, 0), Snapshot.NONE, List.of());
 }
--- a/src/main/java/pepperdock/store/raft/Progress.java
+++ b/src/main/java/pepperdock/store/raft/Progress.java
@@ -7,16 +7,16 @@
 final class Progress {
 
     /** How a leader sends to a peer. */
-    enum How {
+    enum Mode {
         /** Where the logs part is not known: one message at a time. */
         PROBE,
         /** Message after message, without waiting. */
-        STREAM,
+        REPLICATE,
         /** It lacks what is not kept any more: pieces of a snapshot. */
         SNAPSHOT
     }
 
-    How how = How.PROBE;
+    Mode mode = Mode.PROBE;
     /** Known to be held, and the next to be sent. */
     long match;
 
@@ -40,7 +40,7 @@
     }
 
     void probe() {
-        how = How.PROBE;
+        mode = Mode.PROBE;
         next = match + 1;
         waiting = false;
         inFlight.clear();
@@ -48,7 +48,7 @@
     }
 
     void send(Snapshot s) {
-        how = How.SNAPSHOT;
+        mode = Mode.SNAPSHOT;
         snapshot = s;
         offset = 0;
         waiting = false;
@@ -65,8 +65,8 @@
         while (!inFlight.isEmpty() && inFlight.peek() <= match) {
             inFlight.poll();
         }
-        if (how == How.PROBE || how == How.SNAPSHOT && match >= snapshot.index()) {
-            how = How.STREAM;
+        if (mode == Mode.PROBE || mode == Mode.SNAPSHOT && match >= snapshot.index()) {
+            mode = Mode.REPLICATE;
             next = match + 1;
             waiting = false;
             snapshot = null;
--- a/src/main/java/pepperdock/store/raft/Raft.java
+++ b/src/main/java/pepperdock/store/raft/Raft.java
@@ -24,47 +24,47 @@
  */
 public class Raft {
 
-    private record Later(long write, Runnable then) {}
+    private record AfterSync(long write, Runnable then) {}
 
-    final Settings settings;
+    final RaftSettings settings;
     final Log log;
     final Random chance;
     final long id;
     private Role role;
     private long term;
-    private long vote;
+    private long votedFor;
     private long leader;
     /** Ticks since there was last a sign of a leader, or a vote was given. */
-    private int quiet;
+    private int ticksSinceLeader;
 
-    private int patience;
-    private boolean hardFresh;
-    private long writes;
-    private long synced;
+    private int electionTimeoutTicks;
+    private boolean hardStateDirty;
+    private long lastWrite;
+    private long lastSynced;
     /** What may be said only once the state that it speaks of is synced; those of the write to come are in the second. */
-    private final Deque<Later> later = new ArrayDeque<>();
+    private final Deque<AfterSync> awaitingSync = new ArrayDeque<>();
 
-    private final List<Runnable> fresh = new ArrayList<>();
+    private final List<Runnable> deferred = new ArrayList<>();
     private final List<Output> outputs = new ArrayList<>();
-    private Output.Role told;
+    private Output.StateChange lastStateChange;
     /** A snapshot that comes in pieces. */
-    private Message.Install coming;
+    private Message.InstallSnapshot incomingSnapshot;
 
-    private byte[] pieces;
-    private int held;
+    private byte[] snapshotBytes;
+    private int snapshotReceived;
 
     /** {@code saved} is what this peer's disk holds, and {@code id} the disk's. */
-    public Raft(long id, Settings settings, Saved saved, long seed) {
+    public Raft(long id, RaftSettings settings, PersistedState saved, long seed) {
         if (id == 0) {
             throw new IllegalArgumentException("0 is nobody's id");
         }
         this.id = id;
         this.settings = settings;
         chance = new Random(seed);
-        term = saved.hard().term();
-        vote = saved.hard().vote();
+        term = saved.hardState().term();
+        votedFor = saved.hardState().votedFor();
         log = new Log(saved.snapshot(), saved.entries());
-        told = new Output.Role(Standing.FOLLOWER, term, 0);
+        lastStateChange = new Output.StateChange(PeerState.FOLLOWER, term, 0);
         become(new Follower(this));
     }
 
@@ -74,8 +74,8 @@
         return id;
     }
 
-    public Standing standing() {
-        return role.standing();
+    public PeerState state() {
+        return role.state();
     }
 
     public long term() {
@@ -88,25 +88,25 @@
     }
 
     /** Who takes part, as of the newest entry here that says so. */
-    public Members members() {
-        return log.members();
+    public Configuration configuration() {
+        return log.configuration();
     }
 
     /** Whether that entry is committed. */
-    public boolean membersSettled() {
-        return log.membersAt() <= log.commit();
+    public boolean configurationCommitted() {
+        return log.configurationIndex() <= log.commitIndex();
     }
 
-    public long commit() {
-        return log.commit();
+    public long commitIndex() {
+        return log.commitIndex();
     }
 
-    public long applied() {
-        return log.applied();
+    public long appliedIndex() {
+        return log.appliedIndex();
     }
 
-    public long last() {
-        return log.last();
+    public long lastIndex() {
+        return log.lastIndex();
     }
 
     public long lastTerm() {
@@ -119,50 +119,55 @@
     }
 
     /** Of a peer, what the leader knows that it holds; -1 where this one does not lead or does not know the peer. */
-    public long heldBy(long peer) {
-        return role instanceof Leader l ? l.heldBy(peer) : -1;
+    public long matchIndex(long peer) {
+        return role instanceof Leader l ? l.matchIndex(peer) : -1;
     }
 
     // ---- What the caller does ------------------------------------------------------------
 
     public void tick() {
-        quiet++;
+        ticksSinceLeader++;
         role.tick();
     }
 
     public void received(Message m) {
-        if (role.standing() == Standing.MUTE) {
+        if (role.state() == PeerState.STORAGE_FAILED) {
             return;
         }
         if (m.term() > term) {
-            if (m instanceof Message.AskVote a && !a.told() && leader != 0 && quiet < settings.electionTicks()) {
+            if (m instanceof Message.RequestVote a
+                    && !a.told()
+                    && leader != 0
+                    && ticksSinceLeader < settings.electionTicks()) {
                 // Whoever hears a leader helps nobody to another one.
                 return;
             }
-            boolean hypothetical =
-                    m instanceof Message.AskVote a && a.pre() || m instanceof Message.Vote v && v.pre() && v.granted();
+            boolean hypothetical = m instanceof Message.RequestVote a && a.pre()
+                    || m instanceof Message.VoteResponse v && v.pre() && v.granted();
             if (!hypothetical) {
-                follow(m.term(), m instanceof Message.Append || m instanceof Message.Install ? m.from() : 0);
+                becomeFollower(
+                        m.term(),
+                        m instanceof Message.AppendEntries || m instanceof Message.InstallSnapshot ? m.from() : 0);
             }
         } else if (m.term() < term) {
-            if (m instanceof Message.Append || m instanceof Message.Install) {
+            if (m instanceof Message.AppendEntries || m instanceof Message.InstallSnapshot) {
                 // A leader that was away gives up when it hears of the newer term.
-                say(m.from(), new Message.Appended(id, term, false, 0, 0, 0, 0));
-            } else if (m instanceof Message.AskVote a && a.pre()) {
-                say(m.from(), new Message.Vote(id, term, true, false));
+                sendOnceSynced(m.from(), new Message.AppendResponse(id, term, false, 0, 0, 0, 0));
+            } else if (m instanceof Message.RequestVote a && a.pre()) {
+                sendOnceSynced(m.from(), new Message.VoteResponse(id, term, true, false));
             }
             return;
         }
-        if (m instanceof Message.AskVote a) {
-            asked(a);
-        } else if (m instanceof Message.Append a) {
-            leads(a.from());
-            append(a);
-        } else if (m instanceof Message.Install i) {
-            leads(i.from());
-            install(i);
-        } else if (m instanceof Message.Now) {
-            if (log.members().votes(id)) {
+        if (m instanceof Message.RequestVote a) {
+            onRequestVote(a);
+        } else if (m instanceof Message.AppendEntries a) {
+            onLeader(a.from());
+            onAppendEntries(a);
+        } else if (m instanceof Message.InstallSnapshot i) {
+            onLeader(i.from());
+            onInstallSnapshot(i);
+        } else if (m instanceof Message.TimeoutNow) {
+            if (log.configuration().votes(id)) {
                 become(new Candidate(this, false, true));
             }
         } else {
@@ -172,23 +177,23 @@
 
     /** All writes up to this one are synced. */
     public void written(long number) {
-        if (role.standing() == Standing.MUTE || number <= synced) {
+        if (role.state() == PeerState.STORAGE_FAILED || number <= lastSynced) {
             return;
         }
-        synced = number;
+        lastSynced = number;
         log.written(number);
-        while (!later.isEmpty() && later.peek().write() <= synced) {
-            later.poll().then().run();
+        while (!awaitingSync.isEmpty() && awaitingSync.peek().write() <= lastSynced) {
+            awaitingSync.poll().then().run();
         }
         role.written();
     }
 
     /** A write or a sync failed: what is on the disk is not known, so nothing is promised from here on. */
     public void failed() {
-        later.clear();
-        fresh.clear();
+        awaitingSync.clear();
+        deferred.clear();
         leader = 0;
-        become(new Mute(this));
+        become(new StorageFailed(this));
     }
 
     /** Adds an entry; returns its index, or 0 where this peer does not lead or has too much open already. */
@@ -200,11 +205,11 @@
      * Changes who takes part; returns the entry's index, or 0 where this peer does not lead, the change before is not committed
      * yet, or more than one vote would change.
      */
-    public long change(Members to) {
-        return mayChange(to) ? role.propose(Entry.EMPTY, to) : 0;
+    public long change(Configuration to) {
+        return mayChangeTo(to) ? role.propose(LogEntry.EMPTY, to) : 0;
     }
 
-    /** Answered by {@link Output.Read} or {@link Output.Unread} with the same token. */
+    /** Answered by {@link Output.ReadReady} or {@link Output.ReadRejected} with the same token. */
     public void read(long token) {
         role.read(token);
     }
@@ -216,36 +221,36 @@
 
     /** What was applied up to here has come to this; peers that lack more than is kept will get it in place of entries. */
     public void compact(long index, byte[] state) {
-        if (role.standing() != Standing.MUTE) {
+        if (role.state() != PeerState.STORAGE_FAILED) {
             log.compact(index, state, settings.kept());
         }
     }
 
     /** What is to be done since the last call, in order. */
-    public List<Output> taken() {
+    public List<Output> takeOutputs() {
         do {
             role.flush();
-            if (role.standing() != Standing.MUTE && (hardFresh || log.anythingFresh())) {
-                outputs.add(log.hand(++writes, hardFresh ? new Hard(term, vote) : null));
-                hardFresh = false;
+            if (role.state() != PeerState.STORAGE_FAILED && (hardStateDirty || log.hasUnwritten())) {
+                outputs.add(log.nextWrite(++lastWrite, hardStateDirty ? new HardState(term, votedFor) : null));
+                hardStateDirty = false;
             }
-            List<Runnable> now = List.copyOf(fresh);
-            fresh.clear();
+            List<Runnable> now = List.copyOf(deferred);
+            deferred.clear();
             for (Runnable r : now) {
-                if (writes <= synced) {
+                if (lastWrite <= lastSynced) {
                     r.run();
                 } else {
-                    later.add(new Later(writes, r));
+                    awaitingSync.add(new AfterSync(lastWrite, r));
                 }
             }
-        } while (!fresh.isEmpty());
-        List<Entry> apply = log.toApply();
+        } while (!deferred.isEmpty());
+        List<LogEntry> apply = log.toApply();
         if (!apply.isEmpty()) {
             outputs.add(new Output.Apply(apply));
         }
-        Output.Role is = new Output.Role(role.standing(), term, leader);
-        if (!is.equals(told)) {
-            told = is;
+        Output.StateChange is = new Output.StateChange(role.state(), term, leader);
+        if (!is.equals(lastStateChange)) {
+            lastStateChange = is;
             outputs.add(is);
         }
         List<Output> all = List.copyOf(outputs);
@@ -260,48 +265,48 @@
             role.ends();
         }
         role = next;
-        quiet = 0;
-        patience = settings.electionTicks() + chance.nextInt(settings.electionTicks());
+        ticksSinceLeader = 0;
+        electionTimeoutTicks = settings.electionTicks() + chance.nextInt(settings.electionTicks());
         next.begins();
     }
 
     /** A newer term begins, or the present one goes on under a leader. */
-    final void follow(long newTerm, long newLeader) {
+    final void becomeFollower(long newTerm, long newLeader) {
         if (newTerm > term) {
             term = newTerm;
-            vote = 0;
-            hardFresh = true;
+            votedFor = 0;
+            hardStateDirty = true;
         }
         leader = newLeader;
         become(new Follower(this));
     }
 
     /** Opens a new term with a vote for oneself. */
-    final void candidacy() {
+    final void startNewTerm() {
         term++;
-        vote = id;
+        votedFor = id;
         leader = 0;
-        hardFresh = true;
+        hardStateDirty = true;
     }
 
-    final void leadsItself() {
+    final void setLeaderToSelf() {
         leader = id;
     }
 
-    final boolean isNow(Role r) {
+    final boolean isCurrent(Role r) {
         return role == r;
     }
 
-    final boolean impatient() {
-        return quiet >= patience;
+    final boolean electionTimedOut() {
+        return ticksSinceLeader >= electionTimeoutTicks;
     }
 
-    final void forgetLeader() {
+    final void clearLeader() {
         leader = 0;
     }
 
-    final void patient() {
-        quiet = 0;
+    final void resetElectionTimer() {
+        ticksSinceLeader = 0;
     }
 
     /** To be sent at once: it speaks of nothing that this disk has to hold. */
@@ -310,15 +315,15 @@
     }
 
     /** To be sent, or done, once all that holds now is synced. */
-    final void say(long to, Message m) {
+    final void sendOnceSynced(long to, Message m) {
         onceSynced(() -> send(to, m));
     }
 
     final void onceSynced(Runnable r) {
-        fresh.add(r);
+        deferred.add(r);
     }
 
-    final void tell(Output o) {
+    final void output(Output o) {
         outputs.add(o);
     }
 
@@ -333,10 +338,10 @@
     }
 
     /** Whether the members may change to these now (thesis, 4.1, and the correction of 2015: not before an entry of this term). */
-    protected boolean mayChange(Members to) {
-        return membersSettled()
-                && log.term(log.commit()) == term
-                && log.members().apart(to) <= 1
+    protected boolean mayChangeTo(Configuration to) {
+        return configurationCommitted()
+                && log.term(log.commitIndex()) == term
+                && log.configuration().votersChanged(to) <= 1
                 && !to.voters().isEmpty();
     }
 
@@ -344,82 +349,87 @@
      * Whether all that a snapshot stands for is here already: then what follows it here stays. It may be newer than the
      * snapshot, and promised to be held.
      */
-    protected boolean stays(long index, long indexTerm) {
-        return index <= log.commit() || log.term(index) == indexTerm;
+    protected boolean coversSnapshot(long index, long indexTerm) {
+        return index <= log.commitIndex() || log.term(index) == indexTerm;
     }
 
     // ---- A follower's side, whatever the role was ------------------------------------------------------------
 
-    private void asked(Message.AskVote a) {
-        boolean may = vote == a.from() || vote == 0 && leader == 0 || a.pre() && a.term() > term;
+    private void onRequestVote(Message.RequestVote a) {
+        boolean may = votedFor == a.from() || votedFor == 0 && leader == 0 || a.pre() && a.term() > term;
         boolean upToDate =
-                a.lastTerm() > log.lastTerm() || a.lastTerm() == log.lastTerm() && a.lastIndex() >= log.last();
+                a.lastTerm() > log.lastTerm() || a.lastTerm() == log.lastTerm() && a.lastIndex() >= log.lastIndex();
         boolean granted = may && upToDate;
         if (granted && !a.pre()) {
-            patient();
-            if (vote == 0) {
-                vote = a.from();
-                hardFresh = true;
+            resetElectionTimer();
+            if (votedFor == 0) {
+                votedFor = a.from();
+                hardStateDirty = true;
             }
         }
-        say(a.from(), new Message.Vote(id, granted && a.pre() ? a.term() : term, a.pre(), granted));
+        sendOnceSynced(a.from(), new Message.VoteResponse(id, granted && a.pre() ? a.term() : term, a.pre(), granted));
     }
 
     /** Someone speaks as this term's leader. */
-    private void leads(long from) {
-        if (role.standing() != Standing.FOLLOWER) {
+    private void onLeader(long from) {
+        if (role.state() != PeerState.FOLLOWER) {
             become(new Follower(this));
         }
         leader = from;
-        patient();
+        resetElectionTimer();
     }
 
-    private void append(Message.Append a) {
-        if (a.prevIndex() < log.commit() && a.prevIndex() < log.first() - 1) {
+    private void onAppendEntries(Message.AppendEntries a) {
+        if (a.prevIndex() < log.commitIndex() && a.prevIndex() < log.firstIndex() - 1) {
             // Older than what is held: all of that is committed, so it is the same.
-            say(a.from(), new Message.Appended(id, term, true, log.commit(), 0, 0, a.round()));
+            sendOnceSynced(a.from(), new Message.AppendResponse(id, term, true, log.commitIndex(), 0, 0, a.round()));
             return;
         }
         if (log.term(a.prevIndex()) != a.prevTerm()) {
-            long hint = log.noLaterThan(Math.min(a.prevIndex() - 1, log.last()), a.prevTerm());
-            say(a.from(), new Message.Appended(id, term, false, a.prevIndex(), hint, log.term(hint), a.round()));
+            long hint = log.lastIndexNotAfterTerm(Math.min(a.prevIndex() - 1, log.lastIndex()), a.prevTerm());
+            sendOnceSynced(
+                    a.from(),
+                    new Message.AppendResponse(id, term, false, a.prevIndex(), hint, log.term(hint), a.round()));
             return;
         }
         log.merge(a.entries());
         long same = a.prevIndex() + a.entries().size();
-        log.commit(Math.min(a.commit(), same));
-        say(a.from(), new Message.Appended(id, term, true, same, 0, 0, a.round()));
-    }
-
-    private void install(Message.Install i) {
-        if (stays(i.index(), i.indexTerm())) {
-            log.commit(i.index());
-            coming = null;
-            say(i.from(), new Message.Appended(id, term, true, Math.max(log.commit(), i.index()), 0, 0, i.round()));
+        log.commitTo(Math.min(a.leaderCommit(), same));
+        sendOnceSynced(a.from(), new Message.AppendResponse(id, term, true, same, 0, 0, a.round()));
+    }
+
+    private void onInstallSnapshot(Message.InstallSnapshot i) {
+        if (coversSnapshot(i.index(), i.indexTerm())) {
+            log.commitTo(i.index());
+            incomingSnapshot = null;
+            sendOnceSynced(
+                    i.from(),
+                    new Message.AppendResponse(
+                            id, term, true, Math.max(log.commitIndex(), i.index()), 0, 0, i.round()));
             return;
         }
-        if (coming == null
-                || coming.index() != i.index()
-                || coming.indexTerm() != i.indexTerm()
-                || coming.total() != i.total()
-                || coming.term() != i.term()) {
-            coming = i;
-            pieces = new byte[(int) i.total()];
-            held = 0;
+        if (incomingSnapshot == null
+                || incomingSnapshot.index() != i.index()
+                || incomingSnapshot.indexTerm() != i.indexTerm()
+                || incomingSnapshot.total() != i.total()
+                || incomingSnapshot.term() != i.term()) {
+            incomingSnapshot = i;
+            snapshotBytes = new byte[(int) i.total()];
+            snapshotReceived = 0;
         }
-        if (i.offset() == held) {
-            System.arraycopy(i.piece(), 0, pieces, held, i.piece().length);
-            held += i.piece().length;
+        if (i.offset() == snapshotReceived) {
+            System.arraycopy(i.piece(), 0, snapshotBytes, snapshotReceived, i.piece().length);
+            snapshotReceived += i.piece().length;
         }
-        if (held < i.total()) {
-            say(i.from(), new Message.Installed(id, term, i.index(), held, i.round()));
+        if (snapshotReceived < i.total()) {
+            sendOnceSynced(i.from(), new Message.InstallResponse(id, term, i.index(), snapshotReceived, i.round()));
             return;
         }
-        Snapshot s = new Snapshot(i.index(), i.indexTerm(), i.members(), pieces);
-        coming = null;
-        pieces = null;
+        Snapshot s = new Snapshot(i.index(), i.indexTerm(), i.configuration(), snapshotBytes);
+        incomingSnapshot = null;
+        snapshotBytes = null;
         log.restore(s);
-        tell(new Output.Restore(s));
-        say(i.from(), new Message.Appended(id, term, true, s.index(), 0, 0, i.round()));
+        output(new Output.Restore(s));
+        sendOnceSynced(i.from(), new Message.AppendResponse(id, term, true, s.index(), 0, 0, i.round()));
     }
 }
--- a/src/main/java/pepperdock/store/raft/Settings.java
+++ b/src/main/java/pepperdock/store/raft/RaftSettings.java
@@ -11,10 +11,10 @@
  * @param uncommittedBytes of entries that are not committed, at most; more are turned away
  * @param kept entries kept behind a snapshot, for peers that are a little late
  */
-public record Settings(
+public record RaftSettings(
         int electionTicks, int heartbeatTicks, int messageBytes, int inFlight, int uncommittedBytes, int kept) {
 
-    public static Settings defaults() {
-        return new Settings(10, 2, 64 << 10, 32, 4 << 20, 1000);
+    public static RaftSettings defaults() {
+        return new RaftSettings(10, 2, 64 << 10, 32, 4 << 20, 1000);
     }
 }
--- a/src/main/java/pepperdock/store/raft/Role.java
+++ b/src/main/java/pepperdock/store/raft/Role.java
@@ -9,7 +9,7 @@
         this.raft = raft;
     }
 
-    abstract Standing standing();
+    abstract PeerState state();
 
     /** Called once, when the part is taken. */
     void begins() {}
@@ -27,12 +27,12 @@
     /** Before outputs are taken: whatever is sent together. */
     void flush() {}
 
-    long propose(byte[] data, Members members) {
+    long propose(byte[] data, Configuration configuration) {
         return 0;
     }
 
     void read(long token) {
-        raft.tell(new Output.Unread(token));
+        raft.output(new Output.ReadRejected(token));
     }
 
     boolean transfer(long to) {
--- a/src/main/java/pepperdock/store/raft/Mute.java
+++ b/src/main/java/pepperdock/store/raft/StorageFailed.java
@@ -1,15 +1,15 @@
 package pepperdock.store.raft;
 
 /** Its disk has failed. */
-final class Mute extends Role {
+final class StorageFailed extends Role {
 
-    Mute(Raft raft) {
+    StorageFailed(Raft raft) {
         super(raft);
     }
 
     @Override
-    Standing standing() {
-        return Standing.MUTE;
+    PeerState state() {
+        return PeerState.STORAGE_FAILED;
     }
 
     @Override
--- a/src/test/java/pepperdock/lab/keepers/ExplorerTest.java
+++ b/src/test/java/pepperdock/lab/raft/ExplorerTest.java
@@ -1,4 +1,4 @@
-package pepperdock.lab.keepers;
+package pepperdock.lab.raft;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -9,18 +9,18 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import pepperdock.store.raft.Hard;
-import pepperdock.store.raft.Members;
+import pepperdock.store.raft.Configuration;
+import pepperdock.store.raft.HardState;
 import pepperdock.store.raft.Message;
+import pepperdock.store.raft.PeerState;
+import pepperdock.store.raft.PersistedState;
 import pepperdock.store.raft.Raft;
-import pepperdock.store.raft.Saved;
-import pepperdock.store.raft.Settings;
-import pepperdock.store.raft.Standing;
+import pepperdock.store.raft.RaftSettings;
 
 /** Consensus among crashes, lost disks, cuts and changes: nothing is found, but where a fault is planted. */
 class ExplorerTest {
 
-    private static final Settings SETTINGS = new Settings(5, 1, 48, 4, 4096, 1);
+    private static final RaftSettings SETTINGS = new RaftSettings(5, 1, 48, 4, 4096, 1);
     private static final int STEPS = 3000;
 
     private static List<Explorer.Walk> walks(LongFunction<World> worlds, Explorer.Mix mix, int seeds, int steps) {
@@ -36,7 +36,7 @@
     void nothingIsFound(Explorer.Mix mix, int processes, int voters) {
         List<Explorer.Walk> walks = walks(seed -> new World(processes, voters, SETTINGS, seed), mix, 200, STEPS);
         for (Explorer.Walk w : walks) {
-            assertEquals(List.of(), w.found(), "seed " + w.seed());
+            assertEquals(List.of(), w.violations(), "seed " + w.seed());
         }
         long[] sums = new long[3];
         walks.forEach(w -> {
@@ -59,7 +59,7 @@
             private int syncs;
 
             @Override
-            protected Raft machine(long id, Settings of, Saved saved, long chance) {
+            protected Raft newRaft(long id, RaftSettings of, PersistedState saved, long chance) {
                 return new Raft(id, of, saved, chance) {
                     @Override
                     protected boolean mayCommit(long index) {
@@ -67,25 +67,26 @@
                     }
 
                     @Override
-                    protected boolean mayChange(Members to) {
+                    protected boolean mayChangeTo(Configuration to) {
                         return fault.equals("two changes at once")
                                 ? !to.voters().isEmpty()
-                                : super.mayChange(to);
+                                : super.mayChangeTo(to);
                     }
 
                     @Override
-                    protected boolean stays(long index, long indexTerm) {
+                    protected boolean coversSnapshot(long index, long indexTerm) {
                         return fault.equals("a snapshot over newer entries")
-                                ? index <= commit()
-                                : super.stays(index, indexTerm);
+                                ? index <= commitIndex()
+                                : super.coversSnapshot(index, indexTerm);
                     }
                 };
             }
 
             @Override
-            protected Saved found(Saved synced) {
+            protected PersistedState persisted(PersistedState synced) {
                 return fault.equals("no durable vote")
-                        ? new Saved(new Hard(synced.hard().term(), 0), synced.snapshot(), synced.entries())
+                        ? new PersistedState(
+                                new HardState(synced.hardState().term(), 0), synced.snapshot(), synced.entries())
                         : synced;
             }
 
@@ -103,8 +104,8 @@
             protected void read(Raft raft, long token) {
                 if (!fault.equals("a read from a deposed leader")) {
                     raft.read(token);
-                } else if (raft.standing() == Standing.LEADER) {
-                    answered(token, raft.commit());
+                } else if (raft.state() == PeerState.LEADER) {
+                    answered(token, raft.commitIndex());
                 }
             }
         };
@@ -121,24 +122,24 @@
     void aPlantedFaultIsFound(String fault, Explorer.Mix mix, int seeds, int steps, String as) {
         List<Explorer.Walk> walks = walks(seed -> planted(fault, seed), mix, seeds, steps);
         assertTrue(
-                walks.stream().anyMatch(w -> w.found().stream().anyMatch(f -> f.contains(as))),
+                walks.stream().anyMatch(w -> w.violations().stream().anyMatch(f -> f.contains(as))),
                 walks.stream()
-                        .flatMap(w -> w.found().stream())
+                        .flatMap(w -> w.violations().stream())
                         .distinct()
                         .limit(20)
                         .toList()
                         .toString());
     }
 
-    private static void all(World w, Step.Kind kind, int... slots) {
-        for (int s : slots) {
+    private static void all(World w, Step.Kind kind, int... nodes) {
+        for (int s : nodes) {
             w.take(new Step(kind, s, 0));
         }
     }
 
     /** Has one lead, by these others' votes and whatever it takes. */
     private static void elect(World w, int candidate, int... voters) {
-        for (int i = 0; i < 12 && w.standing(candidate) != Standing.LEADER; i++) {
+        for (int i = 0; i < 12 && w.state(candidate) != PeerState.LEADER; i++) {
             if (i % 3 == 0) {
                 // Whoever still hears a leader helps nobody to another.
                 all(w, Step.Kind.HASTE, voters);
@@ -147,13 +148,13 @@
             }
             all(w, Step.Kind.SYNC, candidate);
             for (int v : voters) {
-                w.pass(Step.Kind.DELIVER, candidate, v, Message.AskVote.class, m -> true);
+                w.pass(Step.Kind.DELIVER, candidate, v, Message.RequestVote.class, m -> true);
                 all(w, Step.Kind.SYNC, v, v);
-                w.pass(Step.Kind.DELIVER, v, candidate, Message.Vote.class, m -> true);
+                w.pass(Step.Kind.DELIVER, v, candidate, Message.VoteResponse.class, m -> true);
             }
             all(w, Step.Kind.SYNC, candidate);
         }
-        assertEquals(Standing.LEADER, w.standing(candidate));
+        assertEquals(PeerState.LEADER, w.state(candidate));
         all(w, Step.Kind.SYNC, candidate, candidate);
     }
 
@@ -163,7 +164,7 @@
     void anOlderTermsEntryIsNotCommittedByCountingItsCopies(String fault, int findings) {
         World w = planted(fault, 1);
         elect(w, 0, 1, 2);
-        w.pass(Step.Kind.DELIVER, 0, 1, Message.Append.class, m -> true);
+        w.pass(Step.Kind.DELIVER, 0, 1, Message.AppendEntries.class, m -> true);
         all(w, Step.Kind.SYNC, 1, 0);
         all(w, Step.Kind.AGAIN, 0);
         elect(w, 4, 2, 3);
@@ -171,19 +172,19 @@
         elect(w, 0, 1, 2);
         for (int follower : new int[] {2, 3}) {
             for (int i = 0; i < 2; i++) {
-                w.pass(Step.Kind.DELIVER, 0, follower, Message.Append.class, m -> m.term() >= 3);
+                w.pass(Step.Kind.DELIVER, 0, follower, Message.AppendEntries.class, m -> m.term() >= 3);
                 all(w, Step.Kind.SYNC, follower, follower);
-                w.pass(Step.Kind.DELIVER, follower, 0, Message.Appended.class, m -> m.term() >= 3);
+                w.pass(Step.Kind.DELIVER, follower, 0, Message.AppendResponse.class, m -> m.term() >= 3);
             }
         }
         all(w, Step.Kind.AGAIN, 0);
         elect(w, 4, 2, 3);
         assertEquals(
                 findings,
-                w.found().stream()
+                w.violations().stream()
                         .filter(f -> f.contains("has not what was committed"))
                         .count(),
-                w.found().toString());
+                w.violations().toString());
         assertTrue(w.counts()[0] >= 3, "leaders: " + w.counts()[0]);
     }
 
@@ -195,9 +196,9 @@
         elect(w, 0, 1, 2);
         for (int f = 1; f <= 2; f++) {
             for (int i = 0; i < 3; i++) {
-                w.pass(Step.Kind.DELIVER, 0, f, Message.Append.class, m -> true);
+                w.pass(Step.Kind.DELIVER, 0, f, Message.AppendEntries.class, m -> true);
                 all(w, Step.Kind.SYNC, f, f);
-                w.pass(Step.Kind.DELIVER, f, 0, Message.Appended.class, m -> true);
+                w.pass(Step.Kind.DELIVER, f, 0, Message.AppendResponse.class, m -> true);
             }
         }
         all(w, Step.Kind.PROPOSE, 0, 0, 0, 0);
@@ -208,40 +209,40 @@
                     Step.Kind.DELIVER,
                     0,
                     2,
-                    Message.Append.class,
-                    m -> !((Message.Append) m).entries().isEmpty());
+                    Message.AppendEntries.class,
+                    m -> !((Message.AppendEntries) m).entries().isEmpty());
             all(w, Step.Kind.SYNC, 2);
-            w.pass(Step.Kind.DELIVER, 2, 0, Message.Appended.class, m -> true);
+            w.pass(Step.Kind.DELIVER, 2, 0, Message.AppendResponse.class, m -> true);
         }
         all(w, Step.Kind.COMPACT, 0);
         // This one gets the third before the first, says so, and then gets them all, up to the fourth.
         w.take(new Step(Step.Kind.TICK, 2, 0));
-        w.pass(Step.Kind.TWICE, 0, 1, Message.Append.class, m -> ((Message.Append) m).prevIndex() == 3);
+        w.pass(Step.Kind.TWICE, 0, 1, Message.AppendEntries.class, m -> ((Message.AppendEntries) m).prevIndex() == 3);
         for (int prev = 1; prev <= 4; prev++) {
             int at = prev;
             w.pass(
                     Step.Kind.DELIVER,
                     0,
                     1,
-                    Message.Append.class,
-                    m -> ((Message.Append) m).prevIndex() == at
-                            && !((Message.Append) m).entries().isEmpty());
+                    Message.AppendEntries.class,
+                    m -> ((Message.AppendEntries) m).prevIndex() == at
+                            && !((Message.AppendEntries) m).entries().isEmpty());
         }
-        w.pass(Step.Kind.DELIVER, 1, 0, Message.Appended.class, m -> !((Message.Appended) m).ok());
-        w.pass(Step.Kind.DELIVER, 0, 1, Message.Install.class, m -> true);
+        w.pass(Step.Kind.DELIVER, 1, 0, Message.AppendResponse.class, m -> !((Message.AppendResponse) m).ok());
+        w.pass(Step.Kind.DELIVER, 0, 1, Message.InstallSnapshot.class, m -> true);
         all(w, Step.Kind.SYNC, 1, 1, 1, 1, 1, 1);
         for (int i = 0; i < 6; i++) {
-            w.pass(Step.Kind.DELIVER, 1, 0, Message.Appended.class, m -> ((Message.Appended) m).ok());
+            w.pass(Step.Kind.DELIVER, 1, 0, Message.AppendResponse.class, m -> ((Message.AppendResponse) m).ok());
         }
         assertEquals(5, w.counts()[1], "committed, by the leader and this one");
         all(w, Step.Kind.CRASH, 0);
         elect(w, 1, 2);
         assertEquals(
                 findings,
-                w.found().stream()
+                w.violations().stream()
                         .filter(f -> f.contains("has not what was committed"))
                         .count(),
-                w.found().toString());
+                w.violations().toString());
     }
 
     @Test
@@ -249,15 +250,15 @@
         Explorer explorer = new Explorer(seed -> planted("a read from a deposed leader", seed), Explorer.Mix.ALL);
         Explorer.Walk failing = LongStream.rangeClosed(1, 600)
                 .mapToObj(s -> explorer.walk(s, STEPS))
-                .filter(w -> !w.found().isEmpty())
+                .filter(w -> !w.violations().isEmpty())
                 .findFirst()
                 .orElseThrow();
-        Explorer.Walk shorter = explorer.shorter(failing);
+        Explorer.Walk shortened = explorer.shortened(failing);
         assertTrue(
-                shorter.steps().size() < failing.steps().size() / 2,
-                shorter.steps().size() + " of " + failing.steps().size());
+                shortened.steps().size() < failing.steps().size() / 2,
+                shortened.steps().size() + " of " + failing.steps().size());
         List<Step> read =
-                shorter.steps().stream().map(s -> Step.read(s.toString())).toList();
-        assertEquals(shorter.found(), explorer.play(failing.seed(), read).found());
+                shortened.steps().stream().map(s -> Step.read(s.toString())).toList();
+        assertEquals(shortened.violations(), explorer.play(failing.seed(), read).violations());
     }
 }
