Name the operators' endpoint, its metrics and the locks of an upgrade by what they do

Door is OperatorEndpoint (its Desk Operations), Lives ProcessLocks, Beside UpgradePeer, FigureText MetricsText. Calls, texts and files on disk stay.

--- a/src/main/java/pepperdock/Drain.java
+++ b/src/main/java/pepperdock/Drain.java
@@ -4,7 +4,7 @@
 import pepperdock.core.Gatherer;
 import pepperdock.net.HttpServer;
 import pepperdock.net.Loop;
-import pepperdock.operator.Beside;
+import pepperdock.operator.UpgradePeer;
 
 /**
  * The planned end, on SIGTERM: what was taken is finished, what still arrives is answered, and the program is gone before
@@ -40,14 +40,14 @@
     private final List<HttpServer> servers;
     private final Gatherer core;
     private final Runnable leave;
-    private final Beside beside;
+    private final UpgradePeer otherProcess;
     private boolean begun;
     private boolean stopped;
     private double quietSince = Double.NaN;
 
     /** {@code leave} tells others that this one goes, before all else. */
-    Drain(Loop loop, List<HttpServer> servers, Gatherer core, Beside beside, Runnable leave) {
-        this.beside = beside;
+    Drain(Loop loop, List<HttpServer> servers, Gatherer core, UpgradePeer otherProcess, Runnable leave) {
+        this.otherProcess = otherProcess;
         this.leave = leave;
         this.loop = loop;
         this.servers = servers;
@@ -82,17 +82,17 @@
             // A turn of the loop later: what was read just now has been refused and written.
             loop.after(LOOK_S, () -> end("with {0} in hand"));
         });
-        beside.look(() -> begin(now + killS - CLOSE_S));
+        otherProcess.refresh(() -> begin(now + killS - CLOSE_S));
     }
 
     /** As soon as it is known whether clients have another process to go to. */
     private void begin(double closedAt) {
-        if (beside.anotherServes()) {
+        if (otherProcess.otherProcessServes()) {
             // Whoever connects from now on is the other's; whoever is here is sent there with its next reply.
             LOG.log(System.Logger.Level.INFO, "another process serves on, no new connections here");
             servers.forEach(HttpServer::drain);
             servers.forEach(HttpServer::handOver);
-            beside.handOver();
+            otherProcess.handOver();
             whenDone(closedAt);
         } else {
             loop.after(STILL_COMING_S, () -> whenDone(closedAt));
--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -30,8 +30,8 @@
 import pepperdock.net.Loop;
 import pepperdock.opensearch.SearchBackend;
 import pepperdock.opensearch.SearchFront;
-import pepperdock.operator.Beside;
 import pepperdock.operator.Operator;
+import pepperdock.operator.UpgradePeer;
 import pepperdock.planner.PlannerThread;
 import pepperdock.platform.Front;
 import pepperdock.platform.Warmup;
@@ -213,7 +213,7 @@
                 ? null
                 : new SearchFront(config.site(), config.openSearch(), core, loop, search);
         Runnable fronts = () -> servers.addAll(listen(config, loop, front, searchFront));
-        if (operator == null || !operator.beside()) {
+        if (operator == null || !operator.otherProcess()) {
             fronts.run();
         }
         Site[] site = {config.site()};
@@ -242,7 +242,7 @@
                         loop,
                         servers,
                         core,
-                        operator == null ? Beside.NOBODY : operator,
+                        operator == null ? UpgradePeer.NONE : operator,
                         base.members() == null ? () -> {} : base.members()::leave)
                 .onSignal();
         Runnable begin = () -> {
@@ -258,7 +258,7 @@
                 operate(operator, config, loop, core);
             }
             core.listed(ListKind.HELD, config.known().hosts());
-            if (operator == null || !operator.beside()) {
+            if (operator == null || !operator.otherProcess()) {
                 begin.run();
             } else {
                 whenAsked(
@@ -301,8 +301,9 @@
 
     /** What two processes of one gatherer share between them, and the operators' address. */
     private static void operate(Operator operator, Config config, Loop loop, Gatherer core) {
-        operator.whenAnotherServes(core::beside);
-        operator.whenBeside(another -> loop.shareSockets(another, (loop.wholeCap() - OTHER_DESCRIPTORS) / 2));
+        operator.whenOtherServingChanges(core::beside);
+        operator.whenOtherProcessChanges(
+                another -> loop.shareSockets(another, (loop.wholeCap() - OTHER_DESCRIPTORS) / 2));
         try {
             operator.start(config.operator());
         } catch (IOException e) {
--- a/src/main/java/pepperdock/operator/Bans.java
+++ b/src/main/java/pepperdock/operator/Bans.java
@@ -22,12 +22,12 @@
     private final Map<String, Change> unwritten = new LinkedHashMap<>();
 
     private final Map<Long, Change> asked = new LinkedHashMap<>();
-    private long no;
+    private long changeNumber;
 
     /** Takes what is asked; returns its number for {@link #written}. */
     long ask(String worker, boolean out) {
-        asked.put(++no, new Change(worker, out));
-        return no;
+        asked.put(++changeNumber, new Change(worker, out));
+        return changeNumber;
     }
 
     /** What was asked under a number is written, and this is the state since; null where it could not be written. */
--- a/src/main/java/pepperdock/operator/FigureText.java
+++ b/src/main/java/pepperdock/operator/MetricsText.java
@@ -4,10 +4,10 @@
 import pepperdock.core.Figures.End;
 import pepperdock.core.Gatherer;
 
-/** The one place that knows how figures are written: a line {@code svc.NAME=VALUE} each, those of a class {@code svc.NAME.CLASS}. */
-final class FigureText {
+/** The one place that knows how metrics are written: a line {@code svc.NAME=VALUE} each, those of a class {@code svc.NAME.CLASS}. */
+final class MetricsText {
 
-    private FigureText() {}
+    private MetricsText() {}
 
     static String of(Gatherer core, long loads, long loadErrors) {
         Figures f = core.figures();
--- a/src/main/java/pepperdock/operator/Operator.java
+++ b/src/main/java/pepperdock/operator/Operator.java
@@ -19,7 +19,7 @@
  * What operators have to do with a running gatherer: their address, the bans, and the other process of an upgrade. State is
  * the loop's; the disk is a thread's of its own, which hands back what it read.
  */
-public final class Operator implements Door.Desk, Beside {
+public final class Operator implements OperatorEndpoint.Operations, UpgradePeer {
 
     private static final System.Logger LOG = System.getLogger("pepperdock.operator");
     /** Out of the descriptors that are kept spare; whoever waits without a whole call gives way to the next. */
@@ -29,31 +29,31 @@
 
     private static final int BODY_MOST = 4096;
     /** Calls that may wait for a disk that stands still. */
-    private static final int WAITING_MOST = 100;
+    private static final int PENDING_MOST = 100;
     /** How often the disk is asked for another process and for its bans: word of leaving has a grace of five times that. */
-    private static final long LOOK_MS = 100;
+    private static final long REFRESH_MS = 100;
 
     private final Loop loop;
     private final Gatherer core;
     private final BooleanSupplier ready;
     private final Bans bans = new Bans();
-    private final List<Consumer<Boolean>> besides = new ArrayList<>();
-    private final List<Consumer<Boolean>> serving = new ArrayList<>();
+    private final List<Consumer<Boolean>> otherProcessListeners = new ArrayList<>();
+    private final List<Consumer<Boolean>> otherServingListeners = new ArrayList<>();
     /** All three null where there is no folder for the state. */
     private final BanFile file;
 
-    private final Lives lives;
-    private final ScheduledExecutorService disk;
-    private boolean beside;
-    private boolean serves;
+    private final ProcessLocks locks;
+    private final ScheduledExecutorService diskThread;
+    private boolean otherProcess;
+    private boolean otherServes;
     private boolean handedOver;
     private long loads;
     private long loadErrors;
     /** The disk thread's. */
-    private boolean seenBeside;
+    private boolean lastSeenOther;
 
-    private boolean seenServing;
-    private Set<String> seenBans;
+    private boolean lastSeenServing;
+    private Set<String> lastSeenBans;
     private boolean failing;
 
     /** {@code folder} is null where nothing outlives this process; {@code ready} says whether it takes queries. */
@@ -62,31 +62,31 @@
         this.core = core;
         this.ready = ready;
         file = folder == null ? null : new BanFile(folder);
-        lives = folder == null ? null : new Lives(folder);
+        locks = folder == null ? null : new ProcessLocks(folder);
         if (folder == null) {
             LOG.log(
                     System.Logger.Level.WARNING,
                     "TMPDIR not set: bans last as long as this process, upgrades are not noticed");
-            disk = null;
+            diskThread = null;
             return;
         }
-        seenBeside = lives.another();
-        if (!seenBeside) {
-            lives.serve();
+        lastSeenOther = locks.otherLives();
+        if (!lastSeenOther) {
+            locks.holdServing();
         }
-        seenServing = lives.anotherServes();
-        serves = seenServing;
-        seenBans = file.read();
-        beside = seenBeside;
-        bans.read(seenBans);
-        if (beside || !seenBans.isEmpty()) {
+        lastSeenServing = locks.otherProcessServes();
+        otherServes = lastSeenServing;
+        lastSeenBans = file.read();
+        otherProcess = lastSeenOther;
+        bans.read(lastSeenBans);
+        if (otherProcess || !lastSeenBans.isEmpty()) {
             LOG.log(
                     System.Logger.Level.INFO,
                     "{0}, {1} workers disabled",
-                    beside ? "another process of this gatherer serves" : "no other process of this gatherer",
-                    seenBans.size());
+                    otherProcess ? "another process of this gatherer serves" : "no other process of this gatherer",
+                    lastSeenBans.size());
         }
-        disk = Executors.newSingleThreadScheduledExecutor(task -> {
+        diskThread = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread t = new Thread(task, "operator");
             t.setDaemon(true);
             return t;
@@ -96,31 +96,32 @@
     /** Opens the address and begins to look for another process; on the loop's thread, before the first list is told. */
     public void start(InetSocketAddress at) throws IOException {
         core.ban(bans.inForce());
-        if (beside) {
-            besides.forEach(then -> then.accept(true));
+        if (otherProcess) {
+            otherProcessListeners.forEach(then -> then.accept(true));
         }
-        if (serves) {
-            serving.forEach(then -> then.accept(true));
+        if (otherServes) {
+            otherServingListeners.forEach(then -> then.accept(true));
         }
-        if (disk != null) {
-            var unused = disk.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        if (diskThread != null) {
+            var unused =
+                    diskThread.scheduleWithFixedDelay(this::refresh, REFRESH_MS, REFRESH_MS, TimeUnit.MILLISECONDS);
         }
-        HttpServer server =
-                new HttpServer(loop, at, Loop.Kind.APART, CALL_S, BODY_MOST, () -> CALLERS_MOST, new Door(this));
+        HttpServer server = new HttpServer(
+                loop, at, Loop.Kind.APART, CALL_S, BODY_MOST, () -> CALLERS_MOST, new OperatorEndpoint(this));
         LOG.log(System.Logger.Level.INFO, "operators are served on {0}", server.address());
     }
 
     /** Tells the other process that this one takes queries from now on, then goes on with that, on the loop's thread. */
     public void serve(Runnable then) {
-        onDisk(lives::serve, then);
+        onDiskThread(locks::holdServing, then);
     }
 
     @Override
-    public void look(Runnable then) {
-        if (disk == null) {
+    public void refresh(Runnable then) {
+        if (diskThread == null) {
             then.run();
         } else {
-            onDisk(this::look, then);
+            onDiskThread(this::refresh, then);
         }
     }
 
@@ -128,8 +129,8 @@
         void run() throws IOException;
     }
 
-    private void onDisk(Step step, Runnable then) {
-        disk.execute(() -> {
+    private void onDiskThread(Step step, Runnable then) {
+        diskThread.execute(() -> {
             try {
                 step.run();
             } catch (IOException e) {
@@ -143,30 +144,30 @@
     }
 
     @Override
-    public boolean anotherServes() {
-        return serves;
+    public boolean otherProcessServes() {
+        return otherServes;
     }
 
     /** Whether another process of this gatherer lives now. */
-    public boolean beside() {
-        return beside;
+    public boolean otherProcess() {
+        return otherProcess;
     }
 
     /** Tells, on the loop's thread, of each change of that, and of the state at the start where there is another. */
-    public void whenBeside(Consumer<Boolean> then) {
-        besides.add(then);
+    public void whenOtherProcessChanges(Consumer<Boolean> then) {
+        otherProcessListeners.add(then);
     }
 
     /** The same of whether another takes new queries: one that was told to end lives on for a while, and has no part then. */
-    public void whenAnotherServes(Consumer<Boolean> then) {
-        serving.add(then);
+    public void whenOtherServingChanges(Consumer<Boolean> then) {
+        otherServingListeners.add(then);
     }
 
     @Override
     public void handOver() {
         handedOver = true;
         core.handOver();
-        onDisk(lives::handOver, () -> {});
+        onDiskThread(locks::releaseServing, () -> {});
     }
 
     /** A configuration file was taken, or turned down. */
@@ -178,16 +179,16 @@
         }
     }
 
-    private void look() {
+    private void refresh() {
         try {
-            boolean another = lives.another();
-            boolean anotherServes = lives.anotherServes();
+            boolean another = locks.otherLives();
+            boolean otherProcessServes = locks.otherProcessServes();
             Set<String> state = file.read();
-            if (another != seenBeside || anotherServes != seenServing || !state.equals(seenBans)) {
-                seenBeside = another;
-                seenServing = anotherServes;
-                seenBans = state;
-                loop.execute(() -> seen(another, anotherServes, state));
+            if (another != lastSeenOther || otherProcessServes != lastSeenServing || !state.equals(lastSeenBans)) {
+                lastSeenOther = another;
+                lastSeenServing = otherProcessServes;
+                lastSeenBans = state;
+                loop.execute(() -> otherStateChanged(another, otherProcessServes, state));
             }
             failing = false;
         } catch (IOException | RuntimeException e) {
@@ -198,22 +199,22 @@
         }
     }
 
-    private void seen(boolean another, boolean anotherServes, Set<String> state) {
+    private void otherStateChanged(boolean another, boolean otherProcessServes, Set<String> state) {
         bans.read(state);
         core.ban(bans.inForce());
-        if (beside != another) {
-            beside = another;
+        if (otherProcess != another) {
+            otherProcess = another;
             LOG.log(
                     System.Logger.Level.INFO,
                     another
                             ? "another process of this gatherer has begun"
                             : "the other process of this gatherer has ended");
-            besides.forEach(then -> then.accept(another));
+            otherProcessListeners.forEach(then -> then.accept(another));
         }
-        if (serves != anotherServes) {
-            serves = anotherServes;
+        if (otherServes != otherProcessServes) {
+            otherServes = otherProcessServes;
             if (!handedOver) {
-                serving.forEach(then -> then.accept(anotherServes));
+                otherServingListeners.forEach(then -> then.accept(otherProcessServes));
             }
         }
     }
@@ -226,8 +227,8 @@
     }
 
     @Override
-    public String figures() {
-        return FigureText.of(core, loads, loadErrors);
+    public String metrics() {
+        return MetricsText.of(core, loads, loadErrors);
     }
 
     @Override
@@ -239,25 +240,25 @@
     @Override
     public void ban(String worker, boolean out, Consumer<String> then) {
         if (out && !bans.inForce().contains(worker) && bans.inForce().size() >= Bans.MOST
-                || bans.waiting() >= WAITING_MOST) {
+                || bans.waiting() >= PENDING_MOST) {
             then.accept("not done: " + bans.inForce().size() + " workers are disabled, " + bans.waiting()
                     + " calls wait for the disk");
             return;
         }
-        long no = bans.ask(worker, out);
+        long changeNumber = bans.ask(worker, out);
         core.ban(bans.inForce());
         LOG.log(System.Logger.Level.INFO, "worker {0} {1} by hand", worker, out ? "disabled" : "enabled");
-        if (disk == null) {
-            bans.written(no, null);
+        if (diskThread == null) {
+            bans.written(changeNumber, null);
             then.accept(null);
             return;
         }
-        disk.execute(() -> {
+        diskThread.execute(() -> {
             Set<String> state = null;
             String failed = null;
             try {
                 state = file.change(worker, out);
-                seenBans = state;
+                lastSeenBans = state;
             } catch (IOException | RuntimeException e) {
                 failed = "in force, but not written down, so lost with this process: " + e;
                 LOG.log(System.Logger.Level.ERROR, "bans not written: {0}", String.valueOf(e));
@@ -265,7 +266,7 @@
             Set<String> now = state;
             String why = failed;
             loop.execute(() -> {
-                bans.written(no, now);
+                bans.written(changeNumber, now);
                 core.ban(bans.inForce());
                 then.accept(why);
             });
--- a/src/main/java/pepperdock/operator/Door.java
+++ b/src/main/java/pepperdock/operator/OperatorEndpoint.java
@@ -9,14 +9,14 @@
 import pepperdock.net.HttpServer;
 
 /** The operators' calls, one a connection: what each path takes, and what is said of what it does not. */
-final class Door implements HttpServer.Service {
+final class OperatorEndpoint implements HttpServer.Service {
 
     /** What the calls are about; on the loop's thread. */
-    interface Desk {
+    interface Operations {
         /** Whether this process takes queries now. */
         boolean ready();
 
-        String figures();
+        String metrics();
 
         /** Whether a worker of this id has ever stood in the list. */
         boolean knows(String worker);
@@ -29,23 +29,27 @@
     private static final String WORKERS = "/-/workers/";
     private static final int ID_MOST = 256;
 
-    private final Desk desk;
+    private final Operations operations;
 
-    Door(Desk desk) {
-        this.desk = desk;
+    OperatorEndpoint(Operations operations) {
+        this.operations = operations;
     }
 
     @Override
     public Runnable serve(HttpMessage m, HttpServer.Reply reply) throws HttpException {
         String path = m.path();
         if (path.equals("/-/ready")) {
-            if (takes(m, "GET", reply)) {
-                boolean ready = desk.ready();
-                say(reply, ready ? 200 : 503, "", "ready", ready);
+            if (requireMethod(m, "GET", reply)) {
+                boolean ready = operations.ready();
+                respond(reply, ready ? 200 : 503, "", "ready", ready);
             }
         } else if (path.equals("/-/metrics")) {
-            if (takes(m, "GET", reply)) {
-                reply.send(200, "text/plain; charset=utf-8", "", desk.figures().getBytes(StandardCharsets.UTF_8));
+            if (requireMethod(m, "GET", reply)) {
+                reply.send(
+                        200,
+                        "text/plain; charset=utf-8",
+                        "",
+                        operations.metrics().getBytes(StandardCharsets.UTF_8));
             }
         } else if (path.startsWith(WORKERS) && path.endsWith("/disable")) {
             ban(m, path, true, reply);
@@ -58,16 +62,16 @@
     }
 
     private void ban(HttpMessage m, String path, boolean out, HttpServer.Reply reply) throws HttpException {
-        if (!takes(m, "POST", reply)) {
+        if (!requireMethod(m, "POST", reply)) {
             return;
         }
         String worker = worker(path.substring(WORKERS.length(), Math.max(WORKERS.length(), path.lastIndexOf('/'))));
-        if (!desk.knows(worker)) {
+        if (!operations.knows(worker)) {
             throw new HttpException(404, "no worker of that id was ever listed");
         }
-        desk.ban(worker, out, failed -> {
+        operations.ban(worker, out, failed -> {
             if (failed == null) {
-                say(reply, 200, "", "disabled", out);
+                respond(reply, 200, "", "disabled", out);
             } else {
                 malformed(500, failed, reply);
             }
@@ -87,9 +91,9 @@
     }
 
     /** Whether it is that method, with no body; said at once where it is another. */
-    private boolean takes(HttpMessage m, String method, HttpServer.Reply reply) throws HttpException {
+    private boolean requireMethod(HttpMessage m, String method, HttpServer.Reply reply) throws HttpException {
         if (!m.method().equals(method)) {
-            say(reply, 405, "Allow: " + method + "\r\n", "error", "only " + method);
+            respond(reply, 405, "Allow: " + method + "\r\n", "error", "only " + method);
             return false;
         }
         if (m.body().length > 0) {
@@ -100,10 +104,10 @@
 
     @Override
     public void malformed(int status, String why, HttpServer.Reply reply) {
-        say(reply, status, "", "error", why);
+        respond(reply, status, "", "error", why);
     }
 
-    private static void say(HttpServer.Reply reply, int status, String extra, String key, Object value) {
+    private static void respond(HttpServer.Reply reply, int status, String extra, String key, Object value) {
         JsonObject body = new JsonObject();
         if (value instanceof Boolean flag) {
             body.addProperty(key, flag);
--- a/src/main/java/pepperdock/operator/Lives.java
+++ b/src/main/java/pepperdock/operator/ProcessLocks.java
@@ -9,30 +9,31 @@
 
 /**
  * Tells whether another process of this gatherer lives, and whether it serves: each holds the lock of a file of its own for as
- * long as it lives, and of a second one while it takes queries. The system lets go of both whatever end it comes to. A lock belongs to the process, and is gone with the first of its
- * descriptors that is closed: the own file is never opened again.
+ * long as it lives, and of a second one while it takes queries. The system lets go of
+ * both whatever end it comes to. A lock belongs to the process, and is gone with the first of its descriptors that is closed:
+ * the own file is never opened again.
  */
-final class Lives implements AutoCloseable {
+final class ProcessLocks implements AutoCloseable {
 
     /** An upgrade has two processes, and one begun before the last has ended three. */
-    private static final int PLACES = 4;
+    private static final int SLOTS = 4;
 
     private final Path folder;
-    private int place = -1;
-    private FileChannel life;
-    private FileChannel service;
+    private int slot = -1;
+    private FileChannel lifeLock;
+    private FileChannel serviceLock;
 
-    Lives(Path folder) throws IOException {
+    ProcessLocks(Path folder) throws IOException {
         this.folder = folder;
-        for (int i = 0; i < PLACES && place < 0; i++) {
-            life = held("life.", i);
-            if (life != null) {
-                place = i;
+        for (int i = 0; i < SLOTS && slot < 0; i++) {
+            lifeLock = tryHold("life.", i);
+            if (lifeLock != null) {
+                slot = i;
             }
         }
     }
 
-    private FileChannel held(String kind, int i) throws IOException {
+    private FileChannel tryHold(String kind, int i) throws IOException {
         FileChannel c = FileChannel.open(folder.resolve(kind + i), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         if (c.tryLock() != null) {
             return c;
@@ -42,29 +43,29 @@
     }
 
     /** This process takes queries from now on. */
-    void serve() throws IOException {
-        service = place < 0 ? null : held("serves.", place);
+    void holdServing() throws IOException {
+        serviceLock = slot < 0 ? null : tryHold("serves.", slot);
     }
 
     /** This process takes no new queries from now on. */
-    void handOver() throws IOException {
-        if (service != null) {
-            service.close();
+    void releaseServing() throws IOException {
+        if (serviceLock != null) {
+            serviceLock.close();
         }
     }
 
-    boolean another() throws IOException {
-        return taken("life.");
+    boolean otherLives() throws IOException {
+        return heldByOther("life.");
     }
 
-    boolean anotherServes() throws IOException {
-        return taken("serves.");
+    boolean otherProcessServes() throws IOException {
+        return heldByOther("serves.");
     }
 
-    private boolean taken(String kind) throws IOException {
-        for (int i = 0; i < PLACES; i++) {
+    private boolean heldByOther(String kind) throws IOException {
+        for (int i = 0; i < SLOTS; i++) {
             Path at = folder.resolve(kind + i);
-            if (i != place && Files.exists(at)) {
+            if (i != slot && Files.exists(at)) {
                 try (FileChannel c = FileChannel.open(at, StandardOpenOption.WRITE)) {
                     FileLock free = c.tryLock();
                     if (free == null) {
@@ -79,9 +80,9 @@
 
     @Override
     public void close() throws IOException {
-        if (life != null) {
-            life.close();
+        if (lifeLock != null) {
+            lifeLock.close();
         }
-        handOver();
+        releaseServing();
     }
 }
--- a/src/main/java/pepperdock/operator/Beside.java
+++ b/src/main/java/pepperdock/operator/UpgradePeer.java
@@ -1,17 +1,17 @@
 package pepperdock.operator;
 
 /** The other process of an upgrade, as this one's end sees it; on the loop's thread. */
-public interface Beside {
+public interface UpgradePeer {
 
     /** There is none. */
-    Beside NOBODY = new Beside() {
+    UpgradePeer NONE = new UpgradePeer() {
         @Override
-        public void look(Runnable then) {
+        public void refresh(Runnable then) {
             then.run();
         }
 
         @Override
-        public boolean anotherServes() {
+        public boolean otherProcessServes() {
             return false;
         }
 
@@ -19,11 +19,11 @@
         public void handOver() {}
     };
 
-    /** Goes on once {@link #anotherServes} is true to this moment. */
-    void look(Runnable then);
+    /** Goes on once {@link #otherProcessServes} is true to this moment. */
+    void refresh(Runnable then);
 
     /** Whether another process of this gatherer takes queries, as last looked. */
-    boolean anotherServes();
+    boolean otherProcessServes();
 
     /** This process takes no new queries from now on; what it might have sent is the other's to send. */
     void handOver();
--- a/src/test/java/pepperdock/operator/BansTest.java
+++ b/src/test/java/pepperdock/operator/BansTest.java
@@ -89,8 +89,8 @@
     @Test
     void whoIsAloneSeesNobody() throws Exception {
         Files.writeString(folder.resolve("life.1"), "");
-        try (Lives lives = new Lives(folder)) {
-            assertFalse(lives.another());
+        try (ProcessLocks locks = new ProcessLocks(folder)) {
+            assertFalse(locks.otherLives());
         }
     }
 }
--- a/src/test/java/pepperdock/operator/DoorTest.java
+++ b/src/test/java/pepperdock/operator/OperatorEndpointTest.java
@@ -21,12 +21,12 @@
 
 /** The operators' calls on their own address, with no room left for anyone else. */
 @Timeout(60)
-class DoorTest {
+class OperatorEndpointTest {
 
     private static final int CALLERS = 4;
 
     private final List<String> banned = new ArrayList<>();
-    /** No socket counts as free: the door's connections are beside the cap. */
+    /** No socket counts as free: the operators' connections are beside the cap. */
     private final Loop loop = new Loop(0, 1 << 16);
 
     private final HttpServer server = new HttpServer(
@@ -36,14 +36,14 @@
             4,
             4096,
             () -> CALLERS,
-            new Door(new Door.Desk() {
+            new OperatorEndpoint(new OperatorEndpoint.Operations() {
                 @Override
                 public boolean ready() {
                     return banned.isEmpty();
                 }
 
                 @Override
-                public String figures() {
+                public String metrics() {
                     return "svc.loads=0\n";
                 }
 
@@ -59,7 +59,7 @@
                 }
             }));
 
-    DoorTest() throws IOException {}
+    OperatorEndpointTest() throws IOException {}
 
     @AfterEach
     void close() {
