--- a/src/main/java/pepperdock/Rehearsal.java
+++ b/src/main/java/pepperdock/ClassArchiveTraining.java
@@ -14,49 +14,49 @@
 import java.util.Map;
 import pepperdock.config.Config;
 import pepperdock.config.Keys;
-import pepperdock.drill.WireHost;
 import pepperdock.events.Events;
 import pepperdock.frame.Frames;
 import pepperdock.net.Loop;
+import pepperdock.simulator.SimulatorAdapter;
 import pepperdock.store.Store;
 
 /**
- * One short life of the program against stand-ins of its own, on loopback sockets: the build runs it so that the JVM notes
- * which classes a start and the first queries need ({@code -XX:ArchiveClassesAtExit}; JEP 350). Bounded in count, and in
+ * The training run of class data sharing: one short life of the program against stand-ins of its own, on loopback sockets. The
+ * build runs it so that the JVM notes which classes a start and the first queries need ({@code -XX:ArchiveClassesAtExit}; JEP 350). Bounded in count, and in
  * time by the build; a failure ends it with status 1 and leaves no archive, which only makes starts slower.
  */
-final class Rehearsal {
+final class ClassArchiveTraining {
 
-    private static final String FILE = "rehearsal.json";
+    private static final String FILE = "class-archive-training.json";
     private static final int WORKERS = 4;
     /** Enough that each class is sent, answered, sent again on a kept connection, and its code linked. */
     private static final int QUERIES = 12;
 
     private static final int TIMEOUT_MS = 10_000;
     private static final String[] CLASSES = {"search", "report", "adjust"};
-    private static final String DRILL = """
+    private static final String SIMULATOR_INPUT = """
             {"cmd":"Tick","ClockS":1.0,"n":1}
             {"cmd":"Attach","Mixer":0,"Salt":9,"Env":%s}
             {"cmd":"Commit"}
             """;
 
-    private interface Step {
+    private interface Task {
         void run() throws IOException;
     }
 
-    private Rehearsal() {}
+    private ClassArchiveTraining() {}
 
     /** Returns once all queries were answered; the caller ends the JVM. */
     static void run() throws IOException {
         byte[] file;
-        try (InputStream in = Rehearsal.class.getResourceAsStream(FILE)) {
+        try (InputStream in = ClassArchiveTraining.class.getResourceAsStream(FILE)) {
             file = in.readAllBytes();
         }
         Keys whole = Keys.of("", Config.parse(new String(file, StandardCharsets.UTF_8), FILE));
-        drill(whole);
+        attachInstance(whole);
         StringBuilder hosts = new StringBuilder();
         for (int i = 0; i < WORKERS; i++) {
-            int port = listen(Rehearsal::work);
+            int port = listen(ClassArchiveTraining::work);
             hosts.append(i == 0 ? "" : ",")
                     .append("{\"host\":\"s-")
                     .append(i)
@@ -79,11 +79,12 @@
     }
 
     /** The simulator's wire: one instance attached, nothing asked. */
-    private static void drill(Keys whole) {
+    private static void attachInstance(Keys whole) {
         PrintStream nowhere = new PrintStream(new ByteArrayOutputStream(), false, StandardCharsets.UTF_8);
-        new WireHost(
-                        new ByteArrayInputStream(
-                                DRILL.formatted(whole.json("settings")).getBytes(StandardCharsets.UTF_8)),
+        new SimulatorAdapter(
+                        new ByteArrayInputStream(SIMULATOR_INPUT
+                                .formatted(whole.json("settings"))
+                                .getBytes(StandardCharsets.UTF_8)),
                         nowhere,
                         nowhere)
                 .run();
@@ -185,10 +186,10 @@
         return server.getLocalPort();
     }
 
-    private static void start(Step step) {
+    private static void start(Task task) {
         Thread t = new Thread(() -> {
             try {
-                step.run();
+                task.run();
             } catch (IOException e) {
                 // The other side has closed; whether all was answered, the client says.
             }
--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -23,7 +23,6 @@
 import pepperdock.core.Host;
 import pepperdock.core.PooledBackend;
 import pepperdock.dnssd.DnsSd;
-import pepperdock.drill.WireHost;
 import pepperdock.events.Events;
 import pepperdock.members.Members;
 import pepperdock.net.HttpServer;
@@ -37,6 +36,7 @@
 import pepperdock.platform.Warmup;
 import pepperdock.platform.Watch;
 import pepperdock.platform.WorkerPool;
+import pepperdock.simulator.SimulatorAdapter;
 import pepperdock.store.Store;
 
 /** The command line, and the wiring: {@code serve} is one gatherer, {@code drill} the simulator's wire. */
@@ -65,7 +65,7 @@
     public static void main(String[] args) {
         String what = args.length == 1 ? args[0] : "";
         switch (what) {
-            case "drill" -> System.exit(new WireHost(System.in, System.out, System.err).run());
+            case "drill" -> System.exit(new SimulatorAdapter(System.in, System.out, System.err).run());
             case "serve" -> {
                 try {
                     open(System.getenv());
@@ -81,10 +81,10 @@
             }
             case "rehearse" -> {
                 try {
-                    Rehearsal.run();
+                    ClassArchiveTraining.run();
                 } catch (IOException | RuntimeException e) {
                     // Without the archive of this run the program starts more slowly, and that is all.
-                    stop("rehearsal: " + e, 1);
+                    stop("class archive training: " + e, 1);
                 }
                 System.exit(0);
             }
--- a/src/main/java/pepperdock/drill/WireHost.java
+++ b/src/main/java/pepperdock/simulator/SimulatorAdapter.java
@@ -1,4 +1,4 @@
-package pepperdock.drill;
+package pepperdock.simulator;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
@@ -30,7 +30,7 @@
 import pepperdock.config.Site;
 
 /** Translates between JSON lines and {@link Aggregator}: one module per instance, nothing shared between them. */
-public final class WireHost {
+public final class SimulatorAdapter {
 
     private static final Map<String, Aggregator.ListKind> LIST_KINDS = Map.of(
             "D",
@@ -60,7 +60,7 @@
     private long batch;
     private boolean open;
 
-    public WireHost(InputStream in, OutputStream out, PrintStream err) {
+    public SimulatorAdapter(InputStream in, OutputStream out, PrintStream err) {
         this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
         this.err = err;
         this.out = new BufferedWriter(new OutputStreamWriter(out, StandardCharsets.UTF_8), 1 << 16);
--- a/src/test/java/pepperdock/drill/WireHostIT.java
+++ b/src/test/java/pepperdock/simulator/SimulatorAdapterIT.java
@@ -1,4 +1,4 @@
-package pepperdock.drill;
+package pepperdock.simulator;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Drives the built jar over the wire with hand-written lines. */
-class WireHostIT {
+class SimulatorAdapterIT {
 
     private static final String ENV = """
             {"Unknown":1,"Instances":1,"TickS":0.005,"Discovery":"automatic",
--- a/tools/StartBench.java
+++ b/tools/StartBench.java
@@ -70,7 +70,7 @@
         int port = freePort();
         Path config = folder.resolve("config.json");
         String settings;
-        try (InputStream in = Files.newInputStream(Path.of("src/main/resources/pepperdock/rehearsal.json"))) {
+        try (InputStream in = Files.newInputStream(Path.of("src/main/resources/pepperdock/class-archive-training.json"))) {
             String whole = new String(in.readAllBytes(), StandardCharsets.UTF_8);
             settings = whole.substring(whole.indexOf('{', whole.indexOf("\"settings\"")), whole.lastIndexOf('}'));
         }
