Tell names that stood twice apart: StoreCodec, StoreEntry, SimulatedFleet, AddressTranslation

store.Codec and store.Entry stood beside members.Codec and the log's entries, lab.Fleet beside the package lab.fleet; config.Reach said not what it does. The key `reach` and the store's files stay.

--- a/src/main/java/pepperdock/config/Reach.java
+++ b/src/main/java/pepperdock/config/AddressTranslation.java
@@ -9,9 +9,9 @@
  * Where other gatherers are reached from here, where that is not the host that they announce: through a network that
  * translates addresses, a tunnel, or the rig's relay. Announced host to host; ports stay, and hosts not named are as announced.
  */
-public record Reach(Map<InetAddress, InetAddress> hosts) {
+public record AddressTranslation(Map<InetAddress, InetAddress> hosts) {
 
-    static Reach read(Keys all) {
+    static AddressTranslation read(Keys all) {
         Map<InetAddress, InetAddress> hosts = new HashMap<>();
         Keys reach = all.within("reach");
         for (String announced : reach.names()) {
@@ -22,7 +22,7 @@
                     Config.address(reach.key(announced), reach.text(announced) + ":1")
                             .getAddress());
         }
-        return new Reach(Map.copyOf(hosts));
+        return new AddressTranslation(Map.copyOf(hosts));
     }
 
     public InetSocketAddress of(InetSocketAddress announced) {
--- a/src/main/java/pepperdock/config/Config.java
+++ b/src/main/java/pepperdock/config/Config.java
@@ -43,7 +43,7 @@
 
     /** The store's part of a file, which is wanted before the rest; null where there is none. */
     public static StoreConfig store(Keys all) {
-        return all.has("store") ? StoreConfig.read(all.needed("store"), Reach.read(all)) : null;
+        return all.has("store") ? StoreConfig.read(all.needed("store"), AddressTranslation.read(all)) : null;
     }
 
     /** Whether events are written for a rig that judges several gatherers together. */
--- a/src/main/java/pepperdock/config/MembersConfig.java
+++ b/src/main/java/pepperdock/config/MembersConfig.java
@@ -17,7 +17,7 @@
         String zone,
         String machine,
         Settings settings,
-        Reach reach,
+        AddressTranslation reach,
         InetSocketAddress ask) {
 
     private static final double SECONDS_MOST = 86_400;
@@ -70,7 +70,7 @@
                 word(k, "zone", k.text("zone", "-")),
                 word(k, "machine", k.text("machine", "-")),
                 timings(k),
-                Reach.read(all),
+                AddressTranslation.read(all),
                 ask);
     }
 
--- a/src/main/java/pepperdock/config/StoreConfig.java
+++ b/src/main/java/pepperdock/config/StoreConfig.java
@@ -17,7 +17,7 @@
         double retryS,
         int snapshotEvery) {
 
-    static StoreConfig read(Keys keys, Reach reach) {
+    static StoreConfig read(Keys keys, AddressTranslation reach) {
         Map<String, InetSocketAddress> members = new LinkedHashMap<>();
         for (Keys m : keys.objects("members")) {
             if (members.put(m.text("name"), Config.address(m.key("address"), m.text("address"))) != null) {
--- a/src/main/java/pepperdock/lab/Fleet.java
+++ b/src/main/java/pepperdock/lab/SimulatedFleet.java
@@ -22,7 +22,7 @@
 import pepperdock.planner.PlannerThread;
 
 /** A day of a fleet in simulated time: nodes in a ring, gatherers, queries of three classes like the platform's. */
-public final class Fleet {
+public final class SimulatedFleet {
 
     /**
      * What a day is drawn from.
@@ -76,7 +76,7 @@
     private int unanswered;
     private long nextId;
 
-    private Fleet(Day day) {
+    private SimulatedFleet(Day day) {
         this.day = day;
         SplittableRandom root = new SplittableRandom(day.seed());
         SplittableRandom build = root.split();
@@ -139,7 +139,7 @@
 
     /** Plays a day; the same for the same day. */
     public static Result play(Day day) {
-        Fleet fleet = new Fleet(day);
+        SimulatedFleet fleet = new SimulatedFleet(day);
         fleet.clock.advance(day.lengthS() + 10);
         double fullest = fleet.nodes.values().stream()
                 .mapToDouble(n -> n.worked() / CORES / day.lengthS())
--- a/src/main/java/pepperdock/store/Replica.java
+++ b/src/main/java/pepperdock/store/Replica.java
@@ -15,7 +15,7 @@
     private final LogFile file;
     private final int snapshotEvery;
     private final Map<String, byte[]> values = new LinkedHashMap<>();
-    private final List<Entry> tail = new ArrayList<>();
+    private final List<StoreEntry> tail = new ArrayList<>();
     private String lineage = "";
     private long base;
     private long seq;
@@ -26,9 +26,9 @@
         file = folder == null ? null : new LogFile(folder);
         byte[] snapshot = file == null ? null : file.snapshot();
         if (snapshot != null) {
-            install(Codec.snapshot(snapshot));
+            install(StoreCodec.snapshot(snapshot));
             for (byte[] record : file.found()) {
-                Entry e = Codec.entry(ByteBuffer.wrap(record));
+                StoreEntry e = StoreCodec.entry(ByteBuffer.wrap(record));
                 // Entries up to the snapshot are left over when a crash came between the two.
                 if (e.seq() == seq + 1) {
                     apply(e);
@@ -54,12 +54,12 @@
     }
 
     /** Adds the next entry, on disk before this returns. */
-    void append(Entry e) throws IOException {
+    void append(StoreEntry e) throws IOException {
         if (e.seq() != seq + 1) {
             throw new IOException("entry " + e.seq() + " after " + seq);
         }
         if (file != null) {
-            file.append(Codec.entry(e));
+            file.append(StoreCodec.entry(e));
         }
         apply(e);
         if (tail.size() >= 2 * snapshotEvery) {
@@ -68,21 +68,21 @@
     }
 
     /** The entries after a place in the log; null where only a snapshot can bring a member of that log up. */
-    List<Entry> after(String ofLineage, long place) {
+    List<StoreEntry> after(String ofLineage, long place) {
         return !ofLineage.equals(lineage) || place < base || place > seq
                 ? null
                 : List.copyOf(tail.subList((int) (place - base), tail.size()));
     }
 
-    Codec.Snapshot snapshot() {
-        return new Codec.Snapshot(lineage, seq, new LinkedHashMap<>(values));
+    StoreCodec.Snapshot snapshot() {
+        return new StoreCodec.Snapshot(lineage, seq, new LinkedHashMap<>(values));
     }
 
     /** Takes another copy's snapshot in place of all there is. */
-    void restore(Codec.Snapshot s) throws IOException {
+    void restore(StoreCodec.Snapshot s) throws IOException {
         install(s);
         if (file != null) {
-            file.replace(Codec.snapshot(s));
+            file.replace(StoreCodec.snapshot(s));
         }
     }
 
@@ -93,7 +93,7 @@
         }
     }
 
-    private void install(Codec.Snapshot s) {
+    private void install(StoreCodec.Snapshot s) {
         lineage = s.lineage();
         base = s.seq();
         seq = s.seq();
@@ -102,7 +102,7 @@
         tail.clear();
     }
 
-    private void apply(Entry e) {
+    private void apply(StoreEntry e) {
         seq = e.seq();
         tail.add(e);
         if (e.value() == null) {
@@ -114,7 +114,7 @@
 
     private void compact() throws IOException {
         if (file != null) {
-            file.replace(Codec.snapshot(snapshot()));
+            file.replace(StoreCodec.snapshot(snapshot()));
         }
         base = seq;
         tail.clear();
--- a/src/main/java/pepperdock/store/Store.java
+++ b/src/main/java/pepperdock/store/Store.java
@@ -96,7 +96,8 @@
             then.accept(false);
             return;
         }
-        Entry e = new Entry(replica.seq() + 1, key, value == null ? null : value.getBytes(StandardCharsets.UTF_8));
+        StoreEntry e =
+                new StoreEntry(replica.seq() + 1, key, value == null ? null : value.getBytes(StandardCharsets.UTF_8));
         try {
             replica.append(e);
         } catch (IOException failed) {
@@ -105,7 +106,7 @@
             return;
         }
         pending.add(new Pending(e.seq(), then));
-        byte[] frame = Frames.frame(ENTRIES, Codec.entries(List.of(e)));
+        byte[] frame = Frames.frame(ENTRIES, StoreCodec.entries(List.of(e)));
         List.copyOf(followers.keySet()).forEach(c -> c.write(frame));
         told(e.key(), e.value());
         acknowledge();
@@ -183,11 +184,11 @@
                 }
                 names.put(c, words[0]);
                 followers.put(c, -1L);
-                List<Entry> missing = replica.after(words[1], Long.parseLong(words[2]));
+                List<StoreEntry> missing = replica.after(words[1], Long.parseLong(words[2]));
                 c.write(
                         missing == null
-                                ? Frames.frame(SNAPSHOT, Codec.snapshot(replica.snapshot()))
-                                : Frames.frame(ENTRIES, Codec.entries(missing)));
+                                ? Frames.frame(SNAPSHOT, StoreCodec.snapshot(replica.snapshot()))
+                                : Frames.frame(ENTRIES, StoreCodec.entries(missing)));
             } else if (f.letter() == HELD && followers.containsKey(c) && f.rest().length == 8) {
                 followers.put(c, ByteBuffer.wrap(f.rest()).getLong());
                 acknowledge();
@@ -233,12 +234,12 @@
         @Override
         void frame(Connection c, Frame f) throws IOException {
             if (f.letter() == SNAPSHOT) {
-                Codec.Snapshot s = Codec.snapshot(f.rest());
+                StoreCodec.Snapshot s = StoreCodec.snapshot(f.rest());
                 replica.restore(s);
                 LOG.log(System.Logger.Level.INFO, "store: took a snapshot up to {0}", s.seq());
                 s.values().forEach(Store.this::told);
             } else if (f.letter() == ENTRIES) {
-                for (Entry e : Codec.entries(f.rest())) {
+                for (StoreEntry e : StoreCodec.entries(f.rest())) {
                     // An entry may come twice when it was written while this member said hello.
                     if (e.seq() > replica.seq()) {
                         replica.append(e);
--- a/src/main/java/pepperdock/store/Codec.java
+++ b/src/main/java/pepperdock/store/StoreCodec.java
@@ -9,14 +9,14 @@
 import java.util.Map;
 
 /** Entries and snapshots as bytes, on disk and between members alike. */
-final class Codec {
+final class StoreCodec {
 
-    private Codec() {}
+    private StoreCodec() {}
 
     /** All keys with their values as of one place in the log, and of which log. */
     record Snapshot(String lineage, long seq, Map<String, byte[]> values) {}
 
-    static byte[] entry(Entry e) {
+    static byte[] entry(StoreEntry e) {
         byte[] key = e.key().getBytes(StandardCharsets.UTF_8);
         int length = e.value() == null ? 0 : e.value().length;
         ByteBuffer b = ByteBuffer.allocate(16 + key.length + length);
@@ -27,27 +27,27 @@
         return b.array();
     }
 
-    static Entry entry(ByteBuffer b) {
+    static StoreEntry entry(ByteBuffer b) {
         try {
             long seq = b.getLong();
             String key = new String(bytes(b, b.getInt()), StandardCharsets.UTF_8);
             int length = b.getInt();
-            return new Entry(seq, key, length == -1 ? null : bytes(b, length));
+            return new StoreEntry(seq, key, length == -1 ? null : bytes(b, length));
         } catch (BufferUnderflowException e) {
             throw new IllegalArgumentException("entry cut short", e);
         }
     }
 
-    static byte[] entries(List<Entry> all) {
-        List<byte[]> each = all.stream().map(Codec::entry).toList();
+    static byte[] entries(List<StoreEntry> all) {
+        List<byte[]> each = all.stream().map(StoreCodec::entry).toList();
         ByteBuffer b = ByteBuffer.allocate(each.stream().mapToInt(x -> x.length).sum());
         each.forEach(b::put);
         return b.array();
     }
 
-    static List<Entry> entries(byte[] bytes) {
+    static List<StoreEntry> entries(byte[] bytes) {
         ByteBuffer b = ByteBuffer.wrap(bytes);
-        List<Entry> all = new ArrayList<>();
+        List<StoreEntry> all = new ArrayList<>();
         while (b.hasRemaining()) {
             all.add(entry(b));
         }
@@ -55,14 +55,14 @@
     }
 
     static byte[] snapshot(Snapshot s) {
-        List<Entry> all = new ArrayList<>();
-        all.add(new Entry(s.seq(), s.lineage(), null));
-        s.values().forEach((key, value) -> all.add(new Entry(0, key, value)));
+        List<StoreEntry> all = new ArrayList<>();
+        all.add(new StoreEntry(s.seq(), s.lineage(), null));
+        s.values().forEach((key, value) -> all.add(new StoreEntry(0, key, value)));
         return entries(all);
     }
 
     static Snapshot snapshot(byte[] bytes) {
-        List<Entry> all = entries(bytes);
+        List<StoreEntry> all = entries(bytes);
         if (all.isEmpty()) {
             throw new IllegalArgumentException("empty snapshot");
         }
--- a/src/test/java/pepperdock/lab/FleetTest.java
+++ b/src/test/java/pepperdock/lab/SimulatedFleetTest.java
@@ -10,19 +10,19 @@
 import pepperdock.config.PlanConfig;
 import pepperdock.core.ManualClock;
 
-class FleetTest {
+class SimulatedFleetTest {
 
     private static final double[] MIXED = {0.7, 1.1};
 
-    private static Fleet.Day day(long seed, PlanConfig plan) {
-        return new Fleet.Day(6, 2, 0.6, MIXED, 0, 1, 25, seed, plan);
+    private static SimulatedFleet.Day day(long seed, PlanConfig plan) {
+        return new SimulatedFleet.Day(6, 2, 0.6, MIXED, 0, 1, 25, seed, plan);
     }
 
     @Test
     void theSameSeedIsTheSameDayAndAnotherIsNot() {
-        Fleet.Result one = Fleet.play(day(3, new PlanConfig(5, 0.15, 0.1)));
-        assertEquals(one, Fleet.play(day(3, new PlanConfig(5, 0.15, 0.1))));
-        assertTrue(!one.equals(Fleet.play(day(4, new PlanConfig(5, 0.15, 0.1)))));
+        SimulatedFleet.Result one = SimulatedFleet.play(day(3, new PlanConfig(5, 0.15, 0.1)));
+        assertEquals(one, SimulatedFleet.play(day(3, new PlanConfig(5, 0.15, 0.1))));
+        assertTrue(!one.equals(SimulatedFleet.play(day(4, new PlanConfig(5, 0.15, 0.1)))));
         assertTrue(one.queries() > 20 && one.service() > 0.5, one.toString());
     }
 
@@ -30,8 +30,8 @@
     @Test
     void bothArmsAreAskedTheSame() {
         assertEquals(
-                Fleet.play(day(5, null)).queries(),
-                Fleet.play(day(5, new PlanConfig(5, 0.15, 0.1))).queries());
+                SimulatedFleet.play(day(5, null)).queries(),
+                SimulatedFleet.play(day(5, new PlanConfig(5, 0.15, 0.1))).queries());
     }
 
     private final ManualClock clock = new ManualClock(0);
--- a/src/test/java/pepperdock/store/StoreTest.java
+++ b/src/test/java/pepperdock/store/StoreTest.java
@@ -149,14 +149,14 @@
     @Test
     void aTornTailIsCutAndDamageElsewhereIsNotPassedOver() throws Exception {
         try (Replica r = new Replica(folder, 100, true)) {
-            r.append(new Entry(1, "k", new byte[] {1}));
-            r.append(new Entry(2, "k", new byte[] {2}));
+            r.append(new StoreEntry(1, "k", new byte[] {1}));
+            r.append(new StoreEntry(2, "k", new byte[] {2}));
         }
         Path log = folder.resolve("log");
         Files.write(log, new byte[] {0, 0, 0, 9, 1, 2, 3}, StandardOpenOption.APPEND);
         try (Replica r = new Replica(folder, 100, true)) {
             assertEquals(2, r.seq());
-            r.append(new Entry(3, "k", new byte[] {3}));
+            r.append(new StoreEntry(3, "k", new byte[] {3}));
         }
         try (Replica r = new Replica(folder, 100, true)) {
             assertArrayEquals(new byte[] {3}, r.get("k"));
@@ -177,7 +177,7 @@
     @Property(seed = "51", tries = 300)
     void garbageFromAPeerIsRefusedAndNothingElse(@ForAll long seed) {
         try {
-            assertTrue(Codec.entries(RandomCuts.garbage(seed)).size() < 600);
+            assertTrue(StoreCodec.entries(RandomCuts.garbage(seed)).size() < 600);
         } catch (RuntimeException e) {
             assertEquals(IllegalArgumentException.class, e.getClass());
         }
--- a/tools/PlanArms.java
+++ b/tools/PlanArms.java
@@ -3,9 +3,9 @@
 import java.util.logging.Logger;
 import java.util.stream.IntStream;
 import pepperdock.config.PlanConfig;
-import pepperdock.lab.Fleet;
-import pepperdock.lab.Fleet.Day;
-import pepperdock.lab.Fleet.Result;
+import pepperdock.lab.SimulatedFleet;
+import pepperdock.lab.SimulatedFleet.Day;
+import pepperdock.lab.SimulatedFleet.Result;
 
 /**
  * Planned shares against equal ones, in the laboratory, paired by seed: mean service of each, the mean difference with its
@@ -43,7 +43,7 @@
     }
 
     private static void row(int nodes, Mix mix, double load, int seeds, double seconds, double least) {
-        Result[][] all = IntStream.range(0, 2 * seeds).parallel().mapToObj(i -> Fleet.play(new Day(nodes, nodes < 50 ? 2 : 4, load,
+        Result[][] all = IntStream.range(0, 2 * seeds).parallel().mapToObj(i -> SimulatedFleet.play(new Day(nodes, nodes < 50 ? 2 : 4, load,
                 mix.speeds(), mix.slowShare(), mix.slowBy(), seconds, 100 + i / 2,
                 i % 2 == 0 ? null : new PlanConfig(5, 0.15, least)))).map(r -> new Result[] {r}).toArray(Result[][]::new);
         double[] mean = new double[9];
