--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -23,20 +23,20 @@
 import pepperdock.core.Host;
 import pepperdock.core.PooledBackend;
 import pepperdock.dnssd.DnsSd;
-import pepperdock.drill.WireHost;
 import pepperdock.events.Events;
 import pepperdock.members.Members;
 import pepperdock.net.HttpServer;
 import pepperdock.net.Loop;
 import pepperdock.opensearch.SearchBackend;
 import pepperdock.opensearch.SearchFront;
-import pepperdock.operator.Beside;
 import pepperdock.operator.Operator;
+import pepperdock.operator.UpgradePeer;
 import pepperdock.planner.PlannerThread;
 import pepperdock.platform.Front;
 import pepperdock.platform.Warmup;
 import pepperdock.platform.Watch;
 import pepperdock.platform.WorkerPool;
+import pepperdock.simulator.SimulatorAdapter;
 import pepperdock.store.Store;
 
 /** The command line, and the wiring: {@code serve} is one gatherer, {@code drill} the simulator's wire. */
@@ -70,7 +70,7 @@
     public static void main(String[] args) {
         String what = args.length == 1 ? args[0] : "";
         switch (what) {
-            case "drill" -> System.exit(new WireHost(System.in, System.out, System.err).run());
+            case "drill" -> System.exit(new SimulatorAdapter(System.in, System.out, System.err).run());
             case "serve" -> {
                 try {
                     open(System.getenv());
@@ -86,10 +86,10 @@
             }
             case "rehearse" -> {
                 try {
-                    Rehearsal.run();
+                    ClassArchiveTraining.run();
                 } catch (IOException | RuntimeException e) {
                     // Without the archive of this run the program starts more slowly, and that is all.
-                    stop("rehearsal: " + e, 1);
+                    stop("class archive training: " + e, 1);
                 }
                 System.exit(0);
             }
@@ -218,7 +218,7 @@
                 ? null
                 : new SearchFront(config.site(), config.openSearch(), core, loop, search);
         Runnable fronts = () -> servers.addAll(listen(config, loop, front, searchFront));
-        if (operator == null || !operator.beside()) {
+        if (operator == null || !operator.otherProcess()) {
             fronts.run();
         }
         Site[] site = {config.site()};
@@ -247,7 +247,7 @@
                         loop,
                         servers,
                         core,
-                        operator == null ? Beside.NOBODY : operator,
+                        operator == null ? UpgradePeer.NONE : operator,
                         base.members() == null ? () -> {} : base.members()::leave)
                 .onSignal();
         Runnable begin = () -> {
@@ -272,7 +272,7 @@
     /** Begins to serve, at once or when the list has come; {@code unasked} where an agent tells the list. */
     private static void becomeReady(
             Operator operator, boolean unasked, Gatherer core, Loop loop, Runnable fronts, Runnable begin) {
-        if (operator != null && operator.beside()) {
+        if (operator != null && operator.otherProcess()) {
             Runnable takeOver = () -> {
                 fronts.run();
                 begin.run();
@@ -313,8 +313,9 @@
 
     /** What two processes of one gatherer share between them, and the operators' address. */
     private static void operate(Operator operator, Config config, Loop loop, Gatherer core) {
-        operator.whenAnotherServes(core::beside);
-        operator.whenBeside(another -> loop.shareSockets(another, (loop.wholeCap() - OTHER_DESCRIPTORS) / 2));
+        operator.whenOtherServingChanges(core::beside);
+        operator.whenOtherProcessChanges(
+                another -> loop.shareSockets(another, (loop.wholeCap() - OTHER_DESCRIPTORS) / 2));
         try {
             operator.start(config.operator());
         } catch (IOException e) {
