Add the publisher and subscriber of configuration versions, as pure machines

Nothing distributes configuration to hundreds of gatherers: the store has one configured leader and a fixed list of members.

Fed by VersionSource, which the committed log is to implement.

--- /dev/null
+++ b/src/main/java/pepperdock/distribution/ByteBudget.java
@@ -0,0 +1,37 @@
+package pepperdock.distribution;
+
+/** Bytes that may be sent: so many a second, and so many at once. Counted a byte at a time. */
+final class ByteBudget {
+
+    private static final long MILLIS = 1000;
+
+    private final long bytesPerSecond;
+    private final long burst;
+    /** Thousandths of a byte, so that no part of a byte is lost between two calls. */
+    private long milliBytes;
+
+    private long filledAt;
+
+    ByteBudget(long bytesPerSecond, long burst, long now) {
+        this.bytesPerSecond = bytesPerSecond;
+        this.burst = burst;
+        milliBytes = burst * MILLIS;
+        filledAt = now;
+    }
+
+    /** Whether so many bytes may be sent now; a message larger than the burst may once the budget is full. */
+    boolean allows(int bytes, long now) {
+        fill(now);
+        return milliBytes >= Math.min(bytes, burst) * MILLIS;
+    }
+
+    /** So many bytes are sent; a budget may be overdrawn, and what is owed is not sent later. */
+    void spend(int bytes) {
+        milliBytes -= bytes * MILLIS;
+    }
+
+    private void fill(long now) {
+        milliBytes = Math.min(burst * MILLIS, milliBytes + (now - filledAt) * bytesPerSecond);
+        filledAt = now;
+    }
+}
--- /dev/null
+++ b/src/main/java/pepperdock/distribution/Configuration.java
@@ -0,0 +1,96 @@
+package pepperdock.distribution;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** A whole configuration as of one version. Immutable; two of the same version with equal digests are the same. */
+public final class Configuration {
+
+    /** What there is before the first version. */
+    public static final Configuration NONE = new Configuration(Version.NONE, 0, new TreeMap<>());
+
+    private final Version version;
+    private final int format;
+    private final TreeMap<String, Item> items;
+    private final Digest digest;
+
+    private Configuration(Version version, int format, TreeMap<String, Item> items) {
+        this.version = version;
+        this.format = format;
+        this.items = items;
+        digest = Digest.of(encoded());
+    }
+
+    /** The configuration of these items; of two with the same key the later one counts. */
+    public static Configuration of(Version version, int format, Collection<Item> items) {
+        TreeMap<String, Item> byKey = new TreeMap<>();
+        items.forEach(i -> byKey.put(i.key(), i));
+        return new Configuration(version, format, byKey);
+    }
+
+    public Version version() {
+        return version;
+    }
+
+    /** Which program versions can read it: those that read at least this format. */
+    public int format() {
+        return format;
+    }
+
+    public Digest digest() {
+        return digest;
+    }
+
+    /** All items, by key in ascending order. */
+    public Collection<Item> items() {
+        return Collections.unmodifiableCollection(items.values());
+    }
+
+    /** The item of that key, if there is one. */
+    public Optional<Item> item(String key) {
+        return Optional.ofNullable(items.get(key));
+    }
+
+    /** This configuration with the changes made, as of that version and format. */
+    public Configuration with(Version to, int toFormat, List<Change> changes) {
+        TreeMap<String, Item> next = new TreeMap<>(items);
+        for (Change change : changes) {
+            if (change instanceof Change.Put put) {
+                next.put(put.key(), put.item());
+            } else {
+                next.remove(change.key());
+            }
+        }
+        return new Configuration(to, toFormat, next);
+    }
+
+    /** What has to change to come from this configuration to that one, by key in ascending order. */
+    public List<Change> changesTo(Configuration to) {
+        List<Change> changes = new ArrayList<>();
+        for (Item item : to.items.values()) {
+            if (!item.equals(items.get(item.key()))) {
+                changes.add(new Change.Put(item));
+            }
+        }
+        for (String key : items.keySet()) {
+            if (!to.items.containsKey(key)) {
+                changes.add(new Change.Remove(key));
+            }
+        }
+        return changes;
+    }
+
+    /** All of it as bytes, the same ones for the same content. */
+    public byte[] encoded() {
+        return Encoding.write(version, format, items.values());
+    }
+
+    @Override
+    public String toString() {
+        return version + " (" + items.size() + " items, format " + format + ")";
+    }
+}
--- /dev/null
+++ b/src/main/java/pepperdock/distribution/Item.java
@@ -0,0 +1,30 @@
+package pepperdock.distribution;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/**
+ * One named value of a configuration.
+ *
+ * @param value of at most 2^31 - 1 bytes; not to be changed by anyone who holds it
+ */
+public record Item(String key, byte[] value) {
+
+    /** Bytes for the lengths of key and value. */
+    private static final int LENGTHS = 6;
+
+    /** Bytes of this item in an encoded configuration. */
+    int bytes() {
+        return LENGTHS + key.getBytes(StandardCharsets.UTF_8).length + value.length;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Item o && key.equals(o.key) && Arrays.equals(value, o.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * key.hashCode() + Arrays.hashCode(value);
+    }
+}
--- /dev/null
+++ b/src/main/java/pepperdock/distribution/Publisher.java
@@ -0,0 +1,252 @@
+package pepperdock.distribution;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+
+/**
+ * The side of a control machine: sends every subscriber that is connected here what was settled after the version that the
+ * subscriber has in force, as a delta or a snapshot, within the budgets of {@link PublisherSettings}. To one subscriber there
+ * is one version under way at a time; what is settled meanwhile goes in one delta after the answer.
+ *
+ * <p>Connections are opened by subscribers and numbered by the caller. Times are milliseconds of the caller's clock.
+ */
+public class Publisher {
+
+    private static final int MILLIS = 1000;
+    /** Said where this machine has not been confirmed for longer, or never was. */
+    private static final int LONGEST_UNCONFIRMED_MILLIS = 86_400_000;
+
+    private final PublisherSettings settings;
+    private final VersionSource source;
+    private final PublisherOutput output;
+    private final Admission admission;
+    private final ByteBudget snapshotBudget;
+    private final RecentChanges recent;
+    private final TreeMap<Long, Session> sessions = new TreeMap<>();
+    private Configuration latest = Configuration.NONE;
+    private byte[] latestEncoded = latest.encoded();
+    /** The connection after which the next round of snapshot pieces begins, so that all get their share. */
+    private long lastServed;
+
+    public Publisher(PublisherSettings settings, VersionSource source, PublisherOutput output, long seed, long now) {
+        this.settings = settings;
+        this.source = source;
+        this.output = output;
+        admission = new Admission(settings.snapshotsAtOnce(), new Random(seed));
+        snapshotBudget = new ByteBudget(settings.snapshotBytesPerSecond(), settings.snapshotBurstBytes(), now);
+        recent = new RecentChanges(settings.keptVersions(), settings.keptBytes());
+        learn();
+    }
+
+    // ---- What the caller sees ------------------------------------------------------------
+
+    /** The newest version that this control machine holds. */
+    public Configuration latest() {
+        return latest;
+    }
+
+    /** Every subscriber that is connected here and has said who it is, in the order of their connections. */
+    public List<SubscriberState> subscribers(long now) {
+        return sessions.values().stream()
+                .filter(Session::known)
+                .map(s -> s.state(latest.version(), now, settings.answerMillis()))
+                .toList();
+    }
+
+    /** Snapshots that are under way now. */
+    public int snapshotsUnderWay() {
+        return admission.underWay();
+    }
+
+    // ---- What the caller does ------------------------------------------------------------
+
+    /** A subscriber has opened a connection. */
+    public void connected(long connection, long now) {
+        sessions.put(connection, new Session(connection, settings, now));
+    }
+
+    /** A connection has ended. */
+    public void disconnected(long connection) {
+        Session session = sessions.remove(connection);
+        if (session != null) {
+            release(session);
+        }
+    }
+
+    /** The source may have something newer. */
+    public void settled(long now) {
+        if (learn()) {
+            sessions.values().forEach(s -> offer(s, false, now));
+            send(now);
+        }
+    }
+
+    /** Time passes; to be called several times a second. */
+    public void tick(long now) {
+        learn();
+        for (Session session : List.copyOf(sessions.values())) {
+            if (now - session.lastHeard > settings.silenceMillis()) {
+                disconnected(session.connection);
+                output.close(session.connection);
+                continue;
+            }
+            offer(session, false, now);
+            if (now >= session.heartbeatAt && session.known()) {
+                session.enqueue(heartbeat(now));
+                session.heartbeatAt = now + settings.heartbeatMillis();
+            }
+        }
+        send(now);
+    }
+
+    /** A message has come on a connection. */
+    public void received(long connection, Message.FromSubscriber message, long now) {
+        Session session = sessions.get(connection);
+        if (session == null) {
+            return;
+        }
+        session.lastHeard = now;
+        if (message instanceof Message.Hello hello) {
+            session.introduced(hello, now);
+            offer(session, false, now);
+        } else if (message instanceof Message.InForce inForce) {
+            session.inForce(inForce.version(), inForce.digest(), inForce.durability(), now);
+            offer(session, false, now);
+        } else if (message instanceof Message.Refused refused) {
+            refused(session, refused.refusal());
+        } else if (message instanceof Message.Ask ask) {
+            asked(session, ask, now);
+        }
+        send(now);
+    }
+
+    // ---- Rules; tests plant faults here ------------------------------------------------------------
+
+    /** Whether what this machine holds may be offered to a subscriber that has that version in force. */
+    protected boolean mayOffer(Version latestHere, Version inForceThere) {
+        return latestHere.newerThan(inForceThere);
+    }
+
+    // ---- How ------------------------------------------------------------
+
+    private boolean learn() {
+        boolean any = false;
+        for (Configuration next : source.after(latest.version())) {
+            recent.add(Delta.between(latest, next));
+            latest = next;
+            any = true;
+        }
+        if (any) {
+            latestEncoded = latest.encoded();
+        }
+        return any;
+    }
+
+    private Message.Heartbeat heartbeat(long now) {
+        long ago = Math.max(0, now - source.confirmedAtMillis());
+        return new Message.Heartbeat(
+                latest.version(), latest.digest(), (int) Math.min(ago, LONGEST_UNCONFIRMED_MILLIS));
+    }
+
+    private void asked(Session session, Message.Ask ask, long now) {
+        if (session.waiting) {
+            session.waiting = false;
+            admission.returned();
+        }
+        if (session.transfer() == null) {
+            session.asked(ask.inForce(), ask.digest(), now);
+            offer(session, ask.whole(), now);
+        }
+    }
+
+    private void refused(Session session, Refusal refusal) {
+        session.refused(refusal);
+        SnapshotTransfer transfer = session.transfer();
+        if (transfer != null && transfer.version().equals(refusal.version())) {
+            session.endTransfer();
+            admission.finished();
+        }
+    }
+
+    private void release(Session session) {
+        if (session.transfer() != null) {
+            session.endTransfer();
+            admission.finished();
+        }
+        if (session.waiting) {
+            session.waiting = false;
+            admission.returned();
+        }
+    }
+
+    /** Begins to send what the subscriber lacks, unless something is under way to it. */
+    private void offer(Session session, boolean whole, long now) {
+        if (!session.known()
+                || session.busy()
+                || session.hasRefused(latest.version())
+                || !mayOffer(latest.version(), session.inForce())) {
+            return;
+        }
+        Optional<Delta> delta = whole ? Optional.empty() : recent.since(session.inForce(), session.digest());
+        if (delta.isPresent() && delta.get().bytes() * 100L <= (long) latestEncoded.length * settings.deltaPercent()) {
+            session.enqueue(new Message.Update(delta.get()));
+            session.sent(latest.version(), now);
+        } else if (admission.admits()) {
+            session.begin(new SnapshotTransfer(latest, latestEncoded, settings.pieceBytes()));
+        } else {
+            session.enqueue(new Message.RetryAfter(admission.retryAfterMillis(snapshotMillis())));
+            session.waiting = true;
+        }
+    }
+
+    /** How long a snapshot takes at the rate of one subscriber, or at that of all that may be under way. */
+    private int snapshotMillis() {
+        int share = settings.snapshotBytesPerSecond() / settings.snapshotsAtOnce();
+        int rate = Math.min(settings.subscriberBytesPerSecond(), share);
+        return (int) ((long) latestEncoded.length * MILLIS / rate);
+    }
+
+    private void send(long now) {
+        for (Session session : sessions.values()) {
+            drain(session, now);
+        }
+        List<Session> order =
+                new ArrayList<>(sessions.tailMap(lastServed, false).values());
+        order.addAll(sessions.headMap(lastServed, true).values());
+        for (Session session : order) {
+            if (session.transfer() != null && !pieces(session, now)) {
+                return;
+            }
+        }
+    }
+
+    private void drain(Session session, long now) {
+        for (Message.FromPublisher m = session.next(now); m != null; m = session.next(now)) {
+            output.send(session.connection, m);
+        }
+    }
+
+    /** Sends pieces while the subscriber's budget lasts; false once that of all snapshots is spent. */
+    private boolean pieces(Session session, long now) {
+        while (session.transfer() != null && session.idle()) {
+            if (!snapshotBudget.allows(settings.pieceBytes(), now)) {
+                return false;
+            }
+            SnapshotTransfer transfer = session.transfer();
+            Message.SnapshotPiece piece = transfer.next();
+            snapshotBudget.spend(piece.bytes());
+            lastServed = session.connection;
+            session.enqueue(piece);
+            if (transfer.done()) {
+                session.endTransfer();
+                session.sent(transfer.version(), now);
+                admission.finished();
+            }
+            drain(session, now);
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/pepperdock/distribution/SubscriberOutput.java
@@ -0,0 +1,16 @@
+package pepperdock.distribution;
+
+/** What a subscriber wants done. It has one connection at most. */
+public interface SubscriberOutput {
+
+    /** Opens a connection; {@link Subscriber#connected} or {@link Subscriber#disconnected} is to be called. */
+    void connect(ControlMachine to);
+
+    void send(Message.FromSubscriber message);
+
+    /** Closes the connection, also one that is being opened; {@link Subscriber#disconnected} need not be called. */
+    void close();
+
+    /** This configuration is in force from now on. */
+    void inForce(Configuration configuration);
+}
--- /dev/null
+++ b/src/main/java/pepperdock/distribution/Validator.java
@@ -0,0 +1,10 @@
+package pepperdock.distribution;
+
+import java.util.Optional;
+
+/** Judges a whole configuration before it is put in force. */
+public interface Validator {
+
+    /** What is wrong with it; empty where it may be put in force. */
+    Optional<String> complaint(Configuration configuration);
+}
--- /dev/null
+++ b/src/main/java/pepperdock/distribution/Version.java
@@ -0,0 +1,33 @@
+package pepperdock.distribution;
+
+/**
+ * The place of a configuration in the settled order. Versions are compared by epoch first, so that a control machine with an
+ * old disk can't make its number look newer.
+ *
+ * @param epoch which life of the log; raised by the operator when a log has to be begun anew from an older disk
+ * @param number the index of the committed log entry that made this version; grows within an epoch, with gaps
+ */
+public record Version(long epoch, long number) implements Comparable<Version> {
+
+    /** Older than every version. */
+    public static final Version NONE = new Version(0, 0);
+
+    /** Bytes of a version on the wire. */
+    static final int BYTES = 16;
+
+    @Override
+    public int compareTo(Version other) {
+        int byEpoch = Long.compare(epoch, other.epoch);
+        return byEpoch != 0 ? byEpoch : Long.compare(number, other.number);
+    }
+
+    /** Whether this version was settled after the other. */
+    public boolean newerThan(Version other) {
+        return compareTo(other) > 0;
+    }
+
+    @Override
+    public String toString() {
+        return epoch + "." + number;
+    }
+}
--- /dev/null
+++ b/src/main/java/pepperdock/distribution/VersionSource.java
@@ -0,0 +1,13 @@
+package pepperdock.distribution;
+
+import java.util.List;
+
+/** Where a publisher learns of settled versions: the committed log of its control machine. */
+public interface VersionSource {
+
+    /** The configurations settled after that version and known to this machine, oldest first. */
+    List<Configuration> after(Version version);
+
+    /** When this machine last knew that nothing newer than what it holds was settled; milliseconds of the caller's clock. */
+    long confirmedAtMillis();
+}
--- /dev/null
+++ b/src/main/java/pepperdock/distribution/VersionStore.java
@@ -0,0 +1,24 @@
+package pepperdock.distribution;
+
+/** A subscriber's disk. */
+public interface VersionStore {
+
+    /**
+     * What a disk holds when a process starts.
+     *
+     * @param configuration {@link Configuration#NONE} where there is none that is whole
+     * @param floor nothing older than this may be put in force
+     */
+    record Saved(Configuration configuration, Version floor) {
+
+        public static final Saved NOTHING = new Saved(Configuration.NONE, Version.NONE);
+    }
+
+    Saved load();
+
+    /** Replaces the configuration, whole or not at all, and syncs it. False where that failed; the disk may be full. */
+    boolean save(Configuration configuration);
+
+    /** Overwrites the floor in its place, which needs no space, and syncs it. False where that failed. */
+    boolean saveFloor(Version floor);
+}
--- /dev/null
+++ b/src/test/java/pepperdock/distribution/ConfigurationTest.java
@@ -0,0 +1,67 @@
+package pepperdock.distribution;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+
+/** Configurations, their encoding and the changes between them. */
+class ConfigurationTest {
+
+    private static Configuration of(long number, Map<Byte, byte[]> content) {
+        List<Item> items = new ArrayList<>();
+        content.forEach((key, value) -> items.add(new Item("k" + key, value)));
+        return Configuration.of(new Version(1, number), 1, items);
+    }
+
+    @Property(tries = 200)
+    void whatIsWrittenIsReadAgain(@ForAll @Size(max = 20) Map<Byte, byte[]> content) {
+        Configuration configuration = of(3, content);
+        Configuration read = Encoding.read(configuration.encoded());
+        assertEquals(configuration.digest(), read.digest());
+        assertEquals(List.copyOf(configuration.items()), List.copyOf(read.items()));
+    }
+
+    @Property(tries = 200)
+    void whatIsCutShortIsNotRead(@ForAll @Size(max = 20) Map<Byte, byte[]> content, @ForAll byte cut) {
+        byte[] whole = of(3, content).encoded();
+        byte[] part = Arrays.copyOf(whole, Math.floorMod(cut, whole.length));
+        assertThrows(IllegalArgumentException.class, () -> Encoding.read(part));
+    }
+
+    @Property(tries = 200)
+    void changesLeadFromOneToTheOther(
+            @ForAll @Size(max = 20) Map<Byte, byte[]> before, @ForAll @Size(max = 20) Map<Byte, byte[]> after) {
+        Configuration from = of(3, before);
+        Configuration to = of(4, after);
+        assertEquals(
+                to.digest(),
+                from.with(to.version(), to.format(), from.changesTo(to)).digest());
+    }
+
+    @Property(tries = 200)
+    void deltasAddUpFromAnyVersionKept(
+            @ForAll @Size(min = 2, max = 8) List<@Size(max = 8) Map<Byte, byte[]>> contents) {
+        RecentChanges recent = new RecentChanges(100, 1 << 20);
+        List<Configuration> all = new ArrayList<>();
+        for (Map<Byte, byte[]> content : contents) {
+            all.add(of(all.size() + 1L, content));
+            if (all.size() > 1) {
+                recent.add(Delta.between(all.get(all.size() - 2), all.get(all.size() - 1)));
+            }
+        }
+        Configuration newest = all.get(all.size() - 1);
+        for (Configuration old : all.subList(0, all.size() - 1)) {
+            Delta delta = recent.since(old.version(), old.digest()).orElseThrow();
+            assertEquals(
+                    newest.digest(),
+                    old.with(delta.result(), delta.format(), delta.changes()).digest());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/pepperdock/distribution/Pair.java
@@ -0,0 +1,148 @@
+package pepperdock.distribution;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+
+/** A subscriber and the messages that it and a publisher have for each other, handed over one by one. */
+final class Pair implements SubscriberOutput, PublisherOutput, VersionStore, Validator {
+
+    static final ControlMachine NEAR = new ControlMachine("c1", "r1");
+    static final ControlMachine FAR = new ControlMachine("c2", "r2");
+    static final long CONNECTION = 7;
+
+    final Deque<Message.FromSubscriber> toPublisher = new ArrayDeque<>();
+    final Deque<Message.FromPublisher> toSubscriber = new ArrayDeque<>();
+    final List<Configuration> inForce = new ArrayList<>();
+    final List<ControlMachine> tried = new ArrayList<>();
+    final List<Configuration> settled = new ArrayList<>();
+    boolean closed;
+    boolean diskFull;
+    boolean diskFails;
+    String complaint;
+    VersionStore.Saved saved = VersionStore.Saved.NOTHING;
+    long confirmedAt;
+
+    static Configuration version(long number, String... keysAndValues) {
+        return formatted(number, 1, keysAndValues);
+    }
+
+    static Configuration formatted(long number, int format, String... keysAndValues) {
+        List<Item> items = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            items.add(new Item("filler" + i, new byte[100]));
+        }
+        for (int i = 0; i < keysAndValues.length; i += 2) {
+            items.add(new Item(keysAndValues[i], keysAndValues[i + 1].getBytes()));
+        }
+        return Configuration.of(new Version(1, number), format, items);
+    }
+
+    final VersionSource source = new VersionSource() {
+        @Override
+        public List<Configuration> after(Version version) {
+            return settled.stream().filter(c -> c.version().newerThan(version)).toList();
+        }
+
+        @Override
+        public long confirmedAtMillis() {
+            return confirmedAt;
+        }
+    };
+
+    Subscriber subscriber(long now) {
+        return new Subscriber(
+                new SubscriberId("g1"),
+                "r1",
+                List.of(NEAR, FAR),
+                SubscriberSettings.defaults(),
+                this,
+                this,
+                this,
+                1,
+                now);
+    }
+
+    Publisher publisher(PublisherSettings settings, long now) {
+        return new Publisher(settings, source, this, 1, now);
+    }
+
+    /** Hands over all there is, both ways, until nothing is left. */
+    void exchange(Subscriber subscriber, Publisher publisher, long now) {
+        while (!toPublisher.isEmpty() || !toSubscriber.isEmpty()) {
+            if (!toPublisher.isEmpty()) {
+                publisher.received(CONNECTION, toPublisher.removeFirst(), now);
+            } else {
+                subscriber.received(toSubscriber.removeFirst(), now);
+            }
+        }
+    }
+
+    /** Both tick ten times a second for so long, and all is handed over at once. */
+    void run(Subscriber subscriber, Publisher publisher, long from, long to) {
+        for (long now = from; now <= to; now += 100) {
+            confirmedAt = now;
+            publisher.tick(now);
+            subscriber.tick(now);
+            exchange(subscriber, publisher, now);
+        }
+    }
+
+    @Override
+    public void connect(ControlMachine to) {
+        tried.add(to);
+    }
+
+    @Override
+    public void send(Message.FromSubscriber message) {
+        toPublisher.add(message);
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+    }
+
+    @Override
+    public void inForce(Configuration configuration) {
+        inForce.add(configuration);
+    }
+
+    @Override
+    public void send(long connection, Message.FromPublisher message) {
+        toSubscriber.add(message);
+    }
+
+    @Override
+    public void close(long connection) {
+        closed = true;
+    }
+
+    @Override
+    public VersionStore.Saved load() {
+        return saved;
+    }
+
+    @Override
+    public boolean save(Configuration configuration) {
+        if (!diskFull && !diskFails) {
+            saved = new VersionStore.Saved(configuration, saved.floor());
+        }
+        return !diskFull && !diskFails;
+    }
+
+    @Override
+    public boolean saveFloor(Version floor) {
+        if (!diskFails) {
+            saved = new VersionStore.Saved(saved.configuration(), floor);
+        }
+        return !diskFails;
+    }
+
+    @Override
+    public Optional<String> complaint(Configuration configuration) {
+        return Optional.ofNullable(complaint);
+    }
+}
--- /dev/null
+++ b/src/test/java/pepperdock/distribution/PublisherTest.java
@@ -0,0 +1,210 @@
+package pepperdock.distribution;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/** What a publisher sends, to whom, and within which budgets. */
+class PublisherTest {
+
+    private final Pair pair = new Pair();
+
+    private static PublisherSettings settings(int snapshotsAtOnce) {
+        return new PublisherSettings(
+                1000, 15_000, 4000, 10_000, 4000, 20_000, 5000, snapshotsAtOnce, 1024, 50, 5, 1 << 20);
+    }
+
+    private static Message.Hello hello(String name, Configuration has) {
+        return new Message.Hello(new SubscriberId(name), 1, has.version(), has.digest(), Durability.SAVED);
+    }
+
+    @Test
+    void whoHasARecentVersionGetsOneDeltaOverAllThatFollowed() {
+        Configuration one = Pair.version(1, "a", "1");
+        Configuration three = Pair.version(3, "a", "3", "c", "1");
+        pair.settled.addAll(List.of(one, Pair.version(2, "a", "2", "b", "1"), three));
+        Publisher publisher = pair.publisher(settings(1), 0);
+        publisher.connected(1, 0);
+        publisher.received(1, hello("g1", one), 0);
+        Message.Update update = assertInstanceOf(Message.Update.class, pair.toSubscriber.removeFirst());
+        assertTrue(update.delta().fits(one));
+        Configuration result = one.with(
+                update.delta().result(), update.delta().format(), update.delta().changes());
+        assertEquals(three.digest(), result.digest());
+        assertTrue(pair.toSubscriber.isEmpty());
+    }
+
+    @Test
+    void whoHasAVersionThatIsNoLongerKeptOrAnotherContentGetsASnapshot() {
+        for (int i = 1; i <= 9; i++) {
+            pair.settled.add(Pair.version(i, "a", "" + i));
+        }
+        Publisher publisher = pair.publisher(settings(3), 0);
+        List<Configuration> held = List.of(pair.settled.get(0), Pair.version(8, "a", "other"));
+        for (int i = 0; i < held.size(); i++) {
+            long now = i * 1000;
+            publisher.connected(i, now);
+            publisher.received(i, hello("g" + i, held.get(i)), now);
+            assertInstanceOf(Message.SnapshotPiece.class, pair.toSubscriber.peekFirst());
+            pair.toSubscriber.clear();
+        }
+        assertEquals(2, publisher.snapshotsUnderWay());
+    }
+
+    @Test
+    void aDeltaOfMoreThanItsShareOfTheSnapshotGivesWayToTheSnapshot() {
+        Configuration one = Pair.version(1);
+        pair.settled.addAll(List.of(one, Pair.version(2, "a", "x".repeat(8000))));
+        Publisher publisher = pair.publisher(settings(3), 0);
+        publisher.connected(1, 0);
+        publisher.received(1, hello("g1", one), 0);
+        assertInstanceOf(Message.SnapshotPiece.class, pair.toSubscriber.peekFirst());
+    }
+
+    @Test
+    void aPublisherWithAnOldDiskOffersNothingToWhoIsAhead() {
+        pair.settled.add(Pair.version(4));
+        Publisher publisher = pair.publisher(settings(1), 0);
+        publisher.connected(1, 0);
+        publisher.received(1, hello("g1", Pair.version(5)), 0);
+        publisher.tick(100);
+        assertEquals(1, pair.toSubscriber.size());
+        assertInstanceOf(Message.Heartbeat.class, pair.toSubscriber.removeFirst());
+        assertTrue(publisher.subscribers(100).get(0).ahead());
+    }
+
+    @Test
+    void moreSnapshotsThanAtOnceAreToldWhenToAskAgainLaterOnesLater() {
+        pair.settled.add(Pair.version(4));
+        Publisher publisher = pair.publisher(settings(1), 0);
+        List<Integer> after = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            publisher.connected(i, 0);
+            publisher.received(i, hello("g" + i, Configuration.NONE), 0);
+            pair.toSubscriber.stream()
+                    .filter(Message.RetryAfter.class::isInstance)
+                    .forEach(m -> after.add(((Message.RetryAfter) m).millis()));
+            pair.toSubscriber.clear();
+        }
+        assertEquals(4, after.size());
+        assertEquals(1, publisher.snapshotsUnderWay());
+        assertTrue(after.get(3) > 2 * after.get(0), after.toString());
+        publisher.disconnected(0);
+        publisher.received(1, new Message.Ask(Version.NONE, Configuration.NONE.digest(), false), 1000);
+        assertEquals(1, publisher.snapshotsUnderWay());
+        assertTrue(pair.toSubscriber.stream().anyMatch(Message.SnapshotPiece.class::isInstance));
+    }
+
+    @Test
+    void noSubscriberAndNotAllTogetherAreSentMoreThanTheirBudgetsInAnySecond() {
+        pair.settled.add(Configuration.of(new Version(1, 1), 1, List.of(new Item("x", new byte[40_000]))));
+        TreeMap<Long, Long> sentAt = new TreeMap<>();
+        TreeMap<Long, Long> toFirstAt = new TreeMap<>();
+        long[] now = {0};
+        PublisherOutput counting = new PublisherOutput() {
+            @Override
+            public void send(long connection, Message.FromPublisher message) {
+                sentAt.merge(now[0], (long) message.bytes(), Long::sum);
+                if (connection == 1) {
+                    toFirstAt.merge(now[0], (long) message.bytes(), Long::sum);
+                }
+            }
+
+            @Override
+            public void close(long connection) {
+                throw new AssertionError("closed");
+            }
+        };
+        Publisher publisher = new Publisher(settings(3), pair.source, counting, 1, 0);
+        for (int i = 1; i <= 3; i++) {
+            publisher.connected(i, 0);
+            publisher.received(i, hello("g" + i, Configuration.NONE), 0);
+        }
+        for (; now[0] < 10_000; now[0] += 20) {
+            publisher.tick(now[0]);
+        }
+        assertEquals(0, publisher.snapshotsUnderWay());
+        int heartbeats = 3 * 2 * (Message.OVERHEAD + 36);
+        for (long from = 0; from < 9000; from += 20) {
+            long all = sentAt.subMap(from, from + 1000).values().stream()
+                    .mapToLong(Long::longValue)
+                    .sum();
+            long first = toFirstAt.subMap(from, from + 1000).values().stream()
+                    .mapToLong(Long::longValue)
+                    .sum();
+            assertTrue(all <= 20_000 + 5000 + 1200 + heartbeats, from + ": " + all);
+            assertTrue(first <= 10_000 + 4000, from + ": " + first);
+        }
+    }
+
+    @Test
+    void twoChangesDuringASnapshotFollowAsOneDelta() {
+        pair.settled.add(Pair.version(1));
+        Publisher publisher = pair.publisher(settings(1), 0);
+        Subscriber subscriber = pair.subscriber(0);
+        subscriber.tick(200);
+        publisher.connected(Pair.CONNECTION, 200);
+        subscriber.connected(200);
+        pair.exchange(subscriber, publisher, 200);
+        assertEquals(1, publisher.snapshotsUnderWay());
+        pair.settled.add(Pair.version(2, "a", "2"));
+        publisher.settled(300);
+        pair.settled.add(Pair.version(3, "a", "3"));
+        publisher.settled(300);
+        pair.run(subscriber, publisher, 300, 3000);
+        assertEquals(
+                List.of(1L, 3L),
+                pair.inForce.stream().map(c -> c.version().number()).toList());
+        SubscriberState state = publisher.subscribers(3000).get(0);
+        assertEquals(new Version(1, 3), state.inForce());
+        assertFalse(state.lagging());
+    }
+
+    @Test
+    void whoDoesNotPutInForceWhatWasSentLagsAndWhoRefusedDoesNot() {
+        Configuration one = Pair.version(1);
+        pair.settled.addAll(List.of(one, Pair.version(2, "a", "2")));
+        Publisher publisher = pair.publisher(settings(1), 0);
+        for (int i = 1; i <= 2; i++) {
+            publisher.connected(i, 0);
+            publisher.received(i, hello("g" + i, one), 0);
+        }
+        Refusal refusal = new Refusal(new Version(1, 2), Refusal.Reason.FORMAT, "format 2");
+        publisher.received(2, new Message.Refused(refusal), 10);
+        List<SubscriberState> states = publisher.subscribers(5000);
+        assertTrue(states.get(0).lagging());
+        assertFalse(states.get(1).lagging());
+        assertEquals(refusal, states.get(1).refusal().orElseThrow());
+        pair.toSubscriber.clear();
+        publisher.tick(5000);
+        assertTrue(pair.toSubscriber.stream().allMatch(Message.Heartbeat.class::isInstance));
+    }
+
+    @Test
+    void whoSaysNothingIsClosed() {
+        Publisher publisher = pair.publisher(settings(1), 0);
+        publisher.connected(1, 0);
+        publisher.tick(15_000);
+        assertFalse(pair.closed);
+        publisher.tick(15_001);
+        assertTrue(pair.closed);
+    }
+
+    @Test
+    void heartbeatsSayHowLongThisMachineHasNotBeenConfirmed() {
+        pair.settled.add(Pair.version(1));
+        pair.confirmedAt = 2000;
+        Publisher publisher = pair.publisher(settings(1), 0);
+        publisher.connected(1, 0);
+        publisher.received(1, hello("g1", Pair.version(1)), 0);
+        publisher.tick(9000);
+        Configuration one = Pair.version(1);
+        assertEquals(List.of(new Message.Heartbeat(one.version(), one.digest(), 7000)), List.copyOf(pair.toSubscriber));
+    }
+}
--- /dev/null
+++ b/src/test/java/pepperdock/distribution/SubscriberTest.java
@@ -0,0 +1,298 @@
+package pepperdock.distribution;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** What a subscriber puts in force, keeps and says, told one message at a time. */
+class SubscriberTest {
+
+    private final Pair pair = new Pair();
+
+    private Subscriber connected(long now) {
+        Subscriber subscriber = pair.subscriber(now);
+        subscriber.tick(now + 1000);
+        subscriber.connected(now + 1000);
+        pair.toPublisher.clear();
+        return subscriber;
+    }
+
+    private static void snapshot(Subscriber subscriber, Configuration configuration, long now) {
+        SnapshotTransfer transfer = new SnapshotTransfer(configuration, configuration.encoded(), 1000);
+        while (!transfer.done()) {
+            subscriber.received(transfer.next(), now);
+        }
+    }
+
+    private static void delta(Subscriber subscriber, Configuration from, Configuration to, long now) {
+        subscriber.received(new Message.Update(Delta.between(from, to)), now);
+    }
+
+    private static Message.Heartbeat heartbeat(Configuration latest, int ago) {
+        return new Message.Heartbeat(latest.version(), latest.digest(), ago);
+    }
+
+    @Test
+    void aSnapshotIsInForceOnceItIsWholeAndNotBefore() {
+        Subscriber subscriber = connected(0);
+        Configuration five = Pair.version(5, "a", "1");
+        SnapshotTransfer transfer = new SnapshotTransfer(five, five.encoded(), 1000);
+        while (!transfer.done()) {
+            assertEquals(List.of(), pair.inForce);
+            subscriber.received(transfer.next(), 1000);
+        }
+        assertEquals(
+                List.of(five.digest()),
+                pair.inForce.stream().map(Configuration::digest).toList());
+        assertEquals(
+                new Message.InForce(five.version(), five.digest(), Durability.SAVED), pair.toPublisher.removeFirst());
+        assertEquals(five.digest(), pair.saved.configuration().digest());
+    }
+
+    @Test
+    void aSnapshotWithAPieceMissingIsNeverInForce() {
+        Subscriber subscriber = connected(0);
+        Configuration five = Pair.version(5);
+        SnapshotTransfer transfer = new SnapshotTransfer(five, five.encoded(), 1000);
+        subscriber.received(transfer.next(), 1000);
+        transfer.next();
+        while (!transfer.done()) {
+            subscriber.received(transfer.next(), 1000);
+        }
+        assertEquals(List.of(), pair.inForce);
+    }
+
+    @Test
+    void aDeltaThatDoesNotFitAsksForASnapshotAndChangesNothing() {
+        Subscriber subscriber = connected(0);
+        Configuration five = Pair.version(5, "a", "1");
+        snapshot(subscriber, five, 1000);
+        pair.toPublisher.clear();
+        delta(subscriber, Pair.version(5, "a", "other"), Pair.version(6, "a", "2"), 1000);
+        assertEquals(List.of(new Message.Ask(five.version(), five.digest(), true)), List.copyOf(pair.toPublisher));
+        assertEquals(five.digest(), subscriber.inForce().digest());
+    }
+
+    @Test
+    void aDeltaWhoseResultHasAnotherDigestAsksForASnapshotAndChangesNothing() {
+        Subscriber subscriber = connected(0);
+        Configuration five = Pair.version(5, "a", "1");
+        snapshot(subscriber, five, 1000);
+        pair.toPublisher.clear();
+        Delta good = Delta.between(five, Pair.version(6, "a", "2", "b", "3"));
+        Delta short1 = new Delta(
+                good.base(),
+                good.baseDigest(),
+                good.result(),
+                good.digest(),
+                1,
+                good.changes().subList(0, 1));
+        subscriber.received(new Message.Update(short1), 1000);
+        assertInstanceOf(Message.Ask.class, pair.toPublisher.removeFirst());
+        assertEquals(five.digest(), subscriber.inForce().digest());
+    }
+
+    @Test
+    void anOlderVersionIsNotTakenAsDeltaNorAsSnapshotNorAfterARestart() {
+        Subscriber subscriber = connected(0);
+        Configuration five = Pair.version(5);
+        Configuration four = Pair.version(4);
+        snapshot(subscriber, five, 1000);
+        snapshot(subscriber, four, 1000);
+        delta(subscriber, five, four, 1000);
+        assertEquals(1, pair.inForce.size());
+        subscriber = connected(5000);
+        assertEquals(five.digest(), subscriber.inForce().digest());
+        snapshot(subscriber, four, 6000);
+        assertEquals(five.version(), subscriber.inForce().version());
+    }
+
+    @Test
+    void aNewEpochGoesBeforeAnyNumber() {
+        Subscriber subscriber = connected(0);
+        snapshot(subscriber, Pair.version(500), 1000);
+        Configuration anew = Configuration.of(new Version(2, 3), 1, List.of());
+        snapshot(subscriber, anew, 1000);
+        assertEquals(anew.version(), subscriber.inForce().version());
+    }
+
+    @Test
+    void withAFullDiskItGoesOnInMemorySaysSoAndIsHeldBackAfterARestart() {
+        Subscriber subscriber = connected(0);
+        Configuration five = Pair.version(5);
+        snapshot(subscriber, five, 1000);
+        pair.diskFull = true;
+        pair.toPublisher.clear();
+        Configuration six = Pair.version(6, "a", "1");
+        delta(subscriber, five, six, 1000);
+        assertEquals(six.digest(), subscriber.inForce().digest());
+        assertEquals(
+                new Message.InForce(six.version(), six.digest(), Durability.FLOOR_ONLY),
+                pair.toPublisher.removeFirst());
+        int inForceBefore = pair.inForce.size();
+        subscriber = connected(5000);
+        assertTrue(subscriber.heldBack());
+        assertEquals(inForceBefore, pair.inForce.size(), "version 5 is not put in force again");
+        snapshot(subscriber, five, 6000);
+        assertTrue(subscriber.heldBack());
+        snapshot(subscriber, six, 6000);
+        assertFalse(subscriber.heldBack());
+        assertEquals(six.digest(), subscriber.inForce().digest());
+    }
+
+    @Test
+    void onceTheDiskHasSpaceTheVersionInForceIsSavedAndSaidSo() {
+        pair.diskFails = true;
+        Subscriber subscriber = connected(0);
+        Configuration five = Pair.version(5);
+        snapshot(subscriber, five, 1000);
+        assertEquals(Durability.MEMORY_ONLY, subscriber.durability());
+        pair.diskFails = false;
+        pair.toPublisher.clear();
+        subscriber.received(heartbeat(five, 0), 2000);
+        subscriber.tick(1000 + SubscriberSettings.defaults().saveAgainMillis());
+        assertTrue(pair.toPublisher.contains(new Message.InForce(five.version(), five.digest(), Durability.SAVED)));
+        assertEquals(five.digest(), pair.saved.configuration().digest());
+    }
+
+    @Test
+    void aFormatThatItDoesNotReadIsRefusedByNameAndTheOldVersionStays() {
+        Subscriber subscriber = connected(0);
+        Configuration five = Pair.version(5);
+        snapshot(subscriber, five, 1000);
+        pair.toPublisher.clear();
+        Configuration six = Pair.formatted(6, 2);
+        delta(subscriber, five, six, 1000);
+        Refusal refusal = new Refusal(six.version(), Refusal.Reason.FORMAT, "format 2, this reads up to 1");
+        assertEquals(List.of(new Message.Refused(refusal)), List.copyOf(pair.toPublisher));
+        assertEquals(refusal, subscriber.refusal().orElseThrow());
+        assertEquals(five.digest(), subscriber.inForce().digest());
+        subscriber.received(heartbeat(six, 0), 1000);
+        pair.toPublisher.clear();
+        subscriber.tick(3500);
+        assertEquals(List.of(), List.copyOf(pair.toPublisher), "what was refused is not asked for");
+        delta(subscriber, five, Pair.version(7), 3500);
+        assertEquals(7, subscriber.inForce().version().number());
+    }
+
+    @Test
+    void whatTheValidatorComplainsOfIsRefused() {
+        Subscriber subscriber = connected(0);
+        pair.complaint = "no shares";
+        snapshot(subscriber, Pair.version(5), 1000);
+        assertEquals(List.of(), pair.inForce);
+        assertEquals(
+                List.of(new Message.Refused(new Refusal(new Version(1, 5), Refusal.Reason.INVALID, "no shares"))),
+                List.copyOf(pair.toPublisher));
+    }
+
+    @Test
+    void theSameVersionWithAnotherContentIsAConflictAndSaidOnce() {
+        Subscriber subscriber = connected(0);
+        Configuration five = Pair.version(5, "a", "1");
+        snapshot(subscriber, five, 1000);
+        pair.toPublisher.clear();
+        subscriber.received(heartbeat(Pair.version(5, "a", "2"), 0), 1000);
+        subscriber.received(heartbeat(Pair.version(5, "a", "2"), 0), 2000);
+        assertEquals(1, pair.toPublisher.size());
+        assertEquals(Refusal.Reason.CONFLICT, subscriber.refusal().orElseThrow().reason());
+        assertEquals(five.digest(), subscriber.inForce().digest());
+    }
+
+    @Test
+    void aSilentControlMachineIsLeftForAnother() {
+        Subscriber subscriber = connected(0);
+        assertEquals(List.of(Pair.NEAR), pair.tried, "its own region first");
+        subscriber.tick(4000);
+        assertFalse(pair.closed);
+        subscriber.tick(4001);
+        assertTrue(pair.closed);
+        subscriber.tick(4201);
+        assertEquals(List.of(Pair.NEAR, Pair.FAR), pair.tried);
+    }
+
+    @Test
+    void aControlMachineThatIsNotConfirmedIsLeftAndKeptOnlyWhereAllOthersFail() {
+        Subscriber subscriber = connected(0);
+        Configuration five = Pair.version(5);
+        snapshot(subscriber, five, 1000);
+        for (long now = 2000; now < 7000; now += 1000) {
+            subscriber.received(heartbeat(five, (int) now - 1000), now);
+            subscriber.tick(now);
+        }
+        assertTrue(pair.closed);
+        subscriber.tick(7000);
+        assertEquals(Pair.FAR, pair.tried.get(1));
+        subscriber.disconnected(7010);
+        subscriber.tick(8000);
+        assertEquals(Pair.NEAR, pair.tried.get(2), "the others have been tried");
+        subscriber.connected(8000);
+        pair.closed = false;
+        for (long now = 8000; now < 8000 + SubscriberSettings.defaults().stayMillis(); now += 1000) {
+            subscriber.received(heartbeat(five, (int) now - 1000), now);
+            subscriber.tick(now);
+            assertFalse(pair.closed);
+        }
+        assertEquals(36_000, subscriber.age(37_000).millis(), "known to be the newest at 1000");
+    }
+
+    @Test
+    void aControlMachineWithAnOldDiskIsLeftForAnother() {
+        Subscriber subscriber = connected(0);
+        snapshot(subscriber, Pair.version(5), 1000);
+        for (long now = 2000; now < 7000; now += 1000) {
+            subscriber.received(heartbeat(Pair.version(4), 0), now);
+            subscriber.tick(now);
+        }
+        assertTrue(pair.closed);
+        assertEquals(5, subscriber.inForce().version().number());
+    }
+
+    @Test
+    void aHeartbeatOfANewerVersionIsFollowedByAQuestionOnceNothingComes() {
+        Subscriber subscriber = connected(0);
+        Configuration five = Pair.version(5);
+        snapshot(subscriber, five, 1000);
+        pair.toPublisher.clear();
+        subscriber.received(heartbeat(Pair.version(6), 0), 2000);
+        subscriber.tick(3000);
+        assertEquals(0, pair.toPublisher.size());
+        subscriber.tick(3001);
+        assertEquals(List.of(new Message.Ask(five.version(), five.digest(), false)), List.copyOf(pair.toPublisher));
+    }
+
+    @Test
+    void whoIsToldToAskAgainLaterDoesThenAndNotBefore() {
+        Subscriber subscriber = connected(0);
+        subscriber.received(heartbeat(Pair.version(6), 0), 2000);
+        subscriber.received(new Message.RetryAfter(5000), 2000);
+        for (long now = 3000; now <= 7000; now += 1000) {
+            subscriber.received(heartbeat(Pair.version(6), 0), now);
+            subscriber.tick(now);
+        }
+        assertFalse(pair.toPublisher.stream().anyMatch(Message.Ask.class::isInstance));
+        subscriber.tick(7001);
+        assertTrue(pair.toPublisher.stream().anyMatch(Message.Ask.class::isInstance));
+    }
+
+    @Test
+    void backOffGrowsToItsMostAndIsDrawnByChance() {
+        SubscriberSettings settings = SubscriberSettings.defaults();
+        MachineChoice choice = new MachineChoice(List.of(Pair.NEAR, Pair.FAR), "r1", settings, new java.util.Random(3));
+        Set<Integer> drawn = new java.util.TreeSet<>();
+        int longest = 0;
+        for (int i = 0; i < 100; i++) {
+            int backOff = choice.backOffMillis();
+            assertTrue(backOff <= Math.min(settings.backOffMostMillis(), 200L << Math.min(i, 20)), i + ": " + backOff);
+            longest = Math.max(longest, backOff);
+            drawn.add(backOff);
+        }
+        assertTrue(longest > settings.backOffMostMillis() / 2, "grew to " + longest);
+        assertTrue(drawn.size() > 50, "drawn: " + drawn);
+    }
+}
