Play the distribution of configuration in simulated time, with hard cases and checks

`lab scale config` plays it and prints a table or JSON.

A subscriber also leaves a control machine that does not answer two questions (a way that passes in one direction only), and a publisher that has heard of a newer version than its own no longer passes for confirmed (an old disk).

--- a/src/main/java/pepperdock/cli/LabCommand.java
+++ b/src/main/java/pepperdock/cli/LabCommand.java
@@ -34,7 +34,8 @@
             LabCommand.FleetCommand.class,
             LabCommand.SimCommand.class,
             LabCommand.CheckCommand.class,
-            ExploreCommand.class
+            ExploreCommand.class,
+            ScaleCommand.class
         })
 final class LabCommand implements Runnable {
 
--- a/src/main/java/pepperdock/distribution/Publisher.java
+++ b/src/main/java/pepperdock/distribution/Publisher.java
@@ -28,6 +28,8 @@
     private final TreeMap<Long, Session> sessions = new TreeMap<>();
     private Configuration latest = Configuration.NONE;
     private byte[] latestEncoded = latest.encoded();
+    /** The newest version that a subscriber has said to have in force. */
+    private Version newestHeard = Version.NONE;
     /** The connection after which the next round of snapshot pieces begins, so that all get their share. */
     private long lastServed;
 
@@ -111,6 +113,7 @@
         session.lastHeard = now;
         if (message instanceof Message.Hello hello) {
             session.introduced(hello, now);
+            newestHeard = hello.inForce().newerThan(newestHeard) ? hello.inForce() : newestHeard;
             offer(session, false, now);
         } else if (message instanceof Message.InForce inForce) {
             session.inForce(inForce.version(), inForce.digest(), inForce.durability(), now);
@@ -146,7 +149,8 @@
     }
 
     private Message.Heartbeat heartbeat(long now) {
-        long ago = Math.max(0, now - source.confirmedAtMillis());
+        boolean behind = newestHeard.newerThan(latest.version());
+        long ago = behind ? LONGEST_UNCONFIRMED_MILLIS : Math.max(0, now - source.confirmedAtMillis());
         return new Message.Heartbeat(
                 latest.version(), latest.digest(), (int) Math.min(ago, LONGEST_UNCONFIRMED_MILLIS));
     }
--- a/src/main/java/pepperdock/distribution/Subscriber.java
+++ b/src/main/java/pepperdock/distribution/Subscriber.java
@@ -13,6 +13,8 @@
  */
 public class Subscriber {
 
+    /** So many questions without an answer, and the control machine is left: it may not hear this subscriber. */
+    private static final int QUESTIONS_MOST = 2;
     /** Of snapshots; the field of a piece is not trusted beyond this. */
     private static final int SNAPSHOT_BYTES_MOST = 16 << 20;
 
@@ -47,6 +49,7 @@
     private long stayUntil;
     private boolean stays;
     private long lastProgress;
+    private int questions;
     private long aliveAt;
     private long saveAgainAt;
     private SnapshotAssembly assembly;
@@ -141,6 +144,7 @@
         lastProgress = now;
         offered = Version.NONE;
         offeredConfirmedAt = now;
+        questions = 0;
         stays = choice.roundOver();
         stayUntil = now + settings.stayMillis();
         aliveAt = now + settings.aliveMillis();
@@ -167,7 +171,7 @@
         } else if (message instanceof Message.SnapshotPiece piece) {
             piece(piece, now);
         } else if (message instanceof Message.RetryAfter later) {
-            lastProgress = now + later.millis() - settings.lagMillis();
+            progress(now + later.millis() - settings.lagMillis());
         }
     }
 
@@ -193,6 +197,11 @@
         return silentMillis > settings.silenceMillis();
     }
 
+    /** Whether what the control machine holds has not been known to be the newest for too long. */
+    protected boolean tooLongUnconfirmed(long unconfirmedMillis) {
+        return unconfirmedMillis > settings.staleMillis();
+    }
+
     // ---- Connections ------------------------------------------------------------
 
     private void connectedTick(long now) {
@@ -200,13 +209,17 @@
             leave(now);
             return;
         }
-        boolean unconfirmed = now - offeredConfirmedAt > settings.staleMillis()
+        boolean unconfirmed = tooLongUnconfirmed(now - offeredConfirmedAt)
                 || inForce.version().newerThan(offered);
         if (unconfirmed && now - lastProgress > settings.staleMillis() && !(stays && now < stayUntil)) {
             leave(now);
             return;
         }
         if (lags() && now - lastProgress > settings.lagMillis()) {
+            if (questions == QUESTIONS_MOST) {
+                leave(now);
+                return;
+            }
             ask(now);
         }
         if (now >= aliveAt) {
@@ -255,7 +268,13 @@
         return mayFollow(offered) && (refusal == null || !refusal.version().equals(offered));
     }
 
+    private void progress(long now) {
+        lastProgress = now;
+        questions = 0;
+    }
+
     private void ask(long now) {
+        questions++;
         lastProgress = now;
         output.send(new Message.Ask(inForce.version(), inForce.digest(), whole));
     }
@@ -273,7 +292,7 @@
     }
 
     private void update(Delta delta, long now) {
-        lastProgress = now;
+        progress(now);
         if (!mayFollow(delta.result()) || !readable(delta.result(), delta.format())) {
             return;
         }
@@ -287,7 +306,7 @@
     }
 
     private void piece(Message.SnapshotPiece piece, long now) {
-        lastProgress = now;
+        progress(now);
         if (piece.offset() == 0) {
             boolean wanted = mayFollow(piece.version()) && readable(piece.version(), piece.format());
             boolean possible = piece.total() >= 0 && piece.total() <= SNAPSHOT_BYTES_MOST;
--- /dev/null
+++ b/src/main/java/pepperdock/lab/distribution/ByteStream.java
@@ -0,0 +1,68 @@
+package pepperdock.lab.distribution;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+
+/**
+ * One direction of a connection: in order, at a rate, nothing lost while both ends are there. What a cut stops is held until
+ * the cut heals.
+ */
+final class ByteStream<M> {
+
+    /** 8 Mbit/s for one stream. */
+    private static final int BYTES_PER_MILLI = 1000;
+
+    private final Timeline time;
+    private final Network network;
+    private final Place from;
+    private final Place to;
+    private final Consumer<M> arrived;
+    private final Deque<M> held = new ArrayDeque<>();
+    private long sentUntil;
+    private long lastArrival;
+    private boolean closed;
+
+    ByteStream(Timeline time, Network network, Place from, Place to, Consumer<M> arrived) {
+        this.time = time;
+        this.network = network;
+        this.from = from;
+        this.to = to;
+        this.arrived = arrived;
+    }
+
+    void send(M message, int bytes) {
+        sentUntil = Math.max(sentUntil, time.now()) + (bytes + BYTES_PER_MILLI - 1) / BYTES_PER_MILLI;
+        lastArrival = Math.max(lastArrival, sentUntil + network.delay(from, to));
+        time.at(lastArrival, () -> arrive(message));
+    }
+
+    void close() {
+        closed = true;
+        held.clear();
+    }
+
+    private void arrive(M message) {
+        if (closed) {
+            return;
+        }
+        if (!held.isEmpty() || !network.passes(from, to)) {
+            held.addLast(message);
+            if (held.size() == 1) {
+                network.whenHealed(this::release);
+            }
+            return;
+        }
+        arrived.accept(message);
+    }
+
+    private void release() {
+        if (!network.passes(from, to)) {
+            network.whenHealed(this::release);
+            return;
+        }
+        while (!held.isEmpty() && !closed) {
+            arrived.accept(held.removeFirst());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pepperdock/lab/distribution/Command.java
@@ -0,0 +1,65 @@
+package pepperdock.lab.distribution;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import pepperdock.distribution.Change;
+import pepperdock.distribution.Item;
+
+/**
+ * What an operator asks for, as an entry of the log.
+ *
+ * @param id by which a repetition is known: it changes nothing
+ * @param format of the configuration from here on
+ */
+public record Command(long id, int format, List<Change> changes) {
+
+    public Command {
+        changes = List.copyOf(changes);
+    }
+
+    byte[] encoded() {
+        int bytes = 16;
+        for (Change change : changes) {
+            bytes += 9 + utf8(change.key()).length + value(change).length;
+        }
+        ByteBuffer to = ByteBuffer.allocate(bytes).putLong(id).putInt(format).putInt(changes.size());
+        for (Change change : changes) {
+            byte[] key = utf8(change.key());
+            byte[] value = value(change);
+            to.put((byte) (change instanceof Change.Put ? 1 : 0));
+            to.putInt(key.length).put(key).putInt(value.length).put(value);
+        }
+        return to.array();
+    }
+
+    static Command read(byte[] bytes) {
+        ByteBuffer from = ByteBuffer.wrap(bytes);
+        long id = from.getLong();
+        int format = from.getInt();
+        int count = from.getInt();
+        List<Change> changes = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            boolean put = from.get() == 1;
+            String key = new String(part(from), StandardCharsets.UTF_8);
+            byte[] value = part(from);
+            changes.add(put ? new Change.Put(new Item(key, value)) : new Change.Remove(key));
+        }
+        return new Command(id, format, changes);
+    }
+
+    private static byte[] part(ByteBuffer from) {
+        byte[] part = new byte[from.getInt()];
+        from.get(part);
+        return part;
+    }
+
+    private static byte[] utf8(String key) {
+        return key.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static byte[] value(Change change) {
+        return change instanceof Change.Put put ? put.item().value() : new byte[0];
+    }
+}
--- /dev/null
+++ b/src/main/java/pepperdock/lab/distribution/Event.java
@@ -0,0 +1,38 @@
+package pepperdock.lab.distribution;
+
+import pepperdock.distribution.Digest;
+import pepperdock.distribution.Durability;
+import pepperdock.distribution.Version;
+
+/** What happened, for the checks. Times are milliseconds of simulated time. */
+public sealed interface Event {
+
+    long at();
+
+    /** An operator asks for a change. */
+    record Proposed(long at, long command) implements Event {}
+
+    /** A control machine has applied a change; each does so once a life. */
+    record Settled(long at, long command, Version version, Digest digest) implements Event {}
+
+    /** The operator is told that the change is settled. */
+    record Acknowledged(long at, long command) implements Event {}
+
+    /** A gatherer's process starts, and its disk knows of that version: whole, or as a floor. */
+    record Started(long at, String gatherer, Version onDisk) implements Event {}
+
+    /** A gatherer's process ends. */
+    record Stopped(long at, String gatherer, boolean diskLost) implements Event {}
+
+    /** A gatherer puts a version in force; the digest is that of its very items. */
+    record InForce(long at, String gatherer, Version version, Digest digest) implements Event {}
+
+    /** A gatherer tells a control machine what it has in force and what its disk holds. */
+    record Said(long at, String gatherer, Version version, Durability durability) implements Event {}
+
+    /** A gatherer that was cut off for so long has this age to tell; a negative one where nothing is in force. */
+    record Aged(long at, String gatherer, long cutOffMillis, long ageMillis) implements Event {}
+
+    /** From then to then a gatherer could not be reached by the settled log, by the script. */
+    record Hindered(long at, String gatherer, long until) implements Event {}
+}
--- /dev/null
+++ b/src/main/java/pepperdock/lab/distribution/Result.java
@@ -0,0 +1,11 @@
+package pepperdock.lab.distribution;
+
+import java.util.List;
+
+/** What became of one course. */
+public record Result(Setup setup, List<Finding> findings, Figures figures) {
+
+    public Result {
+        findings = List.copyOf(findings);
+    }
+}
--- /dev/null
+++ b/src/main/java/pepperdock/lab/distribution/Script.java
@@ -0,0 +1,239 @@
+package pepperdock.lab.distribution;
+
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import pepperdock.distribution.Configuration;
+
+/** Plans the faults of one hard case. */
+final class Script {
+
+    private static final int SECOND = 1000;
+    /** When the faults begin. */
+    static final int BEGIN = 60 * SECOND;
+
+    private static final int HALF_MINUTE = 30 * SECOND;
+    private static final int MINUTE = 60 * SECOND;
+    private static final int ONE_WAY = 20 * SECOND;
+    private static final int FIFTY = 50;
+    /** The leader is lost so soon after a change was asked for, at most: within the round trip that settles it. */
+    private static final int MIDDLE_OF_A_CHANGE = 60;
+
+    private final Simulation world;
+    private final Random chance;
+    private final Timeline time;
+    private final ControlGroup group;
+
+    Script(Simulation world, Random chance) {
+        this.world = world;
+        this.chance = chance;
+        time = world.time();
+        group = world.group();
+    }
+
+    /** Returns when the last fault is over. */
+    long plan(HardCase hardCase) {
+        return switch (hardCase) {
+            case CALM -> BEGIN + MINUTE;
+            case LEADER_LOST -> leaderLost();
+            case REGION_CUT -> regionCut();
+            case ZONE_LOST -> zoneLost();
+            case MACHINE_STOPPED -> leaderFor(HALF_MINUTE, ControlNode::stop, ControlNode::goOn);
+            case MACHINE_PASSES_NOTHING -> leaderFor(HALF_MINUTE, n -> n.passNothing(true), n -> n.passNothing(false));
+            case ONE_WAY_CUTS -> oneWayCuts();
+            case ZONE_RESTART -> zoneRestart();
+            case ALL_RESTART -> allRestart(MINUTE, 10);
+            case ALL_NEW -> allRestart(SECOND, 1);
+            case FIFTY_CHANGES -> fiftyChanges();
+            case DISK_FULL -> diskFull();
+            case UNREADABLE -> unreadable();
+            case CROSSING -> crossing();
+            case ALL_CONTROL_AWAY -> allControlAway();
+            case OLD_DISK -> oldDisk();
+        };
+    }
+
+    // ---- Control machines ------------------------------------------------------------
+
+    /** Does this with the one that leads, as soon as one does. */
+    private void withLeader(Consumer<ControlNode> action) {
+        ControlNode leader = group.leader();
+        if (leader == null) {
+            time.after(100, () -> withLeader(action));
+        } else {
+            action.accept(leader);
+        }
+    }
+
+    private long leaderFor(int millis, Consumer<ControlNode> begin, Consumer<ControlNode> end) {
+        time.at(
+                BEGIN,
+                () -> withLeader(n -> {
+                    begin.accept(n);
+                    time.after(millis, () -> end.accept(n));
+                }));
+        return BEGIN + millis + SECOND;
+    }
+
+    private long leaderLost() {
+        time.at(BEGIN, () -> {
+            world.change();
+            time.after(
+                    1 + chance.nextInt(MIDDLE_OF_A_CHANGE),
+                    () -> withLeader(n -> {
+                        group.loseDisk(n);
+                        time.after(HALF_MINUTE, n::start);
+                    }));
+        });
+        return BEGIN + HALF_MINUTE + 15 * SECOND;
+    }
+
+    private long allControlAway() {
+        time.at(BEGIN, () -> group.nodes().forEach(ControlNode::crash));
+        long back = BEGIN + HALF_MINUTE;
+        group.nodes().forEach(n -> time.at(back + chance.nextInt(SECOND), n::start));
+        hindered(g -> true, BEGIN, back + SECOND);
+        return back + 5 * SECOND;
+    }
+
+    private long oldDisk() {
+        ControlNode node = group.nodes().get(group.nodes().size() - 1);
+        time.at(BEGIN, () -> {
+            List<Configuration> first =
+                    List.copyOf(node.after(Configuration.NONE.version()).subList(0, 2));
+            node.serveOldDisk(first);
+        });
+        time.at(BEGIN + 40 * SECOND, () -> node.serveOldDisk(null));
+        world.gatherers().stream()
+                .filter(g -> chance.nextInt(10) == 0)
+                .forEach(g -> restart(g, BEGIN + chance.nextInt(HALF_MINUTE), 2 * SECOND, chance.nextBoolean()));
+        return BEGIN + 40 * SECOND;
+    }
+
+    // ---- Links ------------------------------------------------------------
+
+    private void cutFor(Network.Cut cut, long from, long until) {
+        time.at(from, () -> world.network().cut(cut));
+        time.at(until, () -> world.network().heal(cut));
+    }
+
+    private long regionCut() {
+        String region = "r" + (1 + chance.nextInt(3));
+        long until = BEGIN + world.setup().longCutMillis();
+        cutFor((a, b) -> a.region().equals(region) != b.region().equals(region), BEGIN, until);
+        hindered(g -> g.place().region().equals(region), BEGIN, until);
+        time.at(
+                until - 1,
+                () -> world.gatherers().stream()
+                        .filter(g -> g.place().region().equals(region))
+                        .forEach(this::tellAge));
+        return until;
+    }
+
+    private void tellAge(GathererNode gatherer) {
+        boolean nothing = gatherer.subscriber().inForce().version().equals(Configuration.NONE.version());
+        long age = nothing ? -1 : gatherer.subscriber().age(time.now()).millis();
+        world.history()
+                .add(new Event.Aged(
+                        time.now(), gatherer.place().name(), world.setup().longCutMillis(), age));
+    }
+
+    private long oneWayCuts() {
+        long until = BEGIN + ONE_WAY;
+        cutFor((a, b) -> a.name().equals("c1") && b.zone().equals("r1z3"), BEGIN, until);
+        cutFor((a, b) -> a.zone().equals("r2z2") && b.name().equals("c2"), BEGIN, until);
+        cutFor((a, b) -> a.name().equals("c1") && b.name().equals("c2"), BEGIN, until);
+        return until;
+    }
+
+    // ---- Gatherers ------------------------------------------------------------
+
+    private void hindered(Predicate<GathererNode> which, long from, long until) {
+        world.gatherers().stream()
+                .filter(which)
+                .forEach(g ->
+                        world.history().add(new Event.Hindered(from, g.place().name(), until)));
+    }
+
+    private void restart(GathererNode gatherer, long at, long downMillis, boolean newDisk) {
+        time.at(at, () -> gatherer.stop(newDisk ? world.newDisk() : null));
+        time.at(at + downMillis, gatherer::start);
+        world.history().add(new Event.Hindered(at, gatherer.place().name(), at + downMillis));
+    }
+
+    private long zoneLost() {
+        ControlNode node = group.nodes().get(1 + chance.nextInt(2));
+        String zone = node.place().zone();
+        long back = BEGIN + 40 * SECOND;
+        time.at(BEGIN, node::vanish);
+        time.at(back, node::start);
+        world.gatherers().stream()
+                .filter(g -> g.place().zone().equals(zone))
+                .forEach(g -> restart(g, BEGIN, 40 * SECOND + chance.nextInt(2 * SECOND), false));
+        return back + 5 * SECOND;
+    }
+
+    private long zoneRestart() {
+        String zone = "r" + (1 + chance.nextInt(3)) + "z" + (1 + chance.nextInt(3));
+        world.gatherers().stream()
+                .filter(g -> g.place().zone().equals(zone))
+                .forEach(g -> restart(
+                        g, BEGIN + chance.nextInt(SECOND), SECOND + chance.nextInt(SECOND), chance.nextInt(4) == 0));
+        for (int i = 0; i < 6; i++) {
+            time.at(BEGIN + i * 500, world::change);
+        }
+        return BEGIN + 10 * SECOND;
+    }
+
+    private long allRestart(int within, int newDiskOneIn) {
+        world.gatherers()
+                .forEach(
+                        g -> restart(g, BEGIN + chance.nextInt(within), 2 * SECOND, chance.nextInt(newDiskOneIn) == 0));
+        return BEGIN + within + 10 * SECOND;
+    }
+
+    private long diskFull() {
+        List<GathererNode> full =
+                world.gatherers().stream().filter(g -> chance.nextInt(10) == 0).toList();
+        for (GathererNode gatherer : full) {
+            time.at(BEGIN, () -> gatherer.disk().full(true));
+            restart(gatherer, BEGIN + HALF_MINUTE + chance.nextInt(5 * SECOND), SECOND, false);
+            time.at(BEGIN + MINUTE, () -> gatherer.disk().full(false));
+        }
+        return BEGIN + MINUTE;
+    }
+
+    // ---- Changes ------------------------------------------------------------
+
+    private long fiftyChanges() {
+        for (int i = 0; i < FIFTY; i++) {
+            time.at(BEGIN + chance.nextInt(MINUTE), world::change);
+        }
+        return BEGIN + MINUTE;
+    }
+
+    private long unreadable() {
+        long until = BEGIN + HALF_MINUTE;
+        time.at(BEGIN, () -> {
+            world.format(Simulation.FORMAT_SECOND);
+            world.change();
+        });
+        time.at(until, () -> {
+            world.format(1);
+            world.change();
+        });
+        hindered(g -> g.reads() < Simulation.FORMAT_SECOND, BEGIN, until);
+        return until + SECOND;
+    }
+
+    private long crossing() {
+        for (int i = 0; i < 5; i++) {
+            String key = "item/" + i;
+            for (int operator = 0; operator < 2; operator++) {
+                time.at(BEGIN + i * 3 * SECOND + operator * chance.nextInt(20), () -> world.change(key));
+            }
+        }
+        return BEGIN + 20 * SECOND;
+    }
+}
--- a/src/test/java/pepperdock/distribution/PublisherTest.java
+++ b/src/test/java/pepperdock/distribution/PublisherTest.java
@@ -79,6 +79,21 @@
         assertTrue(publisher.subscribers(100).get(0).ahead());
     }
 
+    @Test
+    void aPublisherThatHasHeardOfANewerVersionDoesNotPassForConfirmed() {
+        pair.settled.add(Pair.version(4));
+        Publisher publisher = pair.publisher(settings(1), 0);
+        publisher.connected(1, 0);
+        publisher.received(1, hello("g1", Pair.version(5)), 0);
+        publisher.disconnected(1);
+        publisher.connected(2, 0);
+        publisher.received(2, hello("g2", Pair.version(4)), 0);
+        pair.confirmedAt = 100;
+        publisher.tick(100);
+        Message.Heartbeat heartbeat = (Message.Heartbeat) pair.toSubscriber.removeFirst();
+        assertEquals(86_400_000, heartbeat.confirmedMillisAgo());
+    }
+
     @Test
     void moreSnapshotsThanAtOnceAreToldWhenToAskAgainLaterOnesLater() {
         pair.settled.add(Pair.version(4));
--- a/src/test/java/pepperdock/distribution/SubscriberTest.java
+++ b/src/test/java/pepperdock/distribution/SubscriberTest.java
@@ -266,6 +266,19 @@
         assertEquals(List.of(new Message.Ask(five.version(), five.digest(), false)), List.copyOf(pair.toPublisher));
     }
 
+    @Test
+    void aControlMachineThatDoesNotAnswerTwoQuestionsIsLeft() {
+        Subscriber subscriber = connected(0);
+        for (long now = 2000; now <= 9000; now += 1000) {
+            subscriber.received(heartbeat(Pair.version(6), 0), now);
+            subscriber.tick(now + 1);
+        }
+        assertEquals(
+                2,
+                pair.toPublisher.stream().filter(Message.Ask.class::isInstance).count());
+        assertTrue(pair.closed);
+    }
+
     @Test
     void whoIsToldToAskAgainLaterDoesThenAndNotBefore() {
         Subscriber subscriber = connected(0);
