--- a/src/main/java/pepperdock/distribution/PublisherSettings.java
+++ b/src/main/java/pepperdock/distribution/PublisherSettings.java
@@ -33,6 +33,6 @@
     /** For 500 subscribers over four control machines, and 15 KB in any second at a subscriber. */
     public static PublisherSettings defaults() {
         return new PublisherSettings(
-                1000, 15_000, 4000, 10_000, 4000, 1_000_000, 64 << 10, 96, 1024, 50, 1000, 1 << 20);
+                1000, 15_000, 4000, 10_000, 4000, 2_000_000, 64 << 10, 192, 1024, 50, 1000, 1 << 20);
     }
 }
--- a/src/main/java/pepperdock/lab/distribution/ControlNode.java
+++ b/src/main/java/pepperdock/lab/distribution/ControlNode.java
@@ -120,6 +120,9 @@
 
     void start() {
         gone = false;
+        if (raft != null) {
+            return;
+        }
         life++;
         Saved saved = disk.saved();
         raft = new Raft(id, group.raftSettings(), saved, group.chance().nextLong());
@@ -178,7 +181,7 @@
         List<Connection> open = List.copyOf(connections.values());
         connections.clear();
         open.forEach(Connection::resetByControl);
-        publisher = group.publisher(this);
+        publisher = raft == null ? null : group.publisher(this);
     }
 
     /** Runs this in the process: at once, after it goes on, or never where it is down. */
--- a/src/main/java/pepperdock/lab/distribution/GathererNode.java
+++ b/src/main/java/pepperdock/lab/distribution/GathererNode.java
@@ -58,6 +58,9 @@
     // ---- Life ------------------------------------------------------------
 
     void start() {
+        if (subscriber != null) {
+            return;
+        }
         VersionStore.Saved saved = disk.load();
         Version whole = saved.configuration().version();
         Version onDisk = saved.floor().newerThan(whole) ? saved.floor() : whole;
--- a/src/main/java/pepperdock/lab/distribution/Script.java
+++ b/src/main/java/pepperdock/lab/distribution/Script.java
@@ -1,5 +1,7 @@
 package pepperdock.lab.distribution;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -17,6 +19,7 @@
     private static final int MINUTE = 60 * SECOND;
     private static final int ONE_WAY = 20 * SECOND;
     private static final int FIFTY = 50;
+    private static final int MIXED_CASES = 3;
     /** The leader is lost so soon after a change was asked for, at most: within the round trip that settles it. */
     private static final int MIDDLE_OF_A_CHANGE = 60;
 
@@ -25,6 +28,10 @@
     private final Timeline time;
     private final ControlGroup group;
 
+    private int begin = BEGIN;
+    /** Several hard cases at a time: what each is to show by itself is not judged. */
+    private boolean mixed;
+
     Script(Simulation world, Random chance) {
         this.world = world;
         this.chance = chance;
@@ -35,7 +42,7 @@
     /** Returns when the last fault is over. */
     long plan(HardCase hardCase) {
         return switch (hardCase) {
-            case CALM -> BEGIN + MINUTE;
+            case CALM -> begin + MINUTE;
             case LEADER_LOST -> leaderLost();
             case REGION_CUT -> regionCut();
             case ZONE_LOST -> zoneLost();
@@ -51,9 +58,25 @@
             case CROSSING -> crossing();
             case ALL_CONTROL_AWAY -> allControlAway();
             case OLD_DISK -> oldDisk();
+            case MIXED -> mixed();
         };
     }
 
+    private long mixed() {
+        mixed = true;
+        List<HardCase> drawn = new ArrayList<>(List.of(HardCase.values()));
+        drawn.remove(HardCase.MIXED);
+        Collections.shuffle(drawn, chance);
+        long over = BEGIN;
+        for (HardCase hardCase : drawn.subList(0, MIXED_CASES)) {
+            begin = BEGIN + chance.nextInt(HALF_MINUTE);
+            over = Math.max(over, plan(hardCase));
+        }
+        // Whoever depends on several things that fail may wait for the last of them.
+        hindered(g -> true, BEGIN, over);
+        return over;
+    }
+
     // ---- Control machines ------------------------------------------------------------
 
     /** Does this with the one that leads, as soon as one does. */
@@ -66,18 +89,18 @@
         }
     }
 
-    private long leaderFor(int millis, Consumer<ControlNode> begin, Consumer<ControlNode> end) {
+    private long leaderFor(int millis, Consumer<ControlNode> fault, Consumer<ControlNode> repair) {
         time.at(
-                BEGIN,
+                begin,
                 () -> withLeader(n -> {
-                    begin.accept(n);
-                    time.after(millis, () -> end.accept(n));
+                    fault.accept(n);
+                    time.after(millis, () -> repair.accept(n));
                 }));
-        return BEGIN + millis + SECOND;
+        return begin + millis + SECOND;
     }
 
     private long leaderLost() {
-        time.at(BEGIN, () -> {
+        time.at(begin, () -> {
             world.change();
             time.after(
                     1 + chance.nextInt(MIDDLE_OF_A_CHANGE),
@@ -86,29 +109,29 @@
                         time.after(HALF_MINUTE, n::start);
                     }));
         });
-        return BEGIN + HALF_MINUTE + 15 * SECOND;
+        return begin + HALF_MINUTE + 15 * SECOND;
     }
 
     private long allControlAway() {
-        time.at(BEGIN, () -> group.nodes().forEach(ControlNode::crash));
-        long back = BEGIN + HALF_MINUTE;
+        time.at(begin, () -> group.nodes().forEach(ControlNode::crash));
+        long back = begin + HALF_MINUTE;
         group.nodes().forEach(n -> time.at(back + chance.nextInt(SECOND), n::start));
-        hindered(g -> true, BEGIN, back + SECOND);
+        hindered(g -> true, begin, back + SECOND);
         return back + 5 * SECOND;
     }
 
     private long oldDisk() {
         ControlNode node = group.nodes().get(group.nodes().size() - 1);
-        time.at(BEGIN, () -> {
+        time.at(begin, () -> {
             List<Configuration> first =
                     List.copyOf(node.after(Configuration.NONE.version()).subList(0, 2));
             node.serveOldDisk(first);
         });
-        time.at(BEGIN + 40 * SECOND, () -> node.serveOldDisk(null));
+        time.at(begin + 40 * SECOND, () -> node.serveOldDisk(null));
         world.gatherers().stream()
                 .filter(g -> chance.nextInt(10) == 0)
-                .forEach(g -> restart(g, BEGIN + chance.nextInt(HALF_MINUTE), 2 * SECOND, chance.nextBoolean()));
-        return BEGIN + 40 * SECOND;
+                .forEach(g -> restart(g, begin + chance.nextInt(HALF_MINUTE), 2 * SECOND, chance.nextBoolean()));
+        return begin + 40 * SECOND;
     }
 
     // ---- Links ------------------------------------------------------------
@@ -120,17 +143,21 @@
 
     private long regionCut() {
         String region = "r" + (1 + chance.nextInt(3));
-        long until = BEGIN + world.setup().longCutMillis();
-        cutFor((a, b) -> a.region().equals(region) != b.region().equals(region), BEGIN, until);
-        hindered(g -> g.place().region().equals(region), BEGIN, until);
-        time.at(
-                until - 1,
-                () -> world.gatherers().stream()
-                        .filter(g -> g.place().region().equals(region))
-                        .forEach(this::tellAge));
+        long until = begin + world.setup().longCutMillis();
+        cutFor((a, b) -> a.region().equals(region) != b.region().equals(region), begin, until);
+        hindered(g -> g.place().region().equals(region), begin, until);
+        if (!mixed) {
+            time.at(until - 1, () -> tellAges(region));
+        }
         return until;
     }
 
+    private void tellAges(String region) {
+        world.gatherers().stream()
+                .filter(g -> g.place().region().equals(region))
+                .forEach(this::tellAge);
+    }
+
     private void tellAge(GathererNode gatherer) {
         boolean nothing = gatherer.subscriber().inForce().version().equals(Configuration.NONE.version());
         long age = nothing ? -1 : gatherer.subscriber().age(time.now()).millis();
@@ -140,10 +167,10 @@
     }
 
     private long oneWayCuts() {
-        long until = BEGIN + ONE_WAY;
-        cutFor((a, b) -> a.name().equals("c1") && b.zone().equals("r1z3"), BEGIN, until);
-        cutFor((a, b) -> a.zone().equals("r2z2") && b.name().equals("c2"), BEGIN, until);
-        cutFor((a, b) -> a.name().equals("c1") && b.name().equals("c2"), BEGIN, until);
+        long until = begin + ONE_WAY;
+        cutFor((a, b) -> a.name().equals("c1") && b.zone().equals("r1z3"), begin, until);
+        cutFor((a, b) -> a.zone().equals("r2z2") && b.name().equals("c2"), begin, until);
+        cutFor((a, b) -> a.name().equals("c1") && b.name().equals("c2"), begin, until);
         return until;
     }
 
@@ -165,12 +192,12 @@
     private long zoneLost() {
         ControlNode node = group.nodes().get(1 + chance.nextInt(2));
         String zone = node.place().zone();
-        long back = BEGIN + 40 * SECOND;
-        time.at(BEGIN, node::vanish);
+        long back = begin + 40 * SECOND;
+        time.at(begin, node::vanish);
         time.at(back, node::start);
         world.gatherers().stream()
                 .filter(g -> g.place().zone().equals(zone))
-                .forEach(g -> restart(g, BEGIN, 40 * SECOND + chance.nextInt(2 * SECOND), false));
+                .forEach(g -> restart(g, begin, 40 * SECOND + chance.nextInt(2 * SECOND), false));
         return back + 5 * SECOND;
     }
 
@@ -179,43 +206,43 @@
         world.gatherers().stream()
                 .filter(g -> g.place().zone().equals(zone))
                 .forEach(g -> restart(
-                        g, BEGIN + chance.nextInt(SECOND), SECOND + chance.nextInt(SECOND), chance.nextInt(4) == 0));
+                        g, begin + chance.nextInt(SECOND), SECOND + chance.nextInt(SECOND), chance.nextInt(4) == 0));
         for (int i = 0; i < 6; i++) {
-            time.at(BEGIN + i * 500, world::change);
+            time.at(begin + i * 500, world::change);
         }
-        return BEGIN + 10 * SECOND;
+        return begin + 10 * SECOND;
     }
 
     private long allRestart(int within, int newDiskOneIn) {
         world.gatherers()
                 .forEach(
-                        g -> restart(g, BEGIN + chance.nextInt(within), 2 * SECOND, chance.nextInt(newDiskOneIn) == 0));
-        return BEGIN + within + 10 * SECOND;
+                        g -> restart(g, begin + chance.nextInt(within), 2 * SECOND, chance.nextInt(newDiskOneIn) == 0));
+        return begin + within + 10 * SECOND;
     }
 
     private long diskFull() {
         List<GathererNode> full =
                 world.gatherers().stream().filter(g -> chance.nextInt(10) == 0).toList();
         for (GathererNode gatherer : full) {
-            time.at(BEGIN, () -> gatherer.disk().full(true));
-            restart(gatherer, BEGIN + HALF_MINUTE + chance.nextInt(5 * SECOND), SECOND, false);
-            time.at(BEGIN + MINUTE, () -> gatherer.disk().full(false));
+            time.at(begin, () -> gatherer.disk().full(true));
+            restart(gatherer, begin + HALF_MINUTE + chance.nextInt(5 * SECOND), SECOND, false);
+            time.at(begin + MINUTE, () -> gatherer.disk().full(false));
         }
-        return BEGIN + MINUTE;
+        return begin + MINUTE;
     }
 
     // ---- Changes ------------------------------------------------------------
 
     private long fiftyChanges() {
         for (int i = 0; i < FIFTY; i++) {
-            time.at(BEGIN + chance.nextInt(MINUTE), world::change);
+            time.at(begin + chance.nextInt(MINUTE), world::change);
         }
-        return BEGIN + MINUTE;
+        return begin + MINUTE;
     }
 
     private long unreadable() {
-        long until = BEGIN + HALF_MINUTE;
-        time.at(BEGIN, () -> {
+        long until = begin + HALF_MINUTE;
+        time.at(begin, () -> {
             world.format(Simulation.FORMAT_SECOND);
             world.change();
         });
@@ -223,7 +250,7 @@
             world.format(1);
             world.change();
         });
-        hindered(g -> g.reads() < Simulation.FORMAT_SECOND, BEGIN, until);
+        hindered(g -> g.reads() < Simulation.FORMAT_SECOND, begin, until);
         return until + SECOND;
     }
 
@@ -231,9 +258,9 @@
         for (int i = 0; i < 5; i++) {
             String key = "item/" + i;
             for (int operator = 0; operator < 2; operator++) {
-                time.at(BEGIN + i * 3 * SECOND + operator * chance.nextInt(20), () -> world.change(key));
+                time.at(begin + i * 3 * SECOND + operator * chance.nextInt(20), () -> world.change(key));
             }
         }
-        return BEGIN + 20 * SECOND;
+        return begin + 20 * SECOND;
     }
 }
