--- a/src/test/java/pepperdock/core/GathererTest.java
+++ b/src/test/java/pepperdock/core/GathererTest.java
@@ -176,6 +176,17 @@
                 && bench.out().stream().allMatch(a -> a.worker().matches("w[02]")));
     }
 
+    /** What a whole list does not name is gone, also for what was decided on before it came. */
+    @Test
+    void aWorkerThatAWholeListLeavesOutGetsNothingThatWasDecidedOnBefore() {
+        bench.ask(0, 3, 12);
+        bench.core.listed(
+                ListKind.COMPLETE, List.of(Bench.host(0, Readiness.HEALTHY), Bench.host(2, Readiness.HEALTHY)));
+        bench.clock.advance(0.01);
+        assertTrue(!bench.out().isEmpty()
+                && bench.out().stream().allMatch(a -> a.worker().matches("w[02]")));
+    }
+
     @Test
     void aBalanceAdjustIsNotSentASecondTimeWhileTheFirstMayRun() {
         bench.ask(2, 3, 1);
--- a/src/test/java/pepperdock/platform/WorkerPoolTest.java
+++ b/src/test/java/pepperdock/platform/WorkerPoolTest.java
@@ -225,6 +225,13 @@
         assertEquals("refused " + Outcome.MOOT, ending());
     }
 
+    /** What a whole list does not name is gone, also where it still answers. */
+    @Test
+    void partsQueuedBehindAConnectEndWhenAWholeListLeavesTheWorkerOut() throws Exception {
+        ask(2, () -> core.listed(ListKind.COMPLETE, List.of()));
+        assertEquals("refused " + Outcome.MOOT, ending());
+    }
+
     /** The same where it is taken out by hand. */
     @Test
     void partsQueuedBehindAConnectEndWhenTheWorkerIsTakenOutByHand() throws Exception {
