Take in the file's list before the watch opens, not over what it has told

Cause: Main.serve opened the watch (Watch.start), went on wiring, and took in the list of the file last (core.listed HELD). The file's list then replaced the agent's, and as the watch goes on from the agent's version what it had told was never told again: workers that drain were used for good. Where the list is asked for, the module asks only after the file's list.

Change: the file's list is the loop's first task and the watch opens behind it; whoever wants the list kept or planned by is wired before; a list that came before the wait for it counts.

Test: ReadyTest.theListOfTheFileDoesNotReplaceTheAgents holds the start up until the agent's list has come; before, the query went to a worker that drains by that list.

--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -185,19 +185,27 @@
         Gatherer core = new Gatherer(config.site().module(), config.seed(), loop, backend, discovery);
         core.name(config.site().classes());
         backend.start(core);
-        if (watch != null) {
-            watch.start(core);
-        } else if (dnsSd != null) {
-            dnsSd.start(core);
-        } else {
-            fixed.start(core);
-        }
+        boolean[] listed = {false};
+        core.whenListed(hosts -> listed[0] = true);
         keepNodes(core, config, base.store());
         if (config.plan() != null) {
             PlannerThread planner = new PlannerThread(
                     config.plan(), config.site().module().layout(), loop, core, PlannerThread.thread(), loop::execute);
             loop.execute(planner::start);
         }
+        if (dnsSd != null) {
+            dnsSd.start(core);
+        } else if (fixed != null) {
+            fixed.start(core);
+        }
+        loop.execute(() -> {
+            // The file's list first: where lists come unasked the next may come at once, and must not be replaced by
+            // it.
+            core.listed(ListKind.HELD, config.known().hosts());
+            if (watch != null) {
+                watch.start(core);
+            }
+        });
         boolean[] ready = {false};
         List<HttpServer> servers = new ArrayList<>();
         Operator operator = config.operator() == null
@@ -256,15 +264,15 @@
             if (operator != null) {
                 operate(operator, config, loop, core);
             }
-            core.listed(ListKind.HELD, config.known().hosts());
             if (operator == null || !operator.beside()) {
                 if (watch == null || config.site().module().mustAsk()) {
                     begin.run();
                 } else {
-                    whenListed(core, loop, UNASKED_LIST_S, begin);
+                    whenListed(listed, core, loop, UNASKED_LIST_S, begin);
                 }
             } else {
                 whenListed(
+                        listed,
                         core,
                         loop,
                         LIST_S,
@@ -314,8 +322,12 @@
         }
     }
 
-    /** Once the list has come; else after {@code mostS} seconds, as what is known serves too. */
-    private static void whenListed(Gatherer core, Loop loop, double mostS, Runnable then) {
+    /** Once a list has come, or if one has; else after {@code mostS} seconds, as what is known serves too. */
+    private static void whenListed(boolean[] listed, Gatherer core, Loop loop, double mostS, Runnable then) {
+        if (listed[0]) {
+            then.run();
+            return;
+        }
         boolean[] done = {false};
         Runnable once = () -> {
             if (!done[0]) {
--- a/src/test/java/pepperdock/ReadyTest.java
+++ b/src/test/java/pepperdock/ReadyTest.java
@@ -1,16 +1,23 @@
 package pepperdock;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -48,11 +55,16 @@
     }
 
     private InetSocketAddress start(String settings) throws IOException {
+        return start(settings, "", LIST, Map.of());
+    }
+
+    private InetSocketAddress start(String settings, String also, String known, Map<String, String> env)
+            throws IOException {
         String file = "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery.getLocalPort()
-                + "\",\"known\":" + LIST + ",\"settings\":" + settings + "}";
+                + "\"," + also + "\"known\":" + known + ",\"settings\":" + settings + "}";
         Keys keys = Keys.of("", Config.parse(file, "test"));
         startedAt = loop.now();
-        return Main.serve(keys, false, new Main.Base(Map.of(), loop, new Store(null, loop), Events.of(false), null))
+        return Main.serve(keys, false, new Main.Base(env, loop, new Store(null, loop), Events.of(false), null))
                 .get(0)
                 .address();
     }
@@ -63,6 +75,12 @@
         }
     }
 
+    private static void answer(Socket agent, String list) throws IOException {
+        agent.getOutputStream()
+                .write(("HTTP/1.1 200 X\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+                        .getBytes(StandardCharsets.US_ASCII));
+    }
+
     private static int readiness(InetSocketAddress at) throws IOException {
         try (Socket s = new Socket(at.getAddress(), at.getPort())) {
             s.getOutputStream().write("GET /-/ready HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
@@ -88,9 +106,7 @@
             passHead(in);
             boolean early = readiness(at) == 200;
             assertTrue(!early || loop.now() - startedAt >= Main.UNASKED_LIST_S, "ready before the list was told");
-            agent.getOutputStream()
-                    .write(("HTTP/1.1 200 X\r\nContent-Length: " + LIST.length() + "\r\n\r\n" + LIST)
-                            .getBytes(StandardCharsets.US_ASCII));
+            answer(agent, LIST);
             // The next call is armed once the answer has been taken.
             passHead(in);
             awaitReady(at);
@@ -113,4 +129,72 @@
         discovery.close();
         awaitReady(start(Sites.SETTINGS));
     }
+
+    private static String everyCell(ServerSocket worker, String health) {
+        return "{\"seq\":1,\"whole\":true,\"hosts\":["
+                + IntStream.range(0, 4)
+                        .mapToObj(cell -> "{\"host\":\"w" + cell + "\",\"dial\":\"127.0.0.1:" + worker.getLocalPort()
+                                + "\",\"block\":" + cell + ",\"health\":\"" + health + "\"}")
+                        .collect(Collectors.joining(","))
+                + "]}";
+    }
+
+    /**
+     * The list of the file must not go over the agent's. The start is held up behind the opening of the watch, if it has been
+     * opened by then, until the agent's list has come. Was: the file's list was taken in after it, and what the agent had told
+     * was never told again.
+     */
+    @Test
+    void theListOfTheFileDoesNotReplaceTheAgents() throws Exception {
+        try (ServerSocket worker = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<Void> listed = CompletableFuture.runAsync(() -> {
+                try {
+                    Socket agent = discovery.accept();
+                    BufferedReader in = new BufferedReader(
+                            new InputStreamReader(agent.getInputStream(), StandardCharsets.US_ASCII));
+                    passHead(in);
+                    answer(agent, everyCell(worker, "terminating"));
+                    passHead(in);
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            });
+            Map<String, String> env = new HashMap<>() {
+                private static final long serialVersionUID = 1;
+
+                @Override
+                public String get(Object name) {
+                    if (name.equals("TMPDIR") && watchOpened()) {
+                        listed.join();
+                    }
+                    return null;
+                }
+            };
+            InetSocketAddress at =
+                    start(UNASKED, "\"operator\":\"127.0.0.1:0\",", everyCell(worker, "in_service"), env);
+            listed.get(60, TimeUnit.SECONDS);
+            awaitReady(at);
+            try (Socket client = new Socket(at.getAddress(), at.getPort())) {
+                String body = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"b\"}";
+                client.getOutputStream()
+                        .write(("POST /api HTTP/1.1\r\nHost: b\r\nRequest-Id: b1\r\nRequest-Class: history-search\r\n"
+                                        + "Request-Timeout-Ms: 1000\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                                        + body)
+                                .getBytes(StandardCharsets.US_ASCII));
+                assertTrue(client.getInputStream().read() >= 0, "an answer");
+            }
+            // Who connects now stands behind any connection that the query was given.
+            try (Socket last = new Socket(worker.getInetAddress(), worker.getLocalPort());
+                    Socket next = worker.accept()) {
+                assertEquals(last.getLocalPort(), next.getPort(), "sent to a worker that drains by the agent's list");
+            }
+        }
+    }
+
+    /** Whether the loop, with what it has to do by now done, has a connection or opens one. */
+    private boolean watchOpened() {
+        CompletableFuture<Boolean> opened = new CompletableFuture<>();
+        loop.execute(() -> opened.complete(loop.inUse() > 0));
+        return opened.join();
+    }
 }
