--- a/src/main/java/pepperdock/Main.java
+++ b/src/main/java/pepperdock/Main.java
@@ -191,19 +191,26 @@
         Gatherer core = new Gatherer(config.site().module(), config.seed(), loop, backend, discovery);
         core.name(config.site().classes());
         backend.start(core);
-        if (watch != null) {
-            watch.start(core);
-        } else if (dnsSd != null) {
-            dnsSd.start(core);
-        } else {
-            fixed.start(core);
-        }
+        FirstList firstList = new FirstList(core, loop);
         keepNodes(core, config, base.store());
         if (config.plan() != null) {
             PlannerThread planner = new PlannerThread(
                     config.plan(), config.site().module().layout(), loop, core, PlannerThread.thread(), loop::execute);
             loop.execute(planner::start);
         }
+        if (dnsSd != null) {
+            dnsSd.start(core);
+        } else if (fixed != null) {
+            fixed.start(core);
+        }
+        loop.execute(() -> {
+            // The file's list first: where lists come unasked the next may come at once, and must not be replaced by
+            // it.
+            core.listed(ListKind.HELD, config.known().hosts());
+            if (watch != null) {
+                watch.start(core);
+            }
+        });
         boolean[] ready = {false};
         List<HttpServer> servers = new ArrayList<>();
         Operator operator = config.operator() == null
@@ -262,24 +269,23 @@
             if (operator != null) {
                 operate(operator, config, loop, core);
             }
-            core.listed(ListKind.HELD, config.known().hosts());
             boolean unasked = watch != null && !config.site().module().mustAsk();
-            becomeReady(operator, unasked, core, loop, fronts, begin);
+            becomeReady(operator, unasked, firstList, fronts, begin);
         });
         return servers;
     }
 
     /** Begins to serve, at once or when the list has come; {@code unasked} where an agent tells the list. */
     private static void becomeReady(
-            Operator operator, boolean unasked, Gatherer core, Loop loop, Runnable fronts, Runnable begin) {
+            Operator operator, boolean unasked, FirstList firstList, Runnable fronts, Runnable begin) {
         if (operator != null && operator.otherProcess()) {
             Runnable takeOver = () -> {
                 fronts.run();
                 begin.run();
             };
-            whenListed(core, loop, LIST_S, () -> operator.serve(takeOver));
+            firstList.within(LIST_S, () -> operator.serve(takeOver));
         } else if (unasked) {
-            whenListed(core, loop, UNASKED_LIST_S, begin);
+            firstList.within(UNASKED_LIST_S, begin);
         } else {
             begin.run();
         }
@@ -323,19 +329,6 @@
         }
     }
 
-    /** Once the list has come; else after {@code mostS} seconds, as what is known serves too. */
-    private static void whenListed(Gatherer core, Loop loop, double mostS, Runnable then) {
-        boolean[] done = {false};
-        Runnable once = () -> {
-            if (!done[0]) {
-                done[0] = true;
-                then.run();
-            }
-        };
-        core.whenListed(hosts -> once.run());
-        loop.after(mostS, once);
-    }
-
     private static Path folder(Map<String, String> env) {
         String folder = env.get("TMPDIR");
         return folder == null || folder.isEmpty() ? null : Path.of(folder);
