Send probes and answers before gossip; a probe withheld for budget is no silence

Cause: one bucket served all.

Change: Budget, floors by priority (answers, probes, indirect probes, exchanges, gossip) in a bucket of half a second, indirect probes held to a fifth; gossip fills only what is left above its floor; a probe that is not sent is tried again, and the time it waits is held against nobody; no gossip rides to one that holds the same. Sizes are bounds by kind of message in place of one bound for all (CodecTest).

SimTest.aFleetOfSixtyJoinsAtOnceWithinASmallBudget fails before.

--- a/src/main/java/pepperdock/membership/Card.java
+++ b/src/main/java/pepperdock/membership/Card.java
@@ -15,7 +15,7 @@
 
     @Override
     public int size() {
-        return 48 + name.length() + zone.length() + machine.length() + address.length();
+        return 30 + name.length() + zone.length() + machine.length() + address.length();
     }
 
     Card with(Status s) {
--- a/src/main/java/pepperdock/membership/Gossip.java
+++ b/src/main/java/pepperdock/membership/Gossip.java
@@ -17,7 +17,7 @@
     /** Items looked at in vain for one datagram: those left are too large for what room is left. */
     private static final int MISFITS = 8;
 
-    private static final int LEAST_ITEM = 48;
+    private static final int LEAST_ITEM = 28;
 
     private record Key(String name, boolean card) {}
 
--- a/src/main/java/pepperdock/membership/Links.java
+++ b/src/main/java/pepperdock/membership/Links.java
@@ -31,8 +31,8 @@
 
     @Override
     public int size() {
-        return 32
+        return 24
                 + name.length()
-                + said.keySet().stream().mapToInt(s -> 16 + s.length()).sum();
+                + said.keySet().stream().mapToInt(s -> 12 + s.length()).sum();
     }
 }
--- a/src/main/java/pepperdock/membership/Membership.java
+++ b/src/main/java/pepperdock/membership/Membership.java
@@ -38,8 +38,6 @@
     private static final int ERRANDS_MOST = 256;
     private static final int LATE_MOST = 8;
     private static final double STRETCH = 0.25;
-    /** Of the budget, what only answers may use. */
-    private static final double RESERVE = 0.25;
 
     private static final int UDP_AND_IP = 28;
 
@@ -88,12 +86,7 @@
     private double nextFull;
     private double nextGone;
     private double nextForget;
-    private double datagrams;
-    private double bytes;
-    private double budgetAt;
-    private long sentDatagrams;
-    private long sentBytes;
-    private long withheld;
+    private final Budget budget;
     private long foreign;
 
     /** {@code seeds} are addresses of members that may be there already; one's own among them is passed over. */
@@ -106,9 +99,7 @@
         table = new Table(settings.membersMost(), settings.observers());
         judge = new Judge(settings, table);
         lastTick = now;
-        budgetAt = now;
-        datagrams = settings.datagramsPerS();
-        bytes = settings.bytesPerS();
+        budget = new Budget(settings, now);
         nextSeed = now;
         nextFull = now + settings.syncS() * (0.5 + chance.nextDouble());
         nextGone = now;
@@ -154,7 +145,7 @@
 
     /** Datagrams sent, their bytes with headers, datagrams withheld for the budget, messages of other fleets: all so far. */
     public long[] counts() {
-        return new long[] {sentDatagrams, sentBytes, withheld, foreign};
+        return new long[] {budget.sentDatagrams(), budget.sentBytes(), budget.withheld(), foreign};
     }
 
     /** Says to all that this member leaves; it goes on answering until the caller ends it. */
@@ -164,7 +155,7 @@
             publish(self.with(Status.LEFT), now);
             for (String s : table.rings().names()) {
                 if (!s.equals(self.name())) {
-                    ping(table.get(s).card(), 0, now);
+                    ping(table.get(s).card(), 0);
                 }
             }
             told();
@@ -174,8 +165,9 @@
     // ---- Time ------------------------------------------------------------
 
     public void tick(double now) {
-        refill(now);
-        double by = now - lastTick - settings.tickS();
+        budget.fill(now);
+        double elapsed = now - lastTick;
+        double by = elapsed - settings.tickS();
         lastTick = now;
         if (settings.selfDoubt()) {
             lateness(by, now);
@@ -189,9 +181,9 @@
         }
         seek(now);
         if (rival != null) {
-            contest(now);
+            contest(elapsed, now);
         } else if (!leaving) {
-            observe(now);
+            observe(elapsed, now);
             speak(now);
             verdicts(now);
         }
@@ -252,7 +244,7 @@
             nextGone = now + settings.probeS() * 4;
             List<String> gone = List.copyOf(table.gone());
             if (!gone.isEmpty() && rival == null) {
-                ping(table.get(gone.get(chance.nextInt(gone.size()))).card(), 0, now);
+                ping(table.get(gone.get(chance.nextInt(gone.size()))).card(), 0);
             }
         }
     }
@@ -265,7 +257,7 @@
 
     // ---- Observing ------------------------------------------------------------
 
-    private void observe(double now) {
+    private void observe(double elapsed, double now) {
         if (table.version() != observedAt) {
             observedAt = table.version();
             Set<String> subjects = table.rings().subjectsOf(self.name());
@@ -283,13 +275,21 @@
                                 now + settings.probeS() * chance.nextDouble()));
             }
         }
-        probes.forEach((subject, p) -> probe(p, table.get(subject).card(), now));
+        probes.forEach((subject, p) -> probe(p, table.get(subject).card(), elapsed, now));
     }
 
-    /** Pings a subject when it is time to, and has others ping it when it did not answer in time. */
-    private void probe(Probe p, Card subject, double now) {
+    /**
+     * Pings a subject when it is time to, and has others ping it when it did not answer in time. A ping that the budget
+     * withholds was not sent: that nothing came back says nothing of the subject.
+     */
+    private void probe(Probe p, Card subject, double elapsed, double now) {
         if (p.due(now)) {
-            ping(subject, p.sent(now), now);
+            boolean same = p.held() == table.state();
+            if (ping(subject, p.lastSeq() + 1, same)) {
+                p.sent(now);
+            } else {
+                p.paused(elapsed);
+            }
         } else if (p.wantsHelp(now)) {
             List<String> others = new ArrayList<>(table.rings().names());
             others.remove(self.name());
@@ -299,8 +299,7 @@
                 send(
                         table.get(helper).card().address(),
                         new Ask(head(), subject.name(), subject.life(), subject.address(), p.lastSeq()),
-                        0,
-                        now);
+                        Budget.Use.INDIRECT);
             }
         }
     }
@@ -364,7 +363,7 @@
     // ---- A name used twice ------------------------------------------------------------
 
     /** Another process has this member's name, and goes before it: found out whether it lives, and the name claimed if not. */
-    private void contest(double now) {
+    private void contest(double elapsed, double now) {
         Card held = table.get(self.name()).card();
         if (held.life() != self.life()) {
             rival = held;
@@ -377,7 +376,7 @@
                 || rivalProbe.word(now, stretch()) == Word.UNREACHED) {
             claim(rival.incarnation() + 1, now);
         } else {
-            probe(rivalProbe, rival, now);
+            probe(rivalProbe, rival, elapsed, now);
         }
     }
 
@@ -436,16 +435,17 @@
         if (!accepted(m.head())) {
             return;
         }
-        refill(now);
+        budget.fill(now);
         Probe from = probes.get(m.head().name());
         if (from != null && from.life() == m.head().life()) {
             from.heard(now);
+            from.holds(m.head().state());
         }
         if (m instanceof Ping p) {
             if (p.to().equals(self.name()) && p.life() == self.life()) {
-                send(m.head().address(), new Ack(head(), p.seq(), rides(now)), RESERVE, now);
+                answer(p);
             } else {
-                send(m.head().address(), new Other(head(), p.to(), p.life()), RESERVE, now);
+                send(m.head().address(), new Other(head(), p.to(), p.life()), Budget.Use.ANSWER);
             }
             items(p.gossip(), now);
         } else if (m instanceof Ack a) {
@@ -482,7 +482,7 @@
             if (e != null
                     && e.subject().equals(a.head().name())
                     && e.life() == a.head().life()) {
-                send(e.asker(), new Told(head(), e.subject(), e.life(), e.seq()), RESERVE, now);
+                send(e.asker(), new Told(head(), e.subject(), e.life(), e.seq()), Budget.Use.ANSWER);
             }
             return;
         }
@@ -505,7 +505,7 @@
         if (errands.size() < ERRANDS_MOST) {
             errands.put(
                     ++errand, new Errand(a.head().address(), a.subject(), a.life(), a.seq(), now + settings.doubtS()));
-            send(a.address(), new Ping(head(), a.subject(), a.life(), errand, List.of()), 0, now);
+            send(a.address(), new Ping(head(), a.subject(), a.life(), errand, List.of()), Budget.Use.INDIRECT);
         }
     }
 
@@ -673,43 +673,34 @@
 
     // ---- Sending, within the budget ------------------------------------------------------------
 
-    private void refill(double now) {
-        double passed = Math.max(0, now - budgetAt);
-        budgetAt = now;
-        datagrams = Math.min(settings.datagramsPerS(), datagrams + passed * settings.datagramsPerS());
-        bytes = Math.min(settings.bytesPerS(), bytes + passed * settings.bytesPerS());
+    private void ping(Card to, long seq) {
+        ping(to, seq, false);
     }
 
-    private void ping(Card to, long seq, double now) {
-        send(to.address(), new Ping(head(), to.name(), to.life(), seq, rides(now)), 0, now);
+    /** {@code same}: the one pinged holds the same of all who are here, so that gossip would tell it nothing. */
+    private boolean ping(Card to, long seq, boolean same) {
+        Ping bare = new Ping(head(), to.name(), to.life(), seq, List.of());
+        List<Item> gossip = same ? List.of() : rides(bare);
+        return send(to.address(), new Ping(bare.head(), to.name(), to.life(), seq, gossip), Budget.Use.PROBE);
     }
 
-    /** Gossip for one datagram; none where the budget is short: probes go first. */
-    private List<Item> rides(double now) {
-        if (bytes < RESERVE * settings.bytesPerS()) {
-            return List.of();
-        }
-        return gossip.take(
-                Settings.DATAGRAM_BYTES - head().size(), table.rings().names().size());
+    private void answer(Ping p) {
+        Ack bare = new Ack(head(), p.seq(), List.of());
+        List<Item> gossip = p.head().state() == table.state() ? List.of() : rides(bare);
+        send(p.head().address(), new Ack(bare.head(), p.seq(), gossip), Budget.Use.ANSWER);
     }
 
-    /** {@code reserve} is how much of the reserve this may use: all of it, or none. */
-    private void send(String address, Message m, double reserve, double now) {
-        int size = m.head().size() + UDP_AND_IP;
-        if (m instanceof Ping p) {
-            size += p.gossip().stream().mapToInt(Item::size).sum();
-        } else if (m instanceof Ack a) {
-            size += a.gossip().stream().mapToInt(Item::size).sum();
-        }
-        double keep = RESERVE - reserve;
-        if (datagrams < 1 + keep * settings.datagramsPerS() || bytes < size + keep * settings.bytesPerS()) {
-            withheld++;
-            return;
+    /** Gossip for one datagram, of what the budget leaves beside those that probe and answer. */
+    private List<Item> rides(Message bare) {
+        int room = Math.min(Settings.DATAGRAM_BYTES, budget.room(Budget.Use.GOSSIP) - UDP_AND_IP);
+        return gossip.take(room - bare.size(), table.rings().names().size());
+    }
+
+    private boolean send(String address, Message m, Budget.Use use) {
+        boolean sent = budget.datagram(use, m.size() + UDP_AND_IP);
+        if (sent) {
+            outputs.add(new Output.Send(address, m));
         }
-        datagrams--;
-        bytes -= size;
-        sentDatagrams++;
-        sentBytes += size;
-        outputs.add(new Output.Send(address, m));
+        return sent;
     }
 }
--- a/src/main/java/pepperdock/membership/Message.java
+++ b/src/main/java/pepperdock/membership/Message.java
@@ -17,17 +17,56 @@
      */
     record Head(String fleet, String name, long life, long incarnation, String address, long state) {
 
-        /** Bytes of a message with this head and no gossip, at most. */
+        /** Bytes on the wire with version and kind, at most. */
         int size() {
-            return 96 + fleet.length() + name.length() + address.length() + NAME_MOST;
+            return 3 + 3 * NUMBER + text(fleet) + text(name) + text(address);
         }
     }
 
-    /** The longest name, of which a message may have one beside its head. */
-    int NAME_MOST = 64;
+    /** Bytes of a number, and of the start of a list or of its end, at most. */
+    int NUMBER = 9;
+
+    int BRACKET = 1;
+
+    private static int text(String s) {
+        return 2 + s.length();
+    }
+
+    private static int items(List<Item> items) {
+        return 2 * BRACKET + items.stream().mapToInt(Item::size).sum();
+    }
 
     Head head();
 
+    /** Bytes on the wire, at most, headers below it aside. */
+    default int size() {
+        int size = head().size() + BRACKET;
+        if (this instanceof Ping p) {
+            size += text(p.to()) + 2 * NUMBER + items(p.gossip());
+        } else if (this instanceof Ack a) {
+            size += NUMBER + items(a.gossip());
+        } else if (this instanceof Other o) {
+            size += text(o.wanted()) + NUMBER;
+        } else if (this instanceof Ask a) {
+            size += text(a.subject()) + text(a.address()) + 2 * NUMBER;
+        } else if (this instanceof Told t) {
+            size += text(t.subject()) + 2 * NUMBER;
+        } else if (this instanceof Digest d) {
+            size += 2 * BRACKET;
+            for (String name : d.sums().keySet()) {
+                size += text(name) + NUMBER;
+            }
+        } else if (this instanceof Reply r) {
+            size += items(r.items()) + 2 * BRACKET;
+            for (String name : r.wanted()) {
+                size += text(name);
+            }
+        } else if (this instanceof Rest r) {
+            size += items(r.items());
+        }
+        return size;
+    }
+
     /** Are you there, you of this name and life? Sequence numbers are the sender's own, by subject. */
     record Ping(Head head, String to, long life, long seq, List<Item> gossip) implements Message {}
 
--- a/src/main/java/pepperdock/membership/Probe.java
+++ b/src/main/java/pepperdock/membership/Probe.java
@@ -29,6 +29,9 @@
 
     private double mean;
     private boolean notThere;
+    /** The sum of all that it held when it last spoke. */
+    private long held;
+
     private Word word;
     private int falls;
     private double fellAt = Double.NEGATIVE_INFINITY;
@@ -51,14 +54,13 @@
         return now >= nextAt;
     }
 
-    /** A ping goes out now; returns its number. */
-    long sent(double now) {
+    /** A ping has gone out, under the number after the last. */
+    void sent(double now) {
         nextAt = Math.max(nextAt + settings.probeS(), now + settings.probeS() / 2);
         seq++;
         sentAt[(int) (seq % KEPT)] = now;
         helped = false;
         answered = false;
-        return seq;
     }
 
     /** Whether it is time to ask helpers, once for a ping. */
@@ -101,6 +103,14 @@
         spoke = now;
     }
 
+    void holds(long state) {
+        held = state;
+    }
+
+    long held() {
+        return held;
+    }
+
     boolean heardAfter(double then) {
         return spoke > then;
     }
@@ -110,7 +120,7 @@
         notThere = true;
     }
 
-    /** A pause of our own: what we did not hear meanwhile says nothing of the subject. */
+    /** A pause of our own, or no budget for a ping: what we did not hear meanwhile says nothing of the subject. */
     void paused(double by) {
         direct += by;
         heard += by;
--- a/src/test/java/pepperdock/lab/fleet/SimTest.java
+++ b/src/test/java/pepperdock/lab/fleet/SimTest.java
@@ -96,6 +96,19 @@
         assertEquals(0, figures.falseGone);
     }
 
+    /**
+     * Sixty members that join at once have more to tell each other than a small budget carries. Probes and their answers go
+     * before it: nobody is in doubt for want of budget, the fleet settles, and a death is noticed as ever.
+     */
+    @Test
+    void aFleetOfSixtyJoinsAtOnceWithinASmallBudget() {
+        Settings small = new Settings(0.5, 3, 3, 8, 0.75, 2, 3, 0.5, 30, 3600, 50, 15_000, 2000, true);
+        MemberFigures figures = new MemberFigures();
+        assertEquals(List.of(), found(script(60, true, "{'fault':'kill','members':1}"), small, 2, figures));
+        assertEquals(2 * 59, figures.noticed.getTotalCount());
+        assertTrue(figures.noticed.getMaxValue() < 7_500, figures.lines()::toString);
+    }
+
     /** A member that hears nothing accuses all others: it doubts itself, or several must agree; without both they are gone. */
     @Test
     void oneThatHearsNothingBringsDownOthersOnlyWhereBothGuardsAreLeftOut() {
--- a/src/test/java/pepperdock/members/CodecTest.java
+++ b/src/test/java/pepperdock/members/CodecTest.java
@@ -69,6 +69,12 @@
         assertEquals(m, Codec.message(bytes, 0, bytes.length));
     }
 
+    @Property(seed = "74", tries = 500)
+    void aMessageIsNoLargerThanItSays(@ForAll long seed) {
+        Message m = message(new Random(seed));
+        assertTrue(Codec.bytes(m).length <= m.size(), m.toString());
+    }
+
     @Property(seed = "72", tries = 500)
     void anItemIsNoLargerThanItSays(@ForAll long seed) {
         Item i = item(new Random(seed));
