Exchange in pages by slices, paced and within the budget; admit newcomers by datagrams

Cause: an exchange sent the sums of all names (some 10 KB at 500 members) and all that differed, in no budget and in no count; a member opened one each second while any sender was unknown to it.

Change: AntiEntropy: tables above 64 names are compared by 32 sums of slices first, then by names in some of those that differ (some 24 names); replies are cut to the room, from a place drawn on, so that the next goes on elsewhere. Exchanges are charged to the budget, headers too, with a share of 35 %; the time to the next is jittered and doubles twice while none brings anything. A newcomer whose first exchange brought nothing asks by datagram (Join), answered (Welcome) with what is held of its name and four members: seeds of a fleet that starts at once are what limits it. Wire: kinds 9 to 13 added; the rest as before, and fleets of up to 64 use the kinds that there were for exchanges.

--- a/src/main/java/pepperdock/config/MembersConfig.java
+++ b/src/main/java/pepperdock/config/MembersConfig.java
@@ -21,6 +21,8 @@
         InetSocketAddress ask) {
 
     private static final double SECONDS_MOST = 86_400;
+    /** Of a probe, an answer or a question for help, with headers and names of usual length. */
+    private static final int BYTES_LEAST = 170;
 
     /** Null where the file has no {@code members}. */
     public static MembersConfig read(Keys all) {
@@ -97,8 +99,11 @@
                             + Math.ceil(3 * observers / probe));
         }
         int bytes = k.whole("bytes_per_s", 1, 1 << 30, d.bytesPerS());
-        if (bytes < 300 * datagrams) {
-            throw new ConfigException(k.key("bytes_per_s"), "less than 300 times datagrams_per_s");
+        double least = Math.ceil(BYTES_LEAST * 3 * observers / probe);
+        if (bytes < least) {
+            throw new ConfigException(
+                    k.key("bytes_per_s"),
+                    "less than " + BYTES_LEAST + " bytes for each of those datagrams, which is " + least);
         }
         return new Settings(
                 probe,
--- a/src/main/java/pepperdock/members/Codec.java
+++ b/src/main/java/pepperdock/members/Codec.java
@@ -39,6 +39,13 @@
     private static final int DIGEST = 6;
     private static final int REPLY = 7;
     private static final int REST = 8;
+    private static final int SUMMARY = 9;
+    private static final int SLICES = 10;
+    /** A digest of some slices; one of all has the kind that it had before there were slices. */
+    private static final int PART_DIGEST = 11;
+
+    private static final int JOIN = 12;
+    private static final int WELCOME = 13;
     private static final int CARD = 1;
     private static final int LINKS = 2;
     private static final Pattern NAME = Pattern.compile(Card.NAME);
@@ -88,12 +95,31 @@
                 who(g, t.subject(), t.life());
                 g.writeNumber(t.seq());
             } else if (m instanceof Message.Digest d) {
-                head(g, DIGEST, d.head());
+                boolean all = d.slices() == Message.ALL_SLICES;
+                head(g, all ? DIGEST : PART_DIGEST, d.head());
+                if (!all) {
+                    g.writeNumber(d.slices());
+                }
                 g.writeStartArray();
                 for (Map.Entry<String, Long> e : d.sums().entrySet()) {
                     who(g, e.getKey(), e.getValue());
                 }
                 g.writeEndArray();
+            } else if (m instanceof Message.Join j) {
+                head(g, JOIN, j.head());
+            } else if (m instanceof Message.Welcome w) {
+                head(g, WELCOME, w.head());
+                items(g, w.items());
+            } else if (m instanceof Message.Summary s) {
+                head(g, SUMMARY, s.head());
+                g.writeStartArray();
+                for (long sum : s.sums()) {
+                    g.writeNumber(sum);
+                }
+                g.writeEndArray();
+            } else if (m instanceof Message.Slices s) {
+                head(g, SLICES, s.head());
+                g.writeNumber(s.slices());
             } else if (m instanceof Message.Reply r) {
                 head(g, REPLY, r.head());
                 items(g, r.items());
@@ -187,7 +213,12 @@
                 case OTHER -> new Message.Other(h, name(), whole());
                 case ASK -> new Message.Ask(h, name(), whole(), address(), count());
                 case TOLD -> new Message.Told(h, name(), whole(), count());
-                case DIGEST -> new Message.Digest(h, sums());
+                case DIGEST -> new Message.Digest(h, Message.ALL_SLICES, sums());
+                case JOIN -> new Message.Join(h);
+                case WELCOME -> new Message.Welcome(h, items());
+                case SUMMARY -> new Message.Summary(h, slices());
+                case SLICES -> new Message.Slices(h, bits());
+                case PART_DIGEST -> new Message.Digest(h, bits(), sums());
                 case REPLY -> new Message.Reply(h, items(), names());
                 case REST -> new Message.Rest(h, items());
                 default -> throw new IllegalArgumentException("kind " + kind);
@@ -286,6 +317,27 @@
             return sums;
         }
 
+        private int bits() throws IOException {
+            long n = whole();
+            if (n != (int) n) {
+                throw new IllegalArgumentException("too many bits");
+            }
+            return (int) n;
+        }
+
+        private List<Long> slices() throws IOException {
+            List<Long> sums = new ArrayList<>();
+            take(JsonToken.START_ARRAY);
+            while (p.nextToken() == JsonToken.VALUE_NUMBER_INT) {
+                bounded(sums.size());
+                sums.add(p.getLongValue());
+            }
+            if (p.currentToken() != JsonToken.END_ARRAY || sums.size() != Message.SLICE_COUNT) {
+                throw new IllegalArgumentException("not one sum for each slice");
+            }
+            return sums;
+        }
+
         private List<String> names() throws IOException {
             List<String> names = new ArrayList<>();
             take(JsonToken.START_ARRAY);
--- a/src/main/java/pepperdock/membership/Budget.java
+++ b/src/main/java/pepperdock/membership/Budget.java
@@ -14,11 +14,13 @@
         ANSWER(0, 1),
         PROBE(0.1, 1),
         /** Asking others to probe, and probing for others. */
-        INDIRECT(0.25, 0.2),
-        /** Messages of full exchanges, on streams. */
-        EXCHANGE(0.25, 0.25),
+        INDIRECT(0.2, 0.2),
+        /** Messages of exchanges, on streams. */
+        EXCHANGE(0.15, 0.35),
+        /** Answers to those who are new. */
+        WELCOME(0.3, 0.4),
         /** Gossip that rides on probes and answers. */
-        GOSSIP(0.4, 1);
+        GOSSIP(0.6, 1);
 
         private final double floor;
         private final double share;
--- a/src/main/java/pepperdock/membership/Membership.java
+++ b/src/main/java/pepperdock/membership/Membership.java
@@ -14,9 +14,11 @@
 import pepperdock.membership.Message.Ask;
 import pepperdock.membership.Message.Digest;
 import pepperdock.membership.Message.Head;
+import pepperdock.membership.Message.Join;
 import pepperdock.membership.Message.Other;
 import pepperdock.membership.Message.Ping;
 import pepperdock.membership.Message.Told;
+import pepperdock.membership.Message.Welcome;
 
 /**
  * One member's half of the agreement about who is there. Messages and the time come in, {@link Output} goes out; no clock, no
@@ -40,6 +42,12 @@
     private static final double STRETCH = 0.25;
 
     private static final int UDP_AND_IP = 28;
+    /** Headers of the segments that one side of an exchange sends, at most as a rule. */
+    private static final int STREAM_BYTES = 200;
+    /** An exchange that brings nothing doubles the time to the next so often at most. */
+    private static final int BACK_OFF_MOST = 2;
+    /** News in one exchange after which the next is not put off until gossip has had its time. */
+    private static final int BEHIND = 4;
 
     private record Errand(String asker, String subject, long life, long seq, double until) {}
 
@@ -80,13 +88,20 @@
     private int onTime;
     private double graceUntil;
     private double lastChange;
-    private double lastExchange = Double.NEGATIVE_INFINITY;
     private double mismatchSince = Double.NaN;
     private double nextSeed;
     private double nextFull;
     private double nextGone;
     private double nextForget;
     private final Budget budget;
+    private final AntiEntropy antiEntropy;
+    /** Exchanges opened since one brought anything. */
+    private int fruitless;
+
+    private double nextExchange;
+    /** The last exchange brought so much that there is probably more. */
+    private boolean behind;
+
     private long foreign;
 
     /** {@code seeds} are addresses of members that may be there already; one's own among them is passed over. */
@@ -100,6 +115,7 @@
         judge = new Judge(settings, table);
         lastTick = now;
         budget = new Budget(settings, now);
+        antiEntropy = new AntiEntropy(table, chance);
         nextSeed = now;
         nextFull = now + settings.syncS() * (0.5 + chance.nextDouble());
         nextGone = now;
@@ -217,7 +233,7 @@
     private void seek(double now) {
         boolean alone = table.rings().names().size() < 2 || rival != null;
         if (!seeds.isEmpty() && now >= nextSeed) {
-            nextSeed = now + settings.probeS() * (alone ? 2 : 20) * (0.75 + chance.nextDouble() / 2);
+            nextSeed = now + settings.probeS() * (alone ? 2 << backOff() : 20) * (0.75 + chance.nextDouble() / 2);
             List<String> open = new ArrayList<>(seeds);
             if (!alone) {
                 table.all().stream()
@@ -225,7 +241,7 @@
                         .forEach(e -> open.remove(e.card().address()));
             }
             if (!open.isEmpty()) {
-                exchange(open.get(chance.nextInt(open.size())), now);
+                ask(open.get(chance.nextInt(open.size())), now);
             }
         }
         if (now >= nextFull) {
@@ -249,10 +265,38 @@
         }
     }
 
+    /**
+     * Asks a seed who is there: by an exchange, or, where that brought nothing to one that is new, by a datagram, of which a
+     * seed can answer many more when a whole fleet starts at once.
+     */
+    private void ask(String seed, double now) {
+        if (!joined && rival == null && fruitless > 0) {
+            send(seed, new Join(head()), Budget.Use.PROBE);
+        } else {
+            exchange(seed, now);
+        }
+    }
+
+    private void welcome(String newcomer, String address) {
+        int room = Math.min(Settings.DATAGRAM_BYTES, budget.room(Budget.Use.WELCOME) - UDP_AND_IP);
+        if (room >= AntiEntropy.LEAST_ROOM) {
+            send(address, antiEntropy.welcome(head(), newcomer, joined, room), Budget.Use.WELCOME);
+        }
+    }
+
+    /** Opens an exchange, unless the budget has no room for one; the next later and later while none brings anything. */
     private void exchange(String address, double now) {
-        lastExchange = now;
-        mismatchSince = Double.NaN;
-        outputs.add(new Output.Exchange(address));
+        nextExchange = now + 2 * settings.probeS() * (1 << backOff()) * (0.75 + chance.nextDouble() / 2);
+        if (budget.room(Budget.Use.EXCHANGE)
+                >= STREAM_BYTES + antiEntropy.opening(head()).size()) {
+            fruitless++;
+            mismatchSince = Double.NaN;
+            outputs.add(new Output.Exchange(address));
+        }
+    }
+
+    private int backOff() {
+        return Math.min(BACK_OFF_MOST, fruitless);
     }
 
     // ---- Observing ------------------------------------------------------------
@@ -441,6 +485,15 @@
             from.heard(now);
             from.holds(m.head().state());
         }
+        if (m instanceof Join j) {
+            welcome(j.head().name(), j.head().address());
+            return;
+        }
+        if (m instanceof Welcome w) {
+            taken(w.items(), now);
+            told();
+            return;
+        }
         if (m instanceof Ping p) {
             if (p.to().equals(self.name()) && p.life() == self.life()) {
                 answer(p);
@@ -525,7 +578,7 @@
         }
         double quiet = 2 * settings.probeS();
         boolean settled = now - lastChange > quiet && now - mismatchSince > quiet || now - mismatchSince > 5 * quiet;
-        if ((stranger || settled) && now - lastExchange > quiet) {
+        if ((stranger || settled || behind) && now >= nextExchange) {
             exchange(h.address(), now);
         }
     }
@@ -565,42 +618,66 @@
 
     /** The first message of an exchange that this member opens. */
     public Message digest() {
-        return new Digest(head(), table.sums());
+        Message first = antiEntropy.opening(head());
+        budget.stream(STREAM_BYTES + first.size());
+        return first;
     }
 
-    /** What came on a stream; returns what goes back on it, null where the stream is to be closed. */
+    /**
+     * What came on a stream; returns what goes back on it, null where the stream is to be closed: after the last message, or
+     * where the budget has no room for an answer. The other side tries again, there or elsewhere.
+     */
     public Message exchanged(Message m, double now) {
         if (!accepted(m.head())) {
             return null;
         }
-        Message back = null;
-        if (m instanceof Digest d) {
-            List<Item> items = table.against(d.sums());
-            back = new Message.Reply(
-                    head(),
-                    joined
-                            ? items
-                            : items.stream()
-                                    .filter(i -> !i.name().equals(self.name()))
-                                    .toList(),
-                    table.lacking(d.sums()));
-        } else if (m instanceof Message.Reply r) {
-            items(r.items(), now);
-            joined = true;
-            List<Item> rest = new ArrayList<>();
-            // This member's own card may have changed by what it has just heard.
-            Set<String> names = new TreeSet<>(r.wanted());
-            names.add(self.name());
-            names.forEach(n -> rest.addAll(table.of(n)));
-            back = new Message.Rest(head(), rest);
-        } else if (m instanceof Message.Rest r) {
-            items(r.items(), now);
-            joined = true;
+        budget.fill(now);
+        Message back = answered(m, now);
+        if (back != null) {
+            boolean first = back instanceof Message.Slices || back instanceof Message.Reply;
+            budget.stream(back.size() + (first ? STREAM_BYTES : 0));
         }
         told();
         return back;
     }
 
+    private Message answered(Message m, double now) {
+        int room = budget.room(Budget.Use.EXCHANGE) - STREAM_BYTES;
+        if (m instanceof Message.Rest r) {
+            taken(r.items(), now);
+            return null;
+        }
+        if (m instanceof Message.Reply r) {
+            taken(r.items(), now);
+            return antiEntropy.rest(head(), r, Math.max(room, AntiEntropy.LEAST_ROOM));
+        }
+        if (room < AntiEntropy.LEAST_ROOM) {
+            return null;
+        }
+        if (m instanceof Message.Summary s) {
+            return antiEntropy.differing(head(), s);
+        }
+        if (m instanceof Message.Slices s) {
+            return antiEntropy.digest(head(), s);
+        }
+        if (m instanceof Digest d) {
+            // Of those who have just begun many may come at once: half of the room is left to the next.
+            boolean newcomer = d.sums().size() <= 1;
+            return antiEntropy.reply(head(), d, joined, newcomer ? Math.max(room / 2, AntiEntropy.LEAST_ROOM) : room);
+        }
+        return null;
+    }
+
+    private void taken(List<Item> items, double now) {
+        long before = table.version();
+        items(items, now);
+        joined = true;
+        behind = table.version() - before >= BEHIND;
+        if (table.version() != before) {
+            fruitless = 0;
+        }
+    }
+
     // ---- Changes told ------------------------------------------------------------
 
     private void told() {
--- a/src/main/java/pepperdock/membership/Message.java
+++ b/src/main/java/pepperdock/membership/Message.java
@@ -4,9 +4,9 @@
 import java.util.Map;
 
 /**
- * What members say to each other. Datagrams: {@link Ping}, {@link Ack}, {@link Other}, {@link Ask}, {@link Told}. On streams:
- * {@link Digest}, {@link Reply}, {@link Rest}, one after the other, and the end. Any of them may come late, twice, out of
- * order, or never.
+ * What members say to each other. Datagrams: {@link Ping}, {@link Ack}, {@link Other}, {@link Ask}, {@link Told},
+ * {@link Join}, {@link Welcome}. On streams: {@link Summary} and {@link Slices} where the table is large, {@link Digest},
+ * {@link Reply}, {@link Rest}, one after the other, and the end. Any of them may come late, twice, out of order, or never.
  */
 public sealed interface Message {
 
@@ -28,7 +28,14 @@
 
     int BRACKET = 1;
 
-    private static int text(String s) {
+    /** Parts of the names, by a hash of them, that are compared each as a whole. */
+    int SLICE_COUNT = 32;
+
+    /** Every slice of the names, as bits. */
+    int ALL_SLICES = -1;
+
+    /** Bytes of a text of at most 255 letters, at most. */
+    static int text(String s) {
         return 2 + s.length();
     }
 
@@ -51,8 +58,14 @@
             size += text(a.subject()) + text(a.address()) + 2 * NUMBER;
         } else if (this instanceof Told t) {
             size += text(t.subject()) + 2 * NUMBER;
+        } else if (this instanceof Welcome w) {
+            size += items(w.items());
+        } else if (this instanceof Summary s) {
+            size += 2 * BRACKET + NUMBER * s.sums().size();
+        } else if (this instanceof Slices) {
+            size += NUMBER;
         } else if (this instanceof Digest d) {
-            size += 2 * BRACKET;
+            size += NUMBER + 2 * BRACKET;
             for (String name : d.sums().keySet()) {
                 size += text(name) + NUMBER;
             }
@@ -81,8 +94,20 @@
     /** The subject that I was asked to ping has answered. */
     record Told(Head head, String subject, long life, long seq) implements Message {}
 
-    /** All that the sender holds, by name, as sums. */
-    record Digest(Head head, Map<String, Long> sums) implements Message {}
+    /** I am new: what is held of my name, and who is there? */
+    record Join(Head head) implements Message {}
+
+    /** Answers that: what the sender holds of the name, and a few of those here. */
+    record Welcome(Head head, List<Item> items) implements Message {}
+
+    /** All that the sender holds, as one sum for each slice of the names. */
+    record Summary(Head head, List<Long> sums) implements Message {}
+
+    /** Of a summary's slices, those to be compared by name, as bits. */
+    record Slices(Head head, int slices) implements Message {}
+
+    /** All that the sender holds in these slices, by name, as sums. */
+    record Digest(Head head, int slices, Map<String, Long> sums) implements Message {}
 
     /** What the other lacks or holds otherwise, and the names of which the sender wants the same. */
     record Reply(Head head, List<Item> items, List<String> wanted) implements Message {}
--- a/src/main/java/pepperdock/membership/Table.java
+++ b/src/main/java/pepperdock/membership/Table.java
@@ -3,6 +3,7 @@
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -30,6 +31,9 @@
         private double since;
 
         private long sum;
+        /** Its part of the state: its sum while it is here, else none. */
+        private long counted;
+
         /** How often it came back from gone, in this life. */
         private int relapses;
 
@@ -74,6 +78,9 @@
     /** Observers that say anything. */
     private final Set<String> speaking = new TreeSet<>();
 
+    /** Of all, here or not, by slice of the names: the sums of those in it. */
+    private final long[] slices = new long[Message.SLICE_COUNT];
+
     private long state;
     private long version;
     private long refused;
@@ -223,11 +230,13 @@
     /** An entry's share of the sum is taken out and put in anew, and its place in the rings set right. */
     private void changed(Entry e) {
         version++;
-        if (e.sum != 0) {
-            state ^= e.sum;
-        }
-        e.sum = e.here() ? sum(e) : 0;
-        state ^= e.sum;
+        int slice = slice(e.card.name());
+        slices[slice] ^= e.sum;
+        e.sum = sum(e);
+        slices[slice] ^= e.sum;
+        state ^= e.counted;
+        e.counted = e.here() ? e.sum : 0;
+        state ^= e.counted;
         if (e.here()) {
             rings.add(e.card.name());
         } else {
@@ -254,6 +263,7 @@
                 unsay(e.links);
                 said.remove(e.card.name());
                 gone.remove(e.card.name());
+                slices[slice(e.card.name())] ^= e.sum;
                 version++;
                 i.remove();
             }
@@ -262,22 +272,49 @@
 
     // ---- Full exchange ------------------------------------------------------------
 
-    Map<String, Long> sums() {
+    /** Which slice a name is in. */
+    static int slice(String name) {
+        return (int) (HASH.hashCharsToLong(name) & Message.SLICE_COUNT - 1);
+    }
+
+    private static boolean in(String name, int slices) {
+        return slices == Message.ALL_SLICES || (slices >>> slice(name) & 1) == 1;
+    }
+
+    int size() {
+        return entries.size();
+    }
+
+    List<Long> slices() {
+        return Arrays.stream(slices).boxed().toList();
+    }
+
+    /** Names held, in one slice. */
+    List<String> names(int slice) {
+        return entries.keySet().stream().filter(n -> slice(n) == slice).toList();
+    }
+
+    /** By name, in these slices. */
+    Map<String, Long> sums(int slices) {
         Map<String, Long> sums = new TreeMap<>();
-        entries.forEach((name, e) -> sums.put(name, sum(e)));
+        entries.forEach((name, e) -> {
+            if (in(name, slices)) {
+                sums.put(name, e.sum);
+            }
+        });
         return sums;
     }
 
-    /** All that another lacks or holds otherwise, by its sums. */
-    List<Item> against(Map<String, Long> sums) {
-        List<Item> items = new ArrayList<>();
+    /** Names that another lacks or holds otherwise, by its sums of these slices. */
+    List<String> against(Map<String, Long> sums, int slices) {
+        List<String> names = new ArrayList<>();
         entries.forEach((name, e) -> {
             Long other = sums.get(name);
-            if (other == null || other != sum(e)) {
-                items.addAll(of(name));
+            if (other == null ? in(name, slices) : other != e.sum) {
+                names.add(name);
             }
         });
-        return items;
+        return names;
     }
 
     /** Names that another holds, and this does not or holds otherwise. */
@@ -285,7 +322,7 @@
         return sums.entrySet().stream()
                 .filter(s -> {
                     Entry e = entries.get(s.getKey());
-                    return e == null || sum(e) != s.getValue();
+                    return e == null || e.sum != s.getValue();
                 })
                 .map(Map.Entry::getKey)
                 .toList();
