Give a member 9,000 bytes a second by default, and what its timings need where that is more

Of the 15 KB a second that a gatherer may spend for control: half as much again in any one second is 13.5 KB, so that the whole stays within the part in every second; configuration has what is left, 6 KB on the mean. Probes, answers and help need 8,160 at the default timings by the bound of 170 bytes each. A change told looks again at those slow or cut off alone, not at all members.

--- a/src/main/java/pepperdock/config/MembersConfig.java
+++ b/src/main/java/pepperdock/config/MembersConfig.java
@@ -98,8 +98,8 @@
                     "less than three times observers / probe_s, which probes, their" + " answers and help need: "
                             + Math.ceil(3 * observers / probe));
         }
-        int bytes = k.whole("bytes_per_s", 1, 1 << 30, d.bytesPerS());
         double least = Math.ceil(BYTES_LEAST * 3 * observers / probe);
+        int bytes = k.whole("bytes_per_s", 1, 1 << 30, (int) Math.max(d.bytesPerS(), least));
         if (bytes < least) {
             throw new ConfigException(
                     k.key("bytes_per_s"),
--- a/src/main/java/pepperdock/membership/Membership.java
+++ b/src/main/java/pepperdock/membership/Membership.java
@@ -61,6 +61,9 @@
     private final Map<String, Probe> probes = new TreeMap<>();
     private final Map<Long, Errand> errands = new HashMap<>();
     private final Map<String, Standing> standings = new TreeMap<>();
+    /** Those slow or cut off: looked at again with each change, as what was said of them may have been taken back. */
+    private final Set<String> impaired = new TreeSet<>();
+
     private final Map<String, Long> lives = new HashMap<>();
     private final Set<String> touched = new TreeSet<>();
     private final List<Output> outputs = new ArrayList<>();
@@ -192,6 +195,7 @@
             nextForget = now + settings.doubtS();
             table.forget(now - settings.forgetS(), self.name());
             standings.keySet().removeIf(n -> table.get(n) == null);
+            impaired.removeIf(n -> table.get(n) == null);
             lives.keySet().removeIf(n -> table.get(n) == null);
             errands.values().removeIf(e -> e.until() < now);
         }
@@ -686,11 +690,7 @@
         }
         Set<String> names = new TreeSet<>(touched);
         names.addAll(table.spokenOf());
-        standings.forEach((n, s) -> {
-            if (s == Standing.SLOW || s == Standing.CUT_OFF) {
-                names.add(n);
-            }
-        });
+        names.addAll(impaired);
         touched.clear();
         for (String n : names) {
             Table.Entry e = table.get(n);
@@ -713,6 +713,11 @@
 
     private void change(Card c, long life, Standing from, Standing to, String why) {
         standings.put(c.name(), to);
+        if (to == Standing.SLOW || to == Standing.CUT_OFF) {
+            impaired.add(c.name());
+        } else {
+            impaired.remove(c.name());
+        }
         outputs.add(new Output.Changed(new View.Change(++number, c.name(), life, c.incarnation(), from, to, why)));
     }
 
--- a/src/main/java/pepperdock/membership/Settings.java
+++ b/src/main/java/pepperdock/membership/Settings.java
@@ -13,8 +13,8 @@
  * @param slowS a subject whose answers take longer than this on the mean is slow
  * @param syncS between two full exchanges with a member drawn
  * @param forgetS after which a member that is gone or left is forgotten
- * @param datagramsPerS sent by this member, at most; answers to probes go before probes, both before help
- * @param bytesPerS sent in datagrams; at its end, datagrams go without gossip
+ * @param datagramsPerS sent by this member, at most, half as many again in a single second
+ * @param bytesPerS sent, on streams too, at most, half as much again in a single second; what goes first: {@link Budget}
  * @param membersMost kept in the table; more are refused
  * @param selfDoubt whether a member that is late or reaches few doubts itself before others; off only to measure its worth
  */
@@ -43,7 +43,7 @@
 
     /** The defaults, with other timings. */
     public static Settings of(double probeS, double doubtS, double confirmS) {
-        return new Settings(probeS, doubtS, confirmS, 8, 0.75, 2, 3, probeS, 30, 3600, 100, 64 << 10, 2000, true);
+        return new Settings(probeS, doubtS, confirmS, 8, 0.75, 2, 3, probeS, 30, 3600, 100, 9_000, 2000, true);
     }
 
     /** How often the machine wants to be told the time. */
--- a/src/test/java/pepperdock/config/ConfigTest.java
+++ b/src/test/java/pepperdock/config/ConfigTest.java
@@ -199,6 +199,7 @@
             {"members.doubt_s", sound + ",'probe_s':1,'doubt_s':2"},
             {"members.agree", sound + ",'agree':0.5"},
             {"members.datagrams_per_s", sound + ",'datagrams_per_s':10"},
+            {"members.bytes_per_s", sound + ",'bytes_per_s':8000"},
             {"members.most", sound + ",'most':1"},
             {"members.zone", sound + ",'zone':''"},
             {"members.seed", sound + ",'seed':1"}
