--- a/src/main/java/pepperdock/lab/fleet/MemberFigures.java
+++ b/src/main/java/pepperdock/lab/fleet/MemberFigures.java
@@ -14,6 +14,8 @@
     final Histogram agreement = new Histogram(3);
     final Histogram datagrams = new Histogram(3);
     final Histogram bytes = new Histogram(3);
+    /** The same, since the fleet was first together. */
+    final Histogram bytesTogether = new Histogram(3);
     /** Different rosters seen by anybody since the fleet was first together, in each run. */
     final Histogram rosters = new Histogram(3);
 
@@ -37,6 +39,7 @@
         agreement.add(other.agreement);
         datagrams.add(other.datagrams);
         bytes.add(other.bytes);
+        bytesTogether.add(other.bytesTogether);
         rosters.add(other.rosters);
         memberSeconds += other.memberSeconds;
         changes += other.changes;
@@ -64,7 +67,8 @@
                 "all agreed after the last fault " + seconds(agreement),
                 "rosters seen in a run, once together: " + plain(rosters),
                 "datagrams a second of a member: " + plain(datagrams),
-                "bytes a second of a member: " + plain(bytes));
+                "bytes a second of a member: " + plain(bytes),
+                "bytes a second of a member, once together: " + plain(bytesTogether));
     }
 
     private static String seconds(Histogram h) {
--- a/src/main/java/pepperdock/lab/fleet/MembersChecker.java
+++ b/src/main/java/pepperdock/lab/fleet/MembersChecker.java
@@ -181,7 +181,11 @@
                 if (budget != null) {
                     double span = e.number("over_s") + SAVED_S;
                     figures.datagrams.recordValue(Math.round(e.number("datagrams") / e.number("over_s")));
-                    figures.bytes.recordValue(Math.round(e.number("bytes") / e.number("over_s")));
+                    long bytes = Math.round(e.number("bytes") / e.number("over_s"));
+                    figures.bytes.recordValue(bytes);
+                    if (gathered) {
+                        figures.bytesTogether.recordValue(bytes);
+                    }
                     if (e.number("datagrams") > budget[0] * span || e.number("bytes") > budget[1] * span) {
                         found.add(new Finding("members", number, e.text("member") + " sent more than its budget"));
                     }
--- a/src/main/java/pepperdock/lab/fleet/Script.java
+++ b/src/main/java/pepperdock/lab/fleet/Script.java
@@ -276,7 +276,7 @@
                         flip);
             }
             case "partition" -> {
-                a.only("at", "for", "fault", "groups", "into", "move_s");
+                a.only("at", "for", "fault", "groups", "into", "share", "move_s");
                 return partition(a, names, at, last);
             }
             case "reset" -> {
@@ -351,6 +351,14 @@
                 groups.add(known(g, "members", names));
             }
         }
+        if (a.has("share")) {
+            int first = (int) Math.ceil(share(a) * names.size());
+            if (first < 1 || first >= names.size() || !groups.isEmpty()) {
+                throw new ConfigException(a.key("share"), "leaves nobody on one side, or stands beside groups");
+            }
+            groups.add(names.subList(0, first));
+            groups.add(names.subList(first, names.size()));
+        }
         double move = seconds(a, "move_s", 0, SECONDS_MOST);
         if (groups.isEmpty() == !a.has("into")) {
             throw new ConfigException(a.key("into"), "needed where there are no groups, and only there");
--- a/src/main/java/pepperdock/lab/fleet/Seeds.java
+++ b/src/main/java/pepperdock/lab/fleet/Seeds.java
@@ -1,6 +1,7 @@
 package pepperdock.lab.fleet;
 
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -44,10 +45,14 @@
         }
     }
 
-    private record Run(long seed, List<String> findings, MemberFigures figures) {}
+    private record Run(long seed, List<String> findings, MemberFigures figures, long processorNs) {}
 
     private Seeds() {}
 
+    private static long processorNs() {
+        return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+    }
+
     /** Plays so many seeds from the first on; {@code members} goes before the script's own count where it is above 0. */
     public static Outcome run(Path file, long first, int count, int members, Arm arm, int threads)
             throws IOException, InterruptedException {
@@ -59,6 +64,7 @@
             for (int i = 0; i < count; i++) {
                 Script drawn = script.seeded(first + i);
                 runs.add(pool.submit(() -> {
+                    long began = processorNs();
                     Checkers judge = new Checkers(drawn.checkers());
                     String unmet = new Sim(drawn, settings, judge::see).play(judge);
                     List<String> findings = new ArrayList<>(judge.findings(true).stream()
@@ -67,17 +73,19 @@
                     if (unmet != null) {
                         findings.add(unmet);
                     }
-                    return new Run(drawn.seed(), findings, judge.memberFigures());
+                    return new Run(drawn.seed(), findings, judge.memberFigures(), processorNs() - began);
                 }));
             }
             MemberFigures all = new MemberFigures();
             List<String> findings = new ArrayList<>();
             int failed = 0;
+            long processorNs = 0;
             for (Future<Run> f : runs) {
                 Run r = f.get();
                 if (r.figures() != null) {
                     all.add(r.figures());
                 }
+                processorNs += r.processorNs();
                 failed += r.findings().isEmpty() ? 0 : 1;
                 r.findings().stream().limit(2).forEach(x -> findings.add("seed " + r.seed() + ": " + x));
             }
@@ -91,6 +99,11 @@
                     arm.name().toLowerCase(Locale.ROOT),
                     failed));
             figures.addAll(all.lines());
+            figures.add(String.format(
+                    Locale.ROOT,
+                    "processor time of the playing, its checkers included: %.1f s, %.3f ms a member and second",
+                    processorNs / 1e9,
+                    processorNs / 1e6 / Math.max(1, all.memberSeconds)));
             return new Outcome(true, findings, figures, 0);
         } catch (ExecutionException e) {
             if (e.getCause() instanceof ConfigException c) {
