--- a/src/main/java/pepperdock/membership/Membership.java
+++ b/src/main/java/pepperdock/membership/Membership.java
@@ -14,9 +14,11 @@
 import pepperdock.membership.Message.Ask;
 import pepperdock.membership.Message.Digest;
 import pepperdock.membership.Message.Head;
+import pepperdock.membership.Message.Join;
 import pepperdock.membership.Message.Other;
 import pepperdock.membership.Message.Ping;
 import pepperdock.membership.Message.Told;
+import pepperdock.membership.Message.Welcome;
 
 /**
  * One member's half of the agreement about who is there. Messages and the time come in, {@link Output} goes out; no clock, no
@@ -38,10 +40,14 @@
     private static final int ERRANDS_MOST = 256;
     private static final int LATE_MOST = 8;
     private static final double STRETCH = 0.25;
-    /** Of the budget, what only answers may use. */
-    private static final double RESERVE = 0.25;
 
     private static final int UDP_AND_IP = 28;
+    /** Headers of the segments that one side of an exchange sends, at most as a rule. */
+    private static final int STREAM_BYTES = 200;
+    /** An exchange that brings nothing doubles the time to the next so often at most. */
+    private static final int BACK_OFF_MOST = 2;
+    /** News in one exchange after which the next is not put off until gossip has had its time. */
+    private static final int BEHIND = 4;
 
     private record Errand(String asker, String subject, long life, long seq, double until) {}
 
@@ -55,6 +61,9 @@
     private final Map<String, Probe> probes = new TreeMap<>();
     private final Map<Long, Errand> errands = new HashMap<>();
     private final Map<String, Standing> standings = new TreeMap<>();
+    /** Those slow or cut off: looked at again with each change, as what was said of them may have been taken back. */
+    private final Set<String> impaired = new TreeSet<>();
+
     private final Map<String, Long> lives = new HashMap<>();
     private final Set<String> touched = new TreeSet<>();
     private final List<Output> outputs = new ArrayList<>();
@@ -82,18 +91,20 @@
     private int onTime;
     private double graceUntil;
     private double lastChange;
-    private double lastExchange = Double.NEGATIVE_INFINITY;
     private double mismatchSince = Double.NaN;
     private double nextSeed;
     private double nextFull;
     private double nextGone;
     private double nextForget;
-    private double datagrams;
-    private double bytes;
-    private double budgetAt;
-    private long sentDatagrams;
-    private long sentBytes;
-    private long withheld;
+    private final Budget budget;
+    private final AntiEntropy antiEntropy;
+    /** Exchanges opened since one brought anything. */
+    private int fruitless;
+
+    private double nextExchange;
+    /** The last exchange brought so much that there is probably more. */
+    private boolean behind;
+
     private long foreign;
 
     /** {@code seeds} are addresses of members that may be there already; one's own among them is passed over. */
@@ -106,9 +117,8 @@
         table = new Table(settings.membersMost(), settings.observers());
         judge = new Judge(settings, table);
         lastTick = now;
-        budgetAt = now;
-        datagrams = settings.datagramsPerS();
-        bytes = settings.bytesPerS();
+        budget = new Budget(settings, now);
+        antiEntropy = new AntiEntropy(table, chance);
         nextSeed = now;
         nextFull = now + settings.syncS() * (0.5 + chance.nextDouble());
         nextGone = now;
@@ -154,7 +164,7 @@
 
     /** Datagrams sent, their bytes with headers, datagrams withheld for the budget, messages of other fleets: all so far. */
     public long[] counts() {
-        return new long[] {sentDatagrams, sentBytes, withheld, foreign};
+        return new long[] {budget.sentDatagrams(), budget.sentBytes(), budget.withheld(), foreign};
     }
 
     /** Says to all that this member leaves; it goes on answering until the caller ends it. */
@@ -164,7 +174,7 @@
             publish(self.with(Status.LEFT), now);
             for (String s : table.rings().names()) {
                 if (!s.equals(self.name())) {
-                    ping(table.get(s).card(), 0, now);
+                    ping(table.get(s).card(), 0);
                 }
             }
             told();
@@ -174,8 +184,9 @@
     // ---- Time ------------------------------------------------------------
 
     public void tick(double now) {
-        refill(now);
-        double by = now - lastTick - settings.tickS();
+        budget.fill(now);
+        double elapsed = now - lastTick;
+        double by = elapsed - settings.tickS();
         lastTick = now;
         if (settings.selfDoubt()) {
             lateness(by, now);
@@ -184,14 +195,15 @@
             nextForget = now + settings.doubtS();
             table.forget(now - settings.forgetS(), self.name());
             standings.keySet().removeIf(n -> table.get(n) == null);
+            impaired.removeIf(n -> table.get(n) == null);
             lives.keySet().removeIf(n -> table.get(n) == null);
             errands.values().removeIf(e -> e.until() < now);
         }
         seek(now);
         if (rival != null) {
-            contest(now);
+            contest(elapsed, now);
         } else if (!leaving) {
-            observe(now);
+            observe(elapsed, now);
             speak(now);
             verdicts(now);
         }
@@ -225,7 +237,7 @@
     private void seek(double now) {
         boolean alone = table.rings().names().size() < 2 || rival != null;
         if (!seeds.isEmpty() && now >= nextSeed) {
-            nextSeed = now + settings.probeS() * (alone ? 2 : 20) * (0.75 + chance.nextDouble() / 2);
+            nextSeed = now + settings.probeS() * (alone ? 2 << backOff() : 20) * (0.75 + chance.nextDouble() / 2);
             List<String> open = new ArrayList<>(seeds);
             if (!alone) {
                 table.all().stream()
@@ -233,7 +245,7 @@
                         .forEach(e -> open.remove(e.card().address()));
             }
             if (!open.isEmpty()) {
-                exchange(open.get(chance.nextInt(open.size())), now);
+                ask(open.get(chance.nextInt(open.size())), now);
             }
         }
         if (now >= nextFull) {
@@ -252,20 +264,48 @@
             nextGone = now + settings.probeS() * 4;
             List<String> gone = List.copyOf(table.gone());
             if (!gone.isEmpty() && rival == null) {
-                ping(table.get(gone.get(chance.nextInt(gone.size()))).card(), 0, now);
+                ping(table.get(gone.get(chance.nextInt(gone.size()))).card(), 0);
             }
         }
     }
 
+    /**
+     * Asks a seed who is there: by an exchange, or, where that brought nothing to one that is new, by a datagram, of which a
+     * seed can answer many more when a whole fleet starts at once.
+     */
+    private void ask(String seed, double now) {
+        if (!joined && rival == null && fruitless > 0) {
+            send(seed, new Join(head()), Budget.Use.PROBE);
+        } else {
+            exchange(seed, now);
+        }
+    }
+
+    private void welcome(String newcomer, String address) {
+        int room = Math.min(Settings.DATAGRAM_BYTES, budget.room(Budget.Use.WELCOME) - UDP_AND_IP);
+        if (room >= AntiEntropy.LEAST_ROOM) {
+            send(address, antiEntropy.welcome(head(), newcomer, joined, room), Budget.Use.WELCOME);
+        }
+    }
+
+    /** Opens an exchange, unless the budget has no room for one; the next later and later while none brings anything. */
     private void exchange(String address, double now) {
-        lastExchange = now;
-        mismatchSince = Double.NaN;
-        outputs.add(new Output.Exchange(address));
+        nextExchange = now + 2 * settings.probeS() * (1 << backOff()) * (0.75 + chance.nextDouble() / 2);
+        if (budget.room(Budget.Use.EXCHANGE)
+                >= STREAM_BYTES + antiEntropy.opening(head()).size()) {
+            fruitless++;
+            mismatchSince = Double.NaN;
+            outputs.add(new Output.Exchange(address));
+        }
+    }
+
+    private int backOff() {
+        return Math.min(BACK_OFF_MOST, fruitless);
     }
 
     // ---- Observing ------------------------------------------------------------
 
-    private void observe(double now) {
+    private void observe(double elapsed, double now) {
         if (table.version() != observedAt) {
             observedAt = table.version();
             Set<String> subjects = table.rings().subjectsOf(self.name());
@@ -283,13 +323,21 @@
                                 now + settings.probeS() * chance.nextDouble()));
             }
         }
-        probes.forEach((subject, p) -> probe(p, table.get(subject).card(), now));
+        probes.forEach((subject, p) -> probe(p, table.get(subject).card(), elapsed, now));
     }
 
-    /** Pings a subject when it is time to, and has others ping it when it did not answer in time. */
-    private void probe(Probe p, Card subject, double now) {
+    /**
+     * Pings a subject when it is time to, and has others ping it when it did not answer in time. A ping that the budget
+     * withholds was not sent: that nothing came back says nothing of the subject.
+     */
+    private void probe(Probe p, Card subject, double elapsed, double now) {
         if (p.due(now)) {
-            ping(subject, p.sent(now), now);
+            boolean same = p.held() == table.state();
+            if (ping(subject, p.lastSeq() + 1, same)) {
+                p.sent(now);
+            } else {
+                p.paused(elapsed);
+            }
         } else if (p.wantsHelp(now)) {
             List<String> others = new ArrayList<>(table.rings().names());
             others.remove(self.name());
@@ -299,8 +347,7 @@
                 send(
                         table.get(helper).card().address(),
                         new Ask(head(), subject.name(), subject.life(), subject.address(), p.lastSeq()),
-                        0,
-                        now);
+                        Budget.Use.INDIRECT);
             }
         }
     }
@@ -364,7 +411,7 @@
     // ---- A name used twice ------------------------------------------------------------
 
     /** Another process has this member's name, and goes before it: found out whether it lives, and the name claimed if not. */
-    private void contest(double now) {
+    private void contest(double elapsed, double now) {
         Card held = table.get(self.name()).card();
         if (held.life() != self.life()) {
             rival = held;
@@ -377,7 +424,7 @@
                 || rivalProbe.word(now, stretch()) == Word.UNREACHED) {
             claim(rival.incarnation() + 1, now);
         } else {
-            probe(rivalProbe, rival, now);
+            probe(rivalProbe, rival, elapsed, now);
         }
     }
 
@@ -436,16 +483,26 @@
         if (!accepted(m.head())) {
             return;
         }
-        refill(now);
+        budget.fill(now);
         Probe from = probes.get(m.head().name());
         if (from != null && from.life() == m.head().life()) {
             from.heard(now);
+            from.holds(m.head().state());
+        }
+        if (m instanceof Join j) {
+            welcome(j.head().name(), j.head().address());
+            return;
+        }
+        if (m instanceof Welcome w) {
+            taken(w.items(), now);
+            told();
+            return;
         }
         if (m instanceof Ping p) {
             if (p.to().equals(self.name()) && p.life() == self.life()) {
-                send(m.head().address(), new Ack(head(), p.seq(), rides(now)), RESERVE, now);
+                answer(p);
             } else {
-                send(m.head().address(), new Other(head(), p.to(), p.life()), RESERVE, now);
+                send(m.head().address(), new Other(head(), p.to(), p.life()), Budget.Use.ANSWER);
             }
             items(p.gossip(), now);
         } else if (m instanceof Ack a) {
@@ -482,7 +539,7 @@
             if (e != null
                     && e.subject().equals(a.head().name())
                     && e.life() == a.head().life()) {
-                send(e.asker(), new Told(head(), e.subject(), e.life(), e.seq()), RESERVE, now);
+                send(e.asker(), new Told(head(), e.subject(), e.life(), e.seq()), Budget.Use.ANSWER);
             }
             return;
         }
@@ -505,7 +562,7 @@
         if (errands.size() < ERRANDS_MOST) {
             errands.put(
                     ++errand, new Errand(a.head().address(), a.subject(), a.life(), a.seq(), now + settings.doubtS()));
-            send(a.address(), new Ping(head(), a.subject(), a.life(), errand, List.of()), 0, now);
+            send(a.address(), new Ping(head(), a.subject(), a.life(), errand, List.of()), Budget.Use.INDIRECT);
         }
     }
 
@@ -525,7 +582,7 @@
         }
         double quiet = 2 * settings.probeS();
         boolean settled = now - lastChange > quiet && now - mismatchSince > quiet || now - mismatchSince > 5 * quiet;
-        if ((stranger || settled) && now - lastExchange > quiet) {
+        if ((stranger || settled || behind) && now >= nextExchange) {
             exchange(h.address(), now);
         }
     }
@@ -565,42 +622,66 @@
 
     /** The first message of an exchange that this member opens. */
     public Message digest() {
-        return new Digest(head(), table.sums());
+        Message first = antiEntropy.opening(head());
+        budget.stream(STREAM_BYTES + first.size());
+        return first;
     }
 
-    /** What came on a stream; returns what goes back on it, null where the stream is to be closed. */
+    /**
+     * What came on a stream; returns what goes back on it, null where the stream is to be closed: after the last message, or
+     * where the budget has no room for an answer. The other side tries again, there or elsewhere.
+     */
     public Message exchanged(Message m, double now) {
         if (!accepted(m.head())) {
             return null;
         }
-        Message back = null;
-        if (m instanceof Digest d) {
-            List<Item> items = table.against(d.sums());
-            back = new Message.Reply(
-                    head(),
-                    joined
-                            ? items
-                            : items.stream()
-                                    .filter(i -> !i.name().equals(self.name()))
-                                    .toList(),
-                    table.lacking(d.sums()));
-        } else if (m instanceof Message.Reply r) {
-            items(r.items(), now);
-            joined = true;
-            List<Item> rest = new ArrayList<>();
-            // This member's own card may have changed by what it has just heard.
-            Set<String> names = new TreeSet<>(r.wanted());
-            names.add(self.name());
-            names.forEach(n -> rest.addAll(table.of(n)));
-            back = new Message.Rest(head(), rest);
-        } else if (m instanceof Message.Rest r) {
-            items(r.items(), now);
-            joined = true;
+        budget.fill(now);
+        Message back = answered(m, now);
+        if (back != null) {
+            boolean first = back instanceof Message.Slices || back instanceof Message.Reply;
+            budget.stream(back.size() + (first ? STREAM_BYTES : 0));
         }
         told();
         return back;
     }
 
+    private Message answered(Message m, double now) {
+        int room = budget.room(Budget.Use.EXCHANGE) - STREAM_BYTES;
+        if (m instanceof Message.Rest r) {
+            taken(r.items(), now);
+            return null;
+        }
+        if (m instanceof Message.Reply r) {
+            taken(r.items(), now);
+            return antiEntropy.rest(head(), r, Math.max(room, AntiEntropy.LEAST_ROOM));
+        }
+        if (room < AntiEntropy.LEAST_ROOM) {
+            return null;
+        }
+        if (m instanceof Message.Summary s) {
+            return antiEntropy.differing(head(), s);
+        }
+        if (m instanceof Message.Slices s) {
+            return antiEntropy.digest(head(), s);
+        }
+        if (m instanceof Digest d) {
+            // Of those who have just begun many may come at once: half of the room is left to the next.
+            boolean newcomer = d.sums().size() <= 1;
+            return antiEntropy.reply(head(), d, joined, newcomer ? Math.max(room / 2, AntiEntropy.LEAST_ROOM) : room);
+        }
+        return null;
+    }
+
+    private void taken(List<Item> items, double now) {
+        long before = table.version();
+        items(items, now);
+        joined = true;
+        behind = table.version() - before >= BEHIND;
+        if (table.version() != before) {
+            fruitless = 0;
+        }
+    }
+
     // ---- Changes told ------------------------------------------------------------
 
     private void told() {
@@ -609,11 +690,7 @@
         }
         Set<String> names = new TreeSet<>(touched);
         names.addAll(table.spokenOf());
-        standings.forEach((n, s) -> {
-            if (s == Standing.SLOW || s == Standing.CUT_OFF) {
-                names.add(n);
-            }
-        });
+        names.addAll(impaired);
         touched.clear();
         for (String n : names) {
             Table.Entry e = table.get(n);
@@ -636,6 +713,11 @@
 
     private void change(Card c, long life, Standing from, Standing to, String why) {
         standings.put(c.name(), to);
+        if (to == Standing.SLOW || to == Standing.CUT_OFF) {
+            impaired.add(c.name());
+        } else {
+            impaired.remove(c.name());
+        }
         outputs.add(new Output.Changed(new View.Change(++number, c.name(), life, c.incarnation(), from, to, why)));
     }
 
@@ -673,45 +755,34 @@
 
     // ---- Sending, within the budget ------------------------------------------------------------
 
-    private void refill(double now) {
-        double passed = Math.max(0, now - budgetAt);
-        budgetAt = now;
-        datagrams = Math.min(settings.datagramsPerS(), datagrams + passed * settings.datagramsPerS());
-        bytes = Math.min(settings.bytesPerS(), bytes + passed * settings.bytesPerS());
+    private void ping(Card to, long seq) {
+        ping(to, seq, false);
     }
 
-    private void ping(Card to, long seq, double now) {
-        send(to.address(), new Ping(head(), to.name(), to.life(), seq, rides(now)), 0, now);
+    /** {@code same}: the one pinged holds the same of all who are here, so that gossip would tell it nothing. */
+    private boolean ping(Card to, long seq, boolean same) {
+        Ping bare = new Ping(head(), to.name(), to.life(), seq, List.of());
+        List<Item> gossip = same ? List.of() : rides(bare);
+        return send(to.address(), new Ping(bare.head(), to.name(), to.life(), seq, gossip), Budget.Use.PROBE);
     }
 
-    /** Gossip for one datagram; none where the budget is short: probes go first. */
-    @SuppressWarnings("UnusedVariable") // The clock goes from the signature when this class is split.
-    private List<Item> rides(double now) {
-        if (bytes < RESERVE * settings.bytesPerS()) {
-            return List.of();
-        }
-        return gossip.take(
-                Settings.DATAGRAM_BYTES - head().size(), table.rings().names().size());
+    private void answer(Ping p) {
+        Ack bare = new Ack(head(), p.seq(), List.of());
+        List<Item> gossip = p.head().state() == table.state() ? List.of() : rides(bare);
+        send(p.head().address(), new Ack(bare.head(), p.seq(), gossip), Budget.Use.ANSWER);
     }
 
-    /** {@code reserve} is how much of the reserve this may use: all of it, or none. */
-    @SuppressWarnings("UnusedVariable") // The clock goes from the signature when this class is split.
-    private void send(String address, Message m, double reserve, double now) {
-        int size = m.head().size() + UDP_AND_IP;
-        if (m instanceof Ping p) {
-            size += p.gossip().stream().mapToInt(Item::size).sum();
-        } else if (m instanceof Ack a) {
-            size += a.gossip().stream().mapToInt(Item::size).sum();
-        }
-        double keep = RESERVE - reserve;
-        if (datagrams < 1 + keep * settings.datagramsPerS() || bytes < size + keep * settings.bytesPerS()) {
-            withheld++;
-            return;
+    /** Gossip for one datagram, of what the budget leaves beside those that probe and answer. */
+    private List<Item> rides(Message bare) {
+        int room = Math.min(Settings.DATAGRAM_BYTES, budget.room(Budget.Use.GOSSIP) - UDP_AND_IP);
+        return gossip.take(room - bare.size(), table.rings().names().size());
+    }
+
+    private boolean send(String address, Message m, Budget.Use use) {
+        boolean sent = budget.datagram(use, m.size() + UDP_AND_IP);
+        if (sent) {
+            outputs.add(new Output.Send(address, m));
         }
-        datagrams--;
-        bytes -= size;
-        sentDatagrams++;
-        sentBytes += size;
-        outputs.add(new Output.Send(address, m));
+        return sent;
     }
 }
