Ask whether a query's client has left right before each attempt begins

And on the second front a scroll whose connection was still coming up was begun after its client had gone (called off, a scroll is let finish), as was a scroll's page that waited for a connection.

Change: Client.poll, asked by Gatherer.startable when a batch is passed on and by the backends before what has waited begins; HttpClient.ask takes whether a request is still wanted and asks once the connection is up.

Checked: EndOnABusyLoopTest (4) and SearchBackendTest (1 of 2) fail with the asking taken out, pass with it; GathererTest, ClientGoneTest, LeftQueriesTest and SearchFrontTest pass.

--- a/src/main/java/pepperdock/core/Client.java
+++ b/src/main/java/pepperdock/core/Client.java
@@ -1,6 +1,6 @@
 package pepperdock.core;
 
-/** The asking side of one query; exactly one of these is called, once. */
+/** The asking side of one query; exactly one of the first three is called, once. */
 public interface Client {
 
     /** The final answer, from the parts of {@code query} that are in. */
@@ -11,4 +11,10 @@
 
     /** Given up with no promise about effects; {@code overdue} where its time had run out. */
     void failed(Query query, boolean overdue);
+
+    /**
+     * Asked right before an attempt begins: takes in whether the client has left by now. If it has, {@link Gatherer#gone}
+     * has been called when this returns. The word may still stand unread in the kernel where the loop was busy.
+     */
+    default void poll() {}
 }
--- a/src/main/java/pepperdock/core/Gatherer.java
+++ b/src/main/java/pepperdock/core/Gatherer.java
@@ -440,7 +440,7 @@
         Map<String, List<Attempt>> now = new LinkedHashMap<>(sends);
         sends.clear();
         now.forEach((worker, all) -> {
-            List<Attempt> live = all.stream().filter(a -> !a.over()).toList();
+            List<Attempt> live = startable(all);
             int size = settings.layout().batch();
             for (int i = 0; i < live.size(); i += size) {
                 List<Attempt> call = live.subList(i, Math.min(live.size(), i + size));
@@ -450,6 +450,23 @@
         });
     }
 
+    /**
+     * Those of some attempts that may begin now, at the last moment before their first byte; the others end without having
+     * run. What has come from their clients is taken in first: an end that stands unread in the kernel, since the loop was
+     * busy with something else, has come before the attempt all the same.
+     */
+    public List<Attempt> startable(List<Attempt> waiting) {
+        waiting.stream()
+                .filter(a -> !a.over())
+                .map(a -> a.part().query())
+                .distinct()
+                .forEach(q -> q.client.poll());
+        double now = clock.now();
+        List<Attempt> live = waiting.stream().filter(a -> a.mayStart(now)).toList();
+        waiting.stream().filter(a -> !a.mayStart(now)).forEach(a -> ended(a, Outcome.MOOT, null, null));
+        return live;
+    }
+
     // ---- What the module decides ------------------------------------------------------------
 
     @Override
--- a/src/main/java/pepperdock/net/HttpClient.java
+++ b/src/main/java/pepperdock/net/HttpClient.java
@@ -1,6 +1,7 @@
 package pepperdock.net;
 
 import java.net.InetSocketAddress;
+import java.util.function.BooleanSupplier;
 import pepperdock.core.Clock;
 import pepperdock.http.HttpException;
 import pepperdock.http.HttpMessage;
@@ -56,6 +57,14 @@
 
     /** {@code timeoutS} is for the answer, from when the request is written; connecting has its own limit, at most as long. */
     public void ask(byte[] request, double timeoutS, Then then) {
+        ask(request, timeoutS, () -> true, then);
+    }
+
+    /**
+     * The same for a request that may cease to be wanted while it waits for a connection: {@code wanted} is asked once that
+     * is there, and a request that is not wanted any more fails unsent.
+     */
+    public void ask(byte[] request, double timeoutS, BooleanSupplier wanted, Then then) {
         this.then = then;
         long no = ++asked;
         if (connection != null) {
@@ -69,6 +78,13 @@
                     c.close();
                     return;
                 }
+                if (!wanted.getAsBoolean()) {
+                    c.close();
+                    if (no == asked) {
+                        fail(Failure.UNSENT);
+                    }
+                    return;
+                }
                 connection = c;
                 parser = HttpParser.ofResponses(bodyMost);
                 c.start(HttpClient.this);
--- a/src/main/java/pepperdock/net/HttpServer.java
+++ b/src/main/java/pepperdock/net/HttpServer.java
@@ -51,6 +51,9 @@
     public interface Reply {
         /** {@code extra} is whole header lines, or empty. */
         void send(int status, String type, String extra, byte[] body);
+
+        /** Takes in what has come from the client by now; if it has left, what its service returned has run then. */
+        default void poll() {}
     }
 
     private final Loop loop;
@@ -299,7 +302,7 @@
             inHand = () -> {};
             now(At.SERVING);
             head = m.method().equals("HEAD");
-            Reply reply = (status, type, extra, body) -> reply(no, m.keepAlive(), status, type, extra, body);
+            Reply reply = replyTo(no, m.keepAlive());
             try {
                 Runnable gone = service.serve(m, reply);
                 if (no == asked && inHand != null) {
@@ -316,6 +319,22 @@
             }
         }
 
+        private Reply replyTo(long no, boolean keepAlive) {
+            return new Reply() {
+                @Override
+                public void send(int status, String type, String extra, byte[] body) {
+                    reply(no, keepAlive, status, type, extra, body);
+                }
+
+                @Override
+                public void poll() {
+                    if (no == asked) {
+                        connection.poll();
+                    }
+                }
+            };
+        }
+
         private void reply(long no, boolean keepAlive, int status, String type, String extra, byte[] body) {
             if (no != asked || inHand == null || connection.closed()) {
                 return;
--- a/src/main/java/pepperdock/opensearch/SearchBackend.java
+++ b/src/main/java/pepperdock/opensearch/SearchBackend.java
@@ -1,5 +1,6 @@
 package pepperdock.opensearch;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import pepperdock.config.OpenSearchConfig;
 import pepperdock.config.Site;
@@ -43,14 +44,23 @@
         }
     }
 
-    /** The next page of a shard's scroll, from the one worker that holds its context; null says it can't be had. */
+    /**
+     * The next page of a shard's scroll, from the one worker that holds its context; null says it can't be had. It is asked
+     * for only while it is {@code wanted}, told anew where the request has waited for a connection.
+     */
     void nextPage(
-            String worker, int shard, String scrollId, double keepS, double timeoutS, Consumer<ShardAnswer> then) {
+            String worker,
+            int shard,
+            String scrollId,
+            double keepS,
+            double timeoutS,
+            BooleanSupplier wanted,
+            Consumer<ShardAnswer> then) {
         SearchWorker w = worker(worker);
         if (w == null) {
             loop.execute(() -> then.accept(null));
         } else {
-            w.nextPage(shard, scrollId, keepS, timeoutS, then);
+            w.nextPage(shard, scrollId, keepS, timeoutS, wanted, then);
         }
     }
 
--- a/src/main/java/pepperdock/opensearch/SearchFront.java
+++ b/src/main/java/pepperdock/opensearch/SearchFront.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonObject;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import pepperdock.aggregator.Aggregator.Outcome;
 import pepperdock.aggregator.Aggregator.QueryClass;
 import pepperdock.config.OpenSearchConfig;
@@ -230,6 +231,11 @@
             closed(q);
             SearchFront.failed(reply, overdue);
         }
+
+        @Override
+        public void poll() {
+            reply.poll();
+        }
     }
 
     private static boolean overdue(Part p) {
@@ -294,6 +300,11 @@
         public void failed(Query q, boolean overdue) {
             SearchFront.failed(reply, overdue);
         }
+
+        @Override
+        public void poll() {
+            reply.poll();
+        }
     }
 
     // ---- Scrolls ------------------------------------------------------------
@@ -353,8 +364,12 @@
                 .filter(x -> x.context != null && x.buffer.size() < s.request.size())
                 .toList();
         int[] left = {wanting.size()};
+        BooleanSupplier wanted = () -> {
+            reply.poll();
+            return scrolls.get(s.id) == s;
+        };
         for (Scrolls.Shard shard : wanting) {
-            backend.nextPage(shard.worker, shard.no, shard.context, s.keepS, kind.aimS(), page -> {
+            backend.nextPage(shard.worker, shard.no, shard.context, s.keepS, kind.aimS(), wanted, page -> {
                 if (page == null) {
                     shard.timedOut = clock.now() - since >= kind.aimS();
                     shard.failed = new Missing(
--- a/src/main/java/pepperdock/opensearch/SearchWorker.java
+++ b/src/main/java/pepperdock/opensearch/SearchWorker.java
@@ -126,7 +126,7 @@
 
     private void send(Attempt a) {
         byte[] request = request(a);
-        ask(request, a.until(), true, () -> !a.over(), a, new HttpClient.Then() {
+        ask(request, a.until(), true, () -> !core.startable(List.of(a)).isEmpty(), a, new HttpClient.Then() {
             @Override
             public void response(HttpMessage m) {
                 core.written(a);
@@ -231,7 +231,7 @@
      */
     @Override
     public void cancel(Attempt a) {
-        waiting.removeIf(w -> !w.wanted().getAsBoolean());
+        waiting.removeIf(w -> w.then() instanceof Bound b && b.attempt().over());
         boolean scroll = a.part().query().ask().context() instanceof SearchRequest r && r.scroll();
         for (Line l : lines) {
             if (l.attempt == a && !scroll) {
@@ -243,11 +243,18 @@
         next();
     }
 
-    void nextPage(int shard, String scrollId, double keepS, double timeoutS, Consumer<ShardAnswer> then) {
+    /** {@code wanted} is asked again where the request has waited for a connection. */
+    void nextPage(
+            int shard,
+            String scrollId,
+            double keepS,
+            double timeoutS,
+            BooleanSupplier wanted,
+            Consumer<ShardAnswer> then) {
         JsonObject body = new JsonObject();
         body.addProperty("scroll", (long) Math.ceil(keepS) + "s");
         body.addProperty("scroll_id", scrollId);
-        ask(post("/_search/scroll", JSON, body), loop.now() + timeoutS, true, () -> true, null, new HttpClient.Then() {
+        ask(post("/_search/scroll", JSON, body), loop.now() + timeoutS, true, wanted, null, new HttpClient.Then() {
             @Override
             public void response(HttpMessage m) {
                 ShardAnswer page = null;
@@ -370,7 +377,7 @@
         boolean scroll =
                 attempt != null && attempt.part().query().ask().context() instanceof SearchRequest r && r.scroll();
         double most = Math.max(0.001, w.until() - loop.now()) + (scroll ? FREE_S : 0);
-        line.http.ask(w.request(), most, new HttpClient.Then() {
+        line.http.ask(w.request(), most, w.wanted(), new HttpClient.Then() {
             @Override
             public void response(HttpMessage m) {
                 done(line);
@@ -399,16 +406,19 @@
         });
     }
 
+    /** Asked whether it is wanted, a request may have others called off, which calls this anew: a line is taken after it. */
     private void next() {
-        while (!waiting.isEmpty()) {
-            Line line = freeLine();
-            if (line == null) {
-                return;
-            }
+        while (!waiting.isEmpty() && freeLine() != null) {
             Waiting w = waiting.removeFirst();
             if (!w.wanted().getAsBoolean()) {
+                w.then().failed(null);
                 continue;
             }
+            Line line = freeLine();
+            if (line == null) {
+                waiting.addFirst(w);
+                return;
+            }
             start(line, w, w.then() instanceof Bound b ? b.attempt() : null);
         }
     }
--- a/src/main/java/pepperdock/platform/Front.java
+++ b/src/main/java/pepperdock/platform/Front.java
@@ -142,5 +142,10 @@
         public void failed(Query q, boolean overdue) {
             reply.send(overdue ? 504 : 500, JSON, "", "{\"error\":\"failed\"}".getBytes(StandardCharsets.UTF_8));
         }
+
+        @Override
+        public void poll() {
+            reply.poll();
+        }
     }
 }
--- a/src/main/java/pepperdock/platform/Worker.java
+++ b/src/main/java/pepperdock/platform/Worker.java
@@ -156,15 +156,11 @@
 
     /** Those of a call that may still begin; the others end without having run. */
     List<Attempt> startable(List<Attempt> call) {
-        List<Attempt> live = new ArrayList<>();
-        for (Attempt a : call) {
-            if (open && a.mayStart(loop.now())) {
-                live.add(a);
-            } else {
-                core.ended(a, Outcome.MOOT, null, null);
-            }
+        if (!open) {
+            call.forEach(a -> core.ended(a, Outcome.MOOT, null, null));
+            return List.of();
         }
-        return live;
+        return core.startable(call);
     }
 
     private void endQueued(Outcome outcome) {
