Open a gatherer in service by small parts that open themselves, in place of Main's conditionals

Cause: Main.serve had 114 lines and a complexity of 32: every subsystem's choice, and the order of the start, in one method. Signals pointed up to Reload for its class loader.

Change: package service: Startup (loop, store, events, membership; settings from the file or the store), Service (one gatherer, its parts tied together in the order as before), NodeSource (DNS, discovery or the file's list, and what of it changes live), ClientServers (the fronts and their servers), Exit; Drain, Reload and Signals move there.

--- a/src/main/java/pepperdock/ClassArchiveTraining.java
+++ b/src/main/java/pepperdock/ClassArchiveTraining.java
@@ -17,6 +17,8 @@
 import pepperdock.events.Events;
 import pepperdock.frame.Frames;
 import pepperdock.net.Loop;
+import pepperdock.service.Service;
+import pepperdock.service.Startup;
 import pepperdock.simulator.SimulatorAdapter;
 import pepperdock.store.Store;
 
@@ -71,8 +73,8 @@
         Keys served = whole.with("discovery", Config.parse("\"127.0.0.1:" + discovery + '"', "discovery"))
                 .with("known", Config.parse(list, "known"));
         Loop loop = new Loop(200, 1 << 18);
-        InetSocketAddress at = Main.serve(
-                        served, false, new Main.Base(Map.of(), loop, new Store(null, loop), Events.of(false), null))
+        InetSocketAddress at = Service.start(
+                        served, false, new Startup.Base(Map.of(), loop, new Store(null, loop), Events.of(false), null))
                 .get(0)
                 .address();
         ask(at);
--- a/src/main/java/pepperdock/Drain.java
+++ b/src/main/java/pepperdock/service/Drain.java
@@ -1,4 +1,4 @@
-package pepperdock;
+package pepperdock.service;
 
 import java.util.List;
 import pepperdock.core.Gatherer;
--- /dev/null
+++ b/src/main/java/pepperdock/service/Exit.java
@@ -0,0 +1,13 @@
+package pepperdock.service;
+
+/** Ends the program where it can't start, with a line that says why. */
+public final class Exit {
+
+    private Exit() {}
+
+    /** Writes {@code why} to the standard error stream and ends with that status. */
+    public static void because(String why, int status) {
+        System.err.println(why);
+        System.exit(status);
+    }
+}
--- /dev/null
+++ b/src/main/java/pepperdock/service/NodeSource.java
@@ -0,0 +1,38 @@
+package pepperdock.service;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Consumer;
+import pepperdock.config.Config;
+import pepperdock.core.Discovery;
+import pepperdock.core.FixedList;
+import pepperdock.core.Gatherer;
+import pepperdock.core.Host;
+import pepperdock.dnssd.DnsSd;
+import pepperdock.net.Loop;
+import pepperdock.platform.Watch;
+
+/**
+ * Where the node list comes from: DNS records, the platform's discovery, or the configuration; and what of it can change live.
+ *
+ * @param start begins to ask, for this core
+ * @param move to another address of discovery; null where none is asked
+ * @param replace the configuration's list; null where that is not in use
+ */
+record NodeSource(
+        Discovery discovery, Consumer<Gatherer> start, Consumer<InetSocketAddress> move, Consumer<List<Host>> replace) {
+
+    static NodeSource open(Config config, Loop loop) {
+        if (config.dnsSd() != null) {
+            DnsSd dnsSd = new DnsSd(config.dnsSd(), config.site(), loop, loop::execute);
+            return new NodeSource(dnsSd, dnsSd::start, null, null);
+        }
+        if (config.discovery() != null) {
+            Watch watch = new Watch(
+                    loop, config.discovery(), config.site(), config.known().seq());
+            return new NodeSource(watch, watch::start, watch::move, null);
+        }
+        FixedList fixed = new FixedList(loop, config.known().hosts());
+        return new NodeSource(fixed, fixed::start, null, fixed::replace);
+    }
+}
--- a/src/main/java/pepperdock/Reload.java
+++ b/src/main/java/pepperdock/service/Reload.java
@@ -1,4 +1,4 @@
-package pepperdock;
+package pepperdock.service;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
--- /dev/null
+++ b/src/main/java/pepperdock/service/Service.java
@@ -0,0 +1,194 @@
+package pepperdock.service;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import pepperdock.aggregator.Aggregator.ListKind;
+import pepperdock.config.Config;
+import pepperdock.config.HostList;
+import pepperdock.config.Keys;
+import pepperdock.config.Site;
+import pepperdock.core.Gatherer;
+import pepperdock.core.Host;
+import pepperdock.core.PooledBackend;
+import pepperdock.net.HttpServer;
+import pepperdock.net.Loop;
+import pepperdock.opensearch.SearchBackend;
+import pepperdock.operator.Operator;
+import pepperdock.operator.UpgradePeer;
+import pepperdock.planner.PlannerThread;
+import pepperdock.platform.Warmup;
+import pepperdock.platform.WorkerPool;
+import pepperdock.store.Store;
+
+/** One gatherer in service: each part that the configuration names, opened and tied to the others. */
+public final class Service {
+
+    private static final System.Logger LOG = System.getLogger("pepperdock");
+    /** Beside another process of the same gatherer, ready when the list has been asked for, or after so long. */
+    private static final double LIST_S = 3;
+
+    private final Startup.Base base;
+    private final Loop loop;
+    private final Config config;
+    private final Warmup warmup;
+    private final NodeSource nodes;
+    private final Gatherer core;
+    /** Null where the file has no address for operators. */
+    private final Operator operator;
+
+    private final ClientServers clients;
+    private Site site;
+    private boolean ready;
+    private boolean listed;
+
+    private Service(Keys file, Startup.Base base) throws IOException {
+        this.base = base;
+        loop = base.loop();
+        config = Config.read(file, base.env());
+        site = config.site();
+        if (!site.assumed().isEmpty()) {
+            LOG.log(
+                    System.Logger.Level.WARNING,
+                    "configuration: not given, so taken as: {0}",
+                    String.join(", ", site.assumed()));
+        }
+        warmup = new Warmup(site);
+        warmup.play(Warmup.BEFORE);
+        SearchBackend search =
+                config.openSearch() != null && config.openSearch().backend()
+                        ? new SearchBackend(loop, site, config.openSearch())
+                        : null;
+        PooledBackend<?> backend = search == null ? new WorkerPool(loop, site) : search;
+        nodes = NodeSource.open(config, loop);
+        core = new Gatherer(site.module(), config.seed(), loop, backend, nodes.discovery());
+        core.name(site.classes());
+        backend.start(core);
+        nodes.start().accept(core);
+        keepNodes();
+        startPlanner();
+        operator = config.operator() == null ? null : new Operator(folder(base.env()), loop, core, this::takesQueries);
+        clients = new ClientServers(config, core, loop, search, () -> ready);
+    }
+
+    /**
+     * Opens everything and begins to serve.
+     *
+     * @param stored whether the settings are the store's, not the file's
+     * @return the servers that listen, or will
+     */
+    public static List<HttpServer> start(Keys file, boolean stored, Startup.Base base) throws IOException {
+        Service service = new Service(file, base);
+        if (!service.anotherProcess()) {
+            service.clients.listen();
+        }
+        service.handleSignals(file, stored);
+        // After the signals' handlers: told that it is ready, whoever starts it may send one at once, which else ends
+        // it.
+        service.loop.execute(service::begin);
+        return service.clients.servers();
+    }
+
+    private boolean takesQueries() {
+        return ready && clients.servers().stream().allMatch(HttpServer::listens);
+    }
+
+    private boolean anotherProcess() {
+        return operator != null && operator.otherProcess();
+    }
+
+    private static Path folder(Map<String, String> env) {
+        String folder = env.get("TMPDIR");
+        return folder == null || folder.isEmpty() ? null : Path.of(folder);
+    }
+
+    /** The leader keeps the last node list in the store: what a gatherer that starts anew knows before it has asked. */
+    private void keepNodes() {
+        if (base.store().leads()) {
+            core.whenListed(this::storeNodes);
+        }
+    }
+
+    private void storeNodes(Collection<Host> hosts) {
+        Store store = base.store();
+        String list = HostList.write(
+                hosts.stream().sorted(Comparator.comparing(Host::id)).toList(), config.site());
+        if (!list.equals(store.get("nodes"))) {
+            store.put("nodes", list, held -> {});
+        }
+    }
+
+    private void startPlanner() {
+        if (config.plan() != null) {
+            PlannerThread planner = new PlannerThread(
+                    config.plan(), config.site().module().layout(), loop, core, PlannerThread.thread(), loop::execute);
+            loop.execute(planner::start);
+        }
+    }
+
+    private void handleSignals(Keys file, boolean stored) {
+        Consumer<Boolean> loaded = operator == null ? taken -> {} : operator::read;
+        Reload.Live live = new Reload.Live(
+                nodes.move(), nodes.replace(), n -> loop.capSockets(n - Startup.OTHER_DESCRIPTORS), this::use);
+        new Reload(base.env(), file, stored, loop::execute, live, loaded).onSignal();
+        UpgradePeer peer = operator == null ? UpgradePeer.NONE : operator;
+        Runnable leave = base.members() == null ? () -> {} : base.members()::leave;
+        new Drain(loop, clients.servers(), core, peer, leave).onSignal();
+    }
+
+    /** Changed settings, for queries from now on. */
+    private void use(Config changed) {
+        site = site.changed(changed.site());
+        core.settings(site.module(), site.classes());
+        clients.use(site, changed);
+    }
+
+    private void begin() {
+        if (operator != null) {
+            startOperator();
+        }
+        core.listed(ListKind.HELD, config.known().hosts());
+        if (anotherProcess()) {
+            core.whenListed(hosts -> takeOver());
+            loop.after(LIST_S, this::takeOver);
+        } else {
+            serve();
+        }
+    }
+
+    /** What two processes of one gatherer share between them, and the operators' address. */
+    private void startOperator() {
+        operator.whenOtherServingChanges(core::beside);
+        operator.whenOtherProcessChanges(
+                another -> loop.shareSockets(another, (loop.wholeCap() - Startup.OTHER_DESCRIPTORS) / 2));
+        try {
+            operator.start(config.operator());
+        } catch (IOException e) {
+            Exit.because("can't start: operators' address: " + e.getMessage(), 1);
+        }
+    }
+
+    /** Once the list has been asked for and has come; else after a while, as what is known serves too. */
+    private void takeOver() {
+        if (listed) {
+            return;
+        }
+        listed = true;
+        operator.serve(() -> {
+            clients.listen();
+            serve();
+        });
+    }
+
+    private void serve() {
+        ready = true;
+        base.events().tell("ready");
+        clients.servers()
+                .forEach(s -> LOG.log(System.Logger.Level.INFO, "{0} serves on {1}", config.name(), s.address()));
+        warmup.spread(loop, () -> core.inHand() == 0);
+    }
+}
--- a/src/main/java/pepperdock/Signals.java
+++ b/src/main/java/pepperdock/service/Signals.java
@@ -1,4 +1,4 @@
-package pepperdock;
+package pepperdock.service;
 
 import java.lang.reflect.Proxy;
 
@@ -18,7 +18,7 @@
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Object ours = Proxy.newProxyInstance(
-                    Reload.class.getClassLoader(), new Class<?>[] {handler}, (proxy, method, args) -> {
+                    Signals.class.getClassLoader(), new Class<?>[] {handler}, (proxy, method, args) -> {
                         switch (method.getName()) {
                             case "handle" -> then.run();
                             case "hashCode" -> {
--- a/src/test/java/pepperdock/ReloadTest.java
+++ b/src/test/java/pepperdock/service/ReloadTest.java
@@ -1,4 +1,4 @@
-package pepperdock;
+package pepperdock.service;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
