--- a/src/main/java/pepperdock/lab/fleet/FaultyDisk.java
+++ b/src/main/java/pepperdock/lab/fleet/FaultyDisk.java
@@ -6,12 +6,8 @@
 import java.lang.reflect.Proxy;
 import java.net.URI;
 import java.nio.ByteBuffer;
-import java.nio.MappedByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SeekableByteChannel;
-import java.nio.channels.WritableByteChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.AccessMode;
 import java.nio.file.CopyOption;
@@ -22,18 +18,14 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.OpenOption;
 import java.nio.file.Path;
-import java.nio.file.PathMatcher;
 import java.nio.file.StandardOpenOption;
-import java.nio.file.WatchService;
 import java.nio.file.attribute.BasicFileAttributes;
 import java.nio.file.attribute.FileAttribute;
 import java.nio.file.attribute.FileAttributeView;
-import java.nio.file.attribute.UserPrincipalLookupService;
 import java.nio.file.spi.FileSystemProvider;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
-import java.util.stream.StreamSupport;
 
 /**
  * The default file system of a member, as the JDK lets it be replaced ({@code java.nio.file.spi.DefaultFileSystemProvider}),
@@ -51,7 +43,7 @@
     static final String TOUCHED = "state";
 
     private final FileSystemProvider under;
-    private final Whole whole;
+    private final FaultyFileSystem whole;
     private final Path says;
     private final Path touched;
 
@@ -63,7 +55,7 @@
     FaultyDisk(FileSystemProvider under, String folder) {
         this.under = under;
         FileSystem system = under.getFileSystem(URI.create("file:///"));
-        whole = new Whole(system);
+        whole = new FaultyFileSystem(this, system);
         says = system.getPath(folder, SAYS).toAbsolutePath();
         touched = system.getPath(folder, TOUCHED).toAbsolutePath();
     }
@@ -85,7 +77,7 @@
     }
 
     /** Before anything is written or made there. */
-    private Path roomFor(Path p) throws IOException {
+    Path roomFor(Path p) throws IOException {
         Path inner = inner(p);
         if (fault(inner)[0].equals("full")) {
             throw new IOException("No space left on device");
@@ -93,7 +85,7 @@
         return inner;
     }
 
-    private void sync(Path inner) throws IOException {
+    void sync(Path inner) throws IOException {
         String[] fault = fault(inner);
         if (fault[0].equals("broken")) {
             throw new IOException("Input/output error");
@@ -133,7 +125,7 @@
         }
     }
 
-    private Path outer(Path p) {
+    Path outer(Path p) {
         return p == null
                 ? null
                 : (Path) Proxy.newProxyInstance(
@@ -154,192 +146,19 @@
         };
     }
 
-    private static Path inner(Path p) {
+    static Path inner(Path p) {
         return Proxy.isProxyClass(p.getClass()) && Proxy.getInvocationHandler(p) instanceof Outer o ? o.of() : p;
     }
 
-    private final class Whole extends FileSystem {
-        private final FileSystem of;
-
-        Whole(FileSystem of) {
-            this.of = of;
-        }
-
-        @Override
-        public FileSystemProvider provider() {
-            return FaultyDisk.this;
-        }
-
-        @Override
-        public void close() throws IOException {
-            of.close();
-        }
-
-        @Override
-        public boolean isOpen() {
-            return of.isOpen();
-        }
-
-        @Override
-        public boolean isReadOnly() {
-            return of.isReadOnly();
-        }
-
-        @Override
-        public String getSeparator() {
-            return of.getSeparator();
-        }
-
-        @Override
-        public Iterable<Path> getRootDirectories() {
-            return StreamSupport.stream(of.getRootDirectories().spliterator(), false)
-                    .map(FaultyDisk.this::outer)
-                    .toList();
-        }
-
-        @Override
-        public Iterable<FileStore> getFileStores() {
-            return of.getFileStores();
-        }
-
-        @Override
-        public Set<String> supportedFileAttributeViews() {
-            return of.supportedFileAttributeViews();
-        }
-
-        @Override
-        public Path getPath(String first, String... more) {
-            return outer(of.getPath(first, more));
-        }
-
-        @Override
-        public PathMatcher getPathMatcher(String pattern) {
-            PathMatcher m = of.getPathMatcher(pattern);
-            return p -> m.matches(inner(p));
-        }
-
-        @Override
-        public UserPrincipalLookupService getUserPrincipalLookupService() {
-            return of.getUserPrincipalLookupService();
-        }
-
-        @Override
-        public WatchService newWatchService() throws IOException {
-            return of.newWatchService();
-        }
-    }
-
     // ---- Files ------------------------------------------------------------
 
-    private final class Channel extends FileChannel {
-        private final FileChannel of;
-        private final Path path;
-
-        Channel(FileChannel of, Path path) {
-            this.of = of;
-            this.path = path;
-        }
-
-        @Override
-        public int read(ByteBuffer b) throws IOException {
-            return of.read(b);
-        }
-
-        @Override
-        public long read(ByteBuffer[] b, int from, int count) throws IOException {
-            return of.read(b, from, count);
-        }
-
-        @Override
-        public int read(ByteBuffer b, long at) throws IOException {
-            return of.read(b, at);
-        }
-
-        @Override
-        public int write(ByteBuffer b) throws IOException {
-            roomFor(path);
-            return of.write(b);
-        }
-
-        @Override
-        public long write(ByteBuffer[] b, int from, int count) throws IOException {
-            roomFor(path);
-            return of.write(b, from, count);
-        }
-
-        @Override
-        public int write(ByteBuffer b, long at) throws IOException {
-            roomFor(path);
-            return of.write(b, at);
-        }
-
-        @Override
-        public long transferFrom(ReadableByteChannel from, long at, long count) throws IOException {
-            roomFor(path);
-            return of.transferFrom(from, at, count);
-        }
-
-        @Override
-        public long transferTo(long at, long count, WritableByteChannel to) throws IOException {
-            return of.transferTo(at, count, to);
-        }
-
-        @Override
-        public void force(boolean all) throws IOException {
-            sync(path);
-            of.force(all);
-        }
-
-        @Override
-        public long position() throws IOException {
-            return of.position();
-        }
-
-        @Override
-        public FileChannel position(long at) throws IOException {
-            of.position(at);
-            return this;
-        }
-
-        @Override
-        public long size() throws IOException {
-            return of.size();
-        }
-
-        @Override
-        public FileChannel truncate(long size) throws IOException {
-            of.truncate(size);
-            return this;
-        }
-
-        @Override
-        public MappedByteBuffer map(MapMode mode, long at, long size) throws IOException {
-            return of.map(mode, at, size);
-        }
-
-        @Override
-        public FileLock lock(long at, long size, boolean shared) throws IOException {
-            return of.lock(at, size, shared);
-        }
-
-        @Override
-        public FileLock tryLock(long at, long size, boolean shared) throws IOException {
-            return of.tryLock(at, size, shared);
-        }
-
-        @Override
-        protected void implCloseChannel() throws IOException {
-            of.close();
-        }
-    }
-
     @Override
     public FileChannel newFileChannel(Path p, Set<? extends OpenOption> how, FileAttribute<?>... with)
             throws IOException {
         Path inner = how.contains(StandardOpenOption.WRITE) || how.contains(StandardOpenOption.APPEND)
                 ? forWriting(p)
                 : inner(p);
-        return new Channel(under.newFileChannel(inner, how, with), inner);
+        return new FaultyFileChannel(this, under.newFileChannel(inner, how, with), inner);
     }
 
     /** A full disk still opens what is there already. */
--- a/src/main/java/pepperdock/lab/fleet/MembersChecker.java
+++ b/src/main/java/pepperdock/lab/fleet/MembersChecker.java
@@ -25,10 +25,6 @@
 
     /** Counted at the relay, in spans of about a second; a span may hold a second's worth more that was saved up. */
     private static final double SAVED_S = 1.1;
-    /** Of datagrams, lost at any member, without anybody being called gone. */
-    private static final double LOSS_BORNE = 0.3;
-
-    private static final String BORNE = "only what is borne";
 
     private static final Hasher64 HASH = Hashing.xxh3_64();
 
@@ -41,56 +37,6 @@
         private final Map<String, Held> of = new TreeMap<>();
     }
 
-    /** What has befallen a process since all was well with it. */
-    private static final class Hurt {
-        private final Map<Integer, Links.Fault> inForce = new TreeMap<>();
-        private double stoppedAt = Double.NaN;
-        private double longestStop;
-        private int mostCut;
-        private double mostLoss;
-
-        void on(String who, int number, Links.Fault f) {
-            inForce.put(number, f);
-            Set<String> cut = new HashSet<>();
-            double gets = 1;
-            for (Links.Fault x : inForce.values()) {
-                if (x.kind() == Links.Kind.CUT) {
-                    x.pairs().stream().filter(p -> p.from().equals(who)).forEach(p -> cut.add(p.to()));
-                } else if (x.kind() == Links.Kind.LOSS) {
-                    gets *= 1 - x.amount();
-                }
-            }
-            mostCut = Math.max(mostCut, cut.size());
-            mostLoss = Math.max(mostLoss, 1 - gets);
-        }
-
-        boolean none() {
-            return inForce.isEmpty() && Double.isNaN(stoppedAt);
-        }
-
-        void ended() {
-            stoppedAt = Double.NaN;
-            longestStop = 0;
-        }
-
-        void goesOn(double at) {
-            if (!Double.isNaN(stoppedAt)) {
-                longestStop = Math.max(longestStop, at - stoppedAt);
-                stoppedAt = Double.NaN;
-            }
-        }
-
-        /** Why others may have called it gone, the strongest reason there was. */
-        String why(double at, double borneS, int others) {
-            double stop = Double.isNaN(stoppedAt) ? longestStop : Math.max(longestStop, at - stoppedAt);
-            return stop >= borneS
-                    ? "stopped longer than is borne"
-                    : 2 * mostCut > others
-                            ? "most links out of it cut"
-                            : mostLoss > LOSS_BORNE + 1e-9 ? "more lost than is borne" : BORNE;
-        }
-    }
-
     private final boolean strict;
     private final List<Finding> found = new ArrayList<>();
     private final Map<String, Seen> views = new TreeMap<>();
@@ -104,7 +50,7 @@
     private final Map<String, Set<String>> begun = new HashMap<>();
 
     private final Map<String, Set<String>> toldOf = new HashMap<>();
-    private final Map<String, Hurt> hurts = new HashMap<>();
+    private final Map<String, FaultExposure> exposures = new HashMap<>();
     private final Map<String, Double> borneS = new HashMap<>();
     private final Set<String> up = new HashSet<>();
     private final Map<String, Double> endedAt = new HashMap<>();
@@ -148,8 +94,8 @@
                 for (String m : e.members()) {
                     down(m);
                     endedAt.put(names.getOrDefault(m, m), e.at());
-                    if (hurts.containsKey(m)) {
-                        hurts.get(m).ended();
+                    if (exposures.containsKey(m)) {
+                        exposures.get(m).ended();
                     }
                 }
             }
@@ -165,9 +111,9 @@
                 fault(e);
                 for (String m : e.members()) {
                     if (e.what().equals("cont")) {
-                        hurt(m).goesOn(e.at());
+                        exposure(m).continued(e.at());
                     } else {
-                        hurt(m).stoppedAt = e.at();
+                        exposure(m).stopped(e.at());
                     }
                 }
             }
@@ -199,7 +145,7 @@
 
     private void fault(int number, Event e) {
         if (e.what().equals("fault off")) {
-            hurts.values().forEach(h -> h.inForce.remove(number));
+            exposures.values().forEach(h -> h.off(number));
             return;
         }
         Links.Kind kind = Links.Kind.valueOf(e.text("kind").toUpperCase(Locale.ROOT));
@@ -210,15 +156,16 @@
                 touched.computeIfAbsent(p.to(), x -> new HashSet<>()).add(p);
             }
         }
-        touched.forEach((who, pairs) -> hurt(who).on(who, number, new Links.Fault(kind, pairs, e.number("amount"), 0)));
+        touched.forEach(
+                (who, pairs) -> exposure(who).on(who, number, new Links.Fault(kind, pairs, e.number("amount"), 0)));
     }
 
     /** What befalls this process adds to what came before, unless all was well again with it. */
-    private Hurt hurt(String who) {
-        Hurt h = hurts.get(who);
-        if (h == null || h.none() && up.contains(who) && wrongOf.getOrDefault(names.get(who), 0) == 0) {
-            h = new Hurt();
-            hurts.put(who, h);
+    private FaultExposure exposure(String who) {
+        FaultExposure h = exposures.get(who);
+        if (h == null || h.over() && up.contains(who) && wrongOf.getOrDefault(names.get(who), 0) == 0) {
+            h = new FaultExposure();
+            exposures.put(who, h);
         }
         return h;
     }
@@ -296,9 +243,11 @@
                         .filter(p -> e.text("life").equals(lives.get(p)))
                         .findFirst()
                         .orElseThrow();
-                String why = hurts.getOrDefault(process, new Hurt()).why(e.at(), borneS.get(process), names.size() - 1);
+                String why = exposures
+                        .getOrDefault(process, new FaultExposure())
+                        .why(e.at(), borneS.get(process), names.size() - 1);
                 figures.falseGone(why);
-                if (strict || why.equals(BORNE)) {
+                if (strict || why.equals(FaultExposure.BORNE)) {
                     found.add(new Finding("members", number, e.who() + " called " + name + " gone, which was running"));
                 }
             } else if (endedAt.containsKey(name)
--- a/src/main/java/pepperdock/lab/fleet/Relay.java
+++ b/src/main/java/pepperdock/lab/fleet/Relay.java
@@ -10,7 +10,6 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -22,7 +21,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import pepperdock.lab.fleet.Links.Effect;
 import pepperdock.lab.fleet.Links.Pair;
 
 /**
@@ -36,8 +34,6 @@
 final class Relay implements AutoCloseable {
 
     private static final int DATAGRAM_MOST = 65_507;
-    private static final int CHUNK = 1 << 16;
-    private static final int HELD_BY_STREAM = 1 << 18;
     private static final long HELD_MOST = 64L << 20;
     private static final int STREAMS_MOST = 5000;
 
@@ -55,7 +51,8 @@
 
     private record Delayed(double due, long no, Runnable then) {}
 
-    private interface Ready {
+    /** What a key has attached: called when it is ready. */
+    interface Ready {
         void ready(SelectionKey key) throws IOException;
     }
 
@@ -69,7 +66,7 @@
             new PriorityQueue<>(Comparator.comparingDouble(Delayed::due).thenComparingLong(Delayed::no));
     private final Map<String, List<SelectableChannel>> into = new HashMap<>();
     private final Map<String, List<Laid>> laid = new HashMap<>();
-    private final Set<Stream> streams = new LinkedHashSet<>();
+    private final Set<RelayStream> streams = new LinkedHashSet<>();
     private final Map<String, Traffic> traffic = new HashMap<>();
     private final ByteBuffer scratch = ByteBuffer.allocateDirect(DATAGRAM_MOST);
     private long held;
@@ -107,21 +104,19 @@
     void on(int number, Links.Fault fault) {
         execute(() -> {
             links.on(number, fault);
-            List.copyOf(streams).forEach(Stream::look);
+            List.copyOf(streams).forEach(RelayStream::look);
         });
     }
 
     void off(int number) {
         execute(() -> {
             links.off(number);
-            List.copyOf(streams).forEach(Stream::look);
+            List.copyOf(streams).forEach(RelayStream::look);
         });
     }
 
     void reset(Set<Pair> pairs) {
-        execute(() -> List.copyOf(streams).stream()
-                .filter(s -> pairs.contains(s.there.pair))
-                .forEach(Stream::reset));
+        execute(() -> List.copyOf(streams).stream().filter(s -> s.of(pairs)).forEach(RelayStream::reset));
     }
 
     /** Each member's traffic since the last call, given on the relay's thread. */
@@ -186,15 +181,15 @@
         });
     }
 
-    private Traffic of(String member) {
+    Traffic traffic(String member) {
         return traffic.computeIfAbsent(member, m -> new Traffic());
     }
 
-    private static double now() {
+    static double now() {
         return System.nanoTime() / 1e9;
     }
 
-    private void later(double seconds, Runnable then) {
+    void later(double seconds, Runnable then) {
         if (seconds <= 0) {
             then.run();
         } else {
@@ -202,6 +197,18 @@
         }
     }
 
+    Links links() {
+        return links;
+    }
+
+    Selector selector() {
+        return selector;
+    }
+
+    void ended(RelayStream stream) {
+        streams.remove(stream);
+    }
+
     private void run() {
         while (!closed) {
             try {
@@ -243,7 +250,7 @@
         scratch.clear();
         while (socket.receive(scratch) != null) {
             scratch.flip();
-            Traffic sent = of(pair.from());
+            Traffic sent = traffic(pair.from());
             sent.datagrams++;
             sent.bytes += scratch.remaining();
             double[] copies = links.on(pair).fate(chance);
@@ -286,181 +293,14 @@
             }
             c.configureBlocking(false);
             c.setOption(StandardSocketOptions.TCP_NODELAY, true);
-            of(pair.from()).streams++;
-            Stream s = new Stream(pair, c, to);
+            traffic(pair.from()).streams++;
+            RelayStream s = new RelayStream(this, pair, c, to);
             streams.add(s);
             s.look();
         }
     }
 
-    /** One stream through here: two halves, each with the links of its way. */
-    private final class Stream {
-        private final InetSocketAddress to;
-        private final Half there;
-        private final Half back;
-        private SocketChannel far;
-
-        Stream(Pair pair, SocketChannel near, InetSocketAddress to) {
-            this.to = to;
-            there = new Half(this, pair, near);
-            back = new Half(this, new Pair(pair.to(), pair.from()), null);
-            back.into = near;
-        }
-
-        /** Looks anew at what the links let through. */
-        void look() {
-            try {
-                if (far == null) {
-                    if (links.on(there.pair).cut() || links.on(back.pair).cut()) {
-                        return;
-                    }
-                    far = SocketChannel.open();
-                    far.configureBlocking(false);
-                    far.setOption(StandardSocketOptions.TCP_NODELAY, true);
-                    far.connect(to);
-                    far.register(selector, SelectionKey.OP_CONNECT, (Ready) key -> connected());
-                } else if (far.isConnected()) {
-                    there.pump();
-                    back.pump();
-                }
-            } catch (IOException e) {
-                reset();
-            }
-        }
-
-        private void connected() {
-            try {
-                far.finishConnect();
-                there.into = far;
-                back.from = far;
-                far.register(selector, 0, (Ready) key -> moved(back, there, key));
-                there.from.register(selector, 0, (Ready) key -> moved(there, back, key));
-                look();
-            } catch (IOException e) {
-                reset();
-            }
-        }
-
-        /** A channel that one half reads and the other writes is ready. */
-        private void moved(Half reads, Half writes, SelectionKey key) {
-            try {
-                if (key.isReadable()) {
-                    reads.read();
-                }
-                if (key.isValid() && key.isWritable()) {
-                    writes.pump();
-                }
-            } catch (IOException e) {
-                reset();
-            }
-        }
-
-        /** Ends both ways as a broken connection does. */
-        void reset() {
-            streams.remove(this);
-            for (SocketChannel c : new SocketChannel[] {there.from, far}) {
-                if (c != null) {
-                    try {
-                        c.setOption(StandardSocketOptions.SO_LINGER, 0);
-                    } catch (IOException e) {
-                        // Closed already.
-                    }
-                    close(c);
-                }
-            }
-        }
-
-        void shut() {
-            if (there.shut && back.shut) {
-                streams.remove(this);
-                close(there.from);
-                close(far);
-            }
-        }
-    }
-
-    private record Chunk(double due, ByteBuffer bytes) {}
-
-    /** One way of a stream. */
-    private final class Half {
-        private final Stream stream;
-        private final Pair pair;
-        private final ArrayDeque<Chunk> chunks = new ArrayDeque<>();
-        private SocketChannel from;
-        private SocketChannel into;
-        private int waiting;
-        private double free;
-        private boolean ended;
-        private boolean shut;
-
-        Half(Stream stream, Pair pair, SocketChannel from) {
-            this.stream = stream;
-            this.pair = pair;
-            this.from = from;
-        }
-
-        void read() throws IOException {
-            Effect e = links.on(pair);
-            if (e.streamStands() || ended || waiting >= HELD_BY_STREAM) {
-                interests();
-                return;
-            }
-            ByteBuffer b = ByteBuffer.allocate(CHUNK);
-            int n = from.read(b);
-            if (n < 0) {
-                ended = true;
-            } else if (n > 0) {
-                of(pair.from()).streamBytes += n;
-                free = Math.max(free, now()) + n / e.rate();
-                double due = free + e.delay();
-                chunks.add(new Chunk(due, b.flip()));
-                waiting += n;
-            }
-            pump();
-        }
-
-        /** Writes what is due, unless the stream stands. */
-        void pump() throws IOException {
-            while (!chunks.isEmpty() && !links.on(pair).streamStands()) {
-                Chunk first = chunks.peek();
-                double wait = first.due() - now();
-                if (wait > 0) {
-                    later(wait, stream::look);
-                    break;
-                }
-                waiting -= into.write(first.bytes());
-                if (first.bytes().hasRemaining()) {
-                    break;
-                }
-                chunks.poll();
-            }
-            if (ended && chunks.isEmpty() && !shut) {
-                shut = true;
-                into.shutdownOutput();
-                stream.shut();
-            }
-            interests();
-        }
-
-        /** What to be woken for: both channels serve two halves, so each half sets only its own bits. */
-        private void interests() {
-            boolean stands = links.on(pair).streamStands();
-            set(from, SelectionKey.OP_READ, !stands && !ended && waiting < HELD_BY_STREAM);
-            set(
-                    into,
-                    SelectionKey.OP_WRITE,
-                    !stands && !chunks.isEmpty() && chunks.peek().due() <= now());
-        }
-
-        private void set(SocketChannel c, int bit, boolean on) {
-            SelectionKey key = c.keyFor(selector);
-            if (key != null && key.isValid()) {
-                key.interestOps(on ? key.interestOps() | bit : key.interestOps() & ~bit);
-            }
-        }
-    }
-
-    private static void close(SelectableChannel c) {
+    static void close(SelectableChannel c) {
         try {
             c.close();
         } catch (IOException e) {
--- a/src/main/java/pepperdock/lab/fleet/Rig.java
+++ b/src/main/java/pepperdock/lab/fleet/Rig.java
@@ -40,7 +40,7 @@
      */
     public static Outcome run(Path file, Long seed, Path folder, List<String> command)
             throws IOException, InterruptedException {
-        Script script = Script.read(file);
+        Script script = ScriptReader.read(file);
         Script drawn = seed == null ? script : script.seeded(seed);
         if (script.names().size() > Script.PROCESSES_MOST) {
             throw new ConfigException("members", "more than " + Script.PROCESSES_MOST + " processes");
--- a/src/main/java/pepperdock/lab/fleet/Seeds.java
+++ b/src/main/java/pepperdock/lab/fleet/Seeds.java
@@ -51,7 +51,7 @@
     /** Plays so many seeds from the first on; {@code members} goes before the script's own count where it is above 0. */
     public static Outcome run(Path file, long first, int count, int members, Arm arm, int threads)
             throws IOException, InterruptedException {
-        Script script = Script.read(file, members);
+        Script script = ScriptReader.read(file, members);
         Settings settings = arm.of(MembersConfig.timings(new Keys("config", script.config()).needed("members")));
         ExecutorService pool = Executors.newFixedThreadPool(threads);
         try {
--- a/src/main/java/pepperdock/simulator/SimulatorAdapter.java
+++ b/src/main/java/pepperdock/simulator/SimulatorAdapter.java
@@ -1,12 +1,7 @@
 package pepperdock.simulator;
 
-import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonParseException;
-import com.google.gson.JsonParser;
-import com.google.gson.Strictness;
-import com.google.gson.stream.JsonReader;
-import com.google.gson.stream.JsonToken;
 import com.google.gson.stream.JsonWriter;
 import java.io.BufferedReader;
 import java.io.BufferedWriter;
@@ -16,7 +11,6 @@
 import java.io.OutputStream;
 import java.io.OutputStreamWriter;
 import java.io.PrintStream;
-import java.io.StringReader;
 import java.io.UncheckedIOException;
 import java.io.Writer;
 import java.nio.charset.StandardCharsets;
@@ -55,7 +49,7 @@
     private final Map<Integer, List<Aggregator.Listed>> pages = new HashMap<>();
     private final Map<Integer, Instance> instances = new HashMap<>();
     private final List<Instance> touched = new ArrayList<>();
-    private final Line line = new Line();
+    private final WireLine line = new WireLine();
     private double now;
     private long batch;
     private boolean open;
@@ -147,7 +141,7 @@
     private void attach() throws IOException {
         int number = (int) line.integer("Mixer");
         touched.remove(instances.remove(number));
-        Instance made = new Instance(number);
+        Instance made = new Instance(out, number);
         long salt = line.integer("Salt");
         Aggregator.Settings settings =
                 Site.read(Keys.of("Env", line.node("Env"))).module();
@@ -246,194 +240,4 @@
         }
         return List.copyOf(entries);
     }
-
-    /** The fields of the line in hand, kept by name; reused from line to line. */
-    private static final class Line {
-        private final Map<String, Object> values = new HashMap<>();
-
-        void read(String text) throws IOException {
-            values.clear();
-            JsonReader reader = new JsonReader(new StringReader(text));
-            reader.setStrictness(Strictness.STRICT);
-            if (reader.peek() != JsonToken.BEGIN_OBJECT) {
-                throw new IllegalArgumentException("not a JSON object");
-            }
-            reader.beginObject();
-            while (reader.hasNext()) {
-                String name = reader.nextName();
-                switch (reader.peek()) {
-                    case STRING -> values.put(name, reader.nextString());
-                    case NUMBER -> values.put(name, figure(reader.nextString()));
-                    case BEGIN_OBJECT, BEGIN_ARRAY -> values.put(name, JsonParser.parseReader(reader));
-                    default -> reader.skipValue();
-                }
-            }
-            reader.endObject();
-            if (reader.peek() != JsonToken.END_DOCUMENT) {
-                throw new IllegalArgumentException("not one JSON object");
-            }
-        }
-
-        private static Object figure(String text) {
-            for (int i = 0; i < text.length(); i++) {
-                if (".eE".indexOf(text.charAt(i)) >= 0) {
-                    return Double.parseDouble(text);
-                }
-            }
-            return Long.parseLong(text);
-        }
-
-        boolean has(String name) {
-            return values.get(name) != null;
-        }
-
-        private <T> T value(String name, Class<T> type) {
-            Object value = values.get(name);
-            if (value == null) {
-                throw new IllegalArgumentException("missing " + name);
-            }
-            if (!type.isInstance(value)) {
-                throw new IllegalArgumentException("wrong type of " + name);
-            }
-            return type.cast(value);
-        }
-
-        String text(String name) {
-            return value(name, String.class);
-        }
-
-        double number(String name) {
-            return value(name, Number.class).doubleValue();
-        }
-
-        long integer(String name) {
-            return value(name, Number.class).longValue();
-        }
-
-        JsonElement node(String name) {
-            return value(name, JsonElement.class);
-        }
-
-        double[] row(String name) {
-            if (!(values.get(name) instanceof JsonArray row)) {
-                return null;
-            }
-            double[] figures = new double[row.size()];
-            for (int i = 0; i < figures.length; i++) {
-                figures[i] = row.get(i).getAsDouble();
-            }
-            return figures;
-        }
-    }
-
-    /** One instance: its module, and its actions written to the wire. */
-    private final class Instance implements Aggregator.Actions {
-        private final int number;
-        private Aggregator.Events module;
-        private boolean touched;
-
-        Instance(int number) {
-            this.number = number;
-        }
-
-        void create(Aggregator.Settings settings, long salt) {
-            module = Aggregator.create(settings, salt, this);
-        }
-
-        /** Hands an event on; a failure of the module ends in a {@code Broken} for this instance alone. */
-        void tell(java.util.function.Consumer<Aggregator.Events> event) {
-            try {
-                event.accept(module);
-            } catch (RuntimeException e) {
-                if (e instanceof UncheckedIOException) {
-                    throw e;
-                }
-                StackTraceElement[] at = e.getStackTrace();
-                emit("Broken", json -> json.name("NoteText").value(e + (at.length > 0 ? " at " + at[0] : "")));
-            }
-        }
-
-        @Override
-        public void send(long part, String searcher, double until) {
-            emit("Try", json -> {
-                json.name("Tid").value(part);
-                json.name("Searcher").value(searcher);
-                json.name("UntilS").value(until);
-            });
-        }
-
-        @Override
-        public void cancel(long part, int attempt) {
-            emit("UndoSend", json -> {
-                json.name("Tid").value(part);
-                json.name("SeqNo").value(attempt);
-            });
-        }
-
-        @Override
-        public void answer(long query, boolean whole) {
-            emit("Conclude", json -> {
-                json.name("Tid").value(query);
-                json.name("Whole").value(whole);
-            });
-        }
-
-        @Override
-        public void refuse(long query, double pauseS) {
-            emit("Shed", json -> {
-                json.name("Tid").value(query);
-                json.name("PauseS").value(pauseS);
-            });
-        }
-
-        @Override
-        public void fail(long query) {
-            emit("EndFailed", json -> json.name("Tid").value(query));
-        }
-
-        @Override
-        public void probe(String searcher) {
-            emit("HealthCheck", json -> json.name("Searcher").value(searcher));
-        }
-
-        @Override
-        public void dropConnections(String searcher) {
-            emit("DropConns", json -> json.name("Searcher").value(searcher));
-        }
-
-        @Override
-        public void setTimer(double afterS, String token) {
-            emit("SetTimer", json -> {
-                json.name("FromNowS").value(afterS);
-                json.name("Cookie").value(token);
-            });
-        }
-
-        @Override
-        public void subscribe() {
-            emit("KeepInformed", json -> json.name("Whole").value(true));
-        }
-
-        @Override
-        public void log(String text) {
-            emit("Print", json -> json.name("NoteText").value(text));
-        }
-
-        private void emit(String cmd, Fields fields) {
-            try {
-                JsonWriter json = new JsonWriter(out);
-                json.beginObject().name("cmd").value(cmd).name("Mixer").value(number);
-                fields.write(json);
-                json.endObject();
-                out.write('\n');
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
-        }
-    }
-
-    /** The fields of an action beside its name and instance. */
-    private interface Fields {
-        void write(JsonWriter json) throws IOException;
-    }
 }
--- a/src/test/java/pepperdock/lab/fleet/SimTest.java
+++ b/src/test/java/pepperdock/lab/fleet/SimTest.java
@@ -20,7 +20,7 @@
 
     private static Script script(int members, boolean strict, String acts) {
         String checker = strict ? "members-strict" : "members";
-        return Script.read(
+        return ScriptReader.read(
                 Keys.of(
                         "",
                         Config.parse(
--- a/src/test/java/pepperdock/lab/fleet/TimetableTest.java
+++ b/src/test/java/pepperdock/lab/fleet/TimetableTest.java
@@ -22,7 +22,7 @@
 class TimetableTest {
 
     private static Script script(int seed, String acts) {
-        return Script.read(
+        return ScriptReader.read(
                 Keys.of("", Config.parse("{\"members\":6,\"seed\":" + seed + ",\"script\":[" + acts + "]}", "")),
                 Path.of("."));
     }
