--- a/src/main/java/pepperdock/FirstList.java
+++ b/src/main/java/pepperdock/service/FirstList.java
@@ -1,4 +1,4 @@
-package pepperdock;
+package pepperdock.service;
 
 import pepperdock.core.Clock;
 import pepperdock.core.Gatherer;
--- a/src/test/java/pepperdock/ReadyTest.java
+++ b/src/test/java/pepperdock/service/ReadyTest.java
@@ -1,4 +1,4 @@
-package pepperdock;
+package pepperdock.service;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -64,7 +64,7 @@
                 + "\"," + also + "\"known\":" + known + ",\"settings\":" + settings + "}";
         Keys keys = Keys.of("", Config.parse(file, "test"));
         startedAt = loop.now();
-        return Main.serve(keys, false, new Main.Base(env, loop, new Store(null, loop), Events.of(false), null))
+        return Service.start(keys, false, new Startup.Base(env, loop, new Store(null, loop), Events.of(false), null))
                 .get(0)
                 .address();
     }
@@ -105,7 +105,7 @@
                     new BufferedReader(new InputStreamReader(agent.getInputStream(), StandardCharsets.US_ASCII));
             passHead(in);
             boolean early = readiness(at) == 200;
-            assertTrue(!early || loop.now() - startedAt >= Main.UNASKED_LIST_S, "ready before the list was told");
+            assertTrue(!early || loop.now() - startedAt >= Service.UNASKED_LIST_S, "ready before the list was told");
             answer(agent, LIST);
             // The next call is armed once the answer has been taken.
             passHead(in);
