--- a/src/main/java/pepperdock/aggregator/Decide.java
+++ b/src/main/java/pepperdock/aggregator/Decide.java
@@ -1063,8 +1063,8 @@
      */
     private void follow() {
         if (Double.isNaN(askAt)) {
-            askAt = now
-                    + asking.nextDouble() * Math.min(settings.instances() * FIRST_ASK_S, ASK_AGAIN_SHARE * staleS());
+            double first = Math.min(settings.instances() * FIRST_ASK_S, ASK_AGAIN_SHARE * staleS());
+            askAt = now + asking.nextDouble() * first;
         }
         if (!subscribed && !asked && now >= askAt) {
             asked = true;
--- a/src/main/java/pepperdock/net/HttpClient.java
+++ b/src/main/java/pepperdock/net/HttpClient.java
@@ -25,6 +25,7 @@
 
     private final Loop loop;
     private final InetSocketAddress to;
+    private final Loop.Kind kind;
     private final double dialS;
     private final int bodyMost;
     private Connection connection;
@@ -35,8 +36,14 @@
     private Clock.Timer limit;
 
     public HttpClient(Loop loop, InetSocketAddress to, double dialS, int bodyMost) {
+        this(loop, to, Loop.Kind.OWN, dialS, bodyMost);
+    }
+
+    /** One whose connection is {@link Loop.Kind#APART} has it however many others stand. */
+    public HttpClient(Loop loop, InetSocketAddress to, Loop.Kind kind, double dialS, int bodyMost) {
         this.loop = loop;
         this.to = to;
+        this.kind = kind;
         this.dialS = dialS;
         this.bodyMost = bodyMost;
     }
@@ -62,7 +69,7 @@
             write(request, timeoutS);
             return;
         }
-        loop.dial(to, Math.min(dialS, timeoutS), new Loop.Dialled() {
+        loop.dial(to, kind, Math.min(dialS, timeoutS), new Loop.Dialled() {
             @Override
             public void up(Connection c) {
                 if (no != asked || HttpClient.this.then == null) {
--- a/src/main/java/pepperdock/net/Loop.java
+++ b/src/main/java/pepperdock/net/Loop.java
@@ -233,11 +233,18 @@
         void failed();
     }
 
-    /** Opens a connection, given up after {@code timeoutS}; told at the earliest after this returns. */
+    /** Opens a connection, given up after {@code timeoutS} seconds; told at the earliest after this returns. */
     public void dial(InetSocketAddress to, double timeoutS, Dialled then) {
-        dialling++;
+        dial(to, Kind.OWN, timeoutS, then);
+    }
+
+    /** The same; one that is {@link Kind#APART} comes up however many others stand. */
+    public void dial(InetSocketAddress to, Kind kind, double timeoutS, Dialled then) {
+        boolean counted = kind != Kind.APART;
+        int counts = counted ? 1 : 0;
+        dialling += counts;
         boolean[] over = {false};
-        if (spare() < 0) {
+        if (counted && spare() < 0) {
             execute(() -> {
                 dialling--;
                 then.failed();
@@ -248,7 +255,7 @@
         Timer limit = after(timeoutS, () -> {
             if (!over[0]) {
                 over[0] = true;
-                dialling--;
+                dialling -= counts;
                 future.cancel();
                 then.failed();
             }
@@ -261,12 +268,12 @@
                         return;
                     }
                     over[0] = true;
-                    dialling--;
+                    dialling -= counts;
                     limit.cancel();
                     if (made == null) {
                         then.failed();
                     } else {
-                        then.up(adopt(made, true));
+                        then.up(adopt(made, counted));
                     }
                 }),
                 null);
--- a/src/main/java/pepperdock/platform/Watch.java
+++ b/src/main/java/pepperdock/platform/Watch.java
@@ -90,7 +90,9 @@
     private void dialAt(InetSocketAddress to, double dialS) {
         at = to;
         authority = to.getHostString() + ':' + to.getPort();
-        http = new HttpClient(loop, to, dialS, LIST_MOST);
+        // Three at most, beside the cap: it may be reached just when workers hang and the list says which of them are
+        // gone.
+        http = new HttpClient(loop, to, Loop.Kind.APART, dialS, LIST_MOST);
     }
 
     /**
--- a/src/test/java/pepperdock/ReadyTest.java
+++ b/src/test/java/pepperdock/ReadyTest.java
@@ -140,8 +140,8 @@
     }
 
     /**
-     * The list of the file must not go over the agent's. The start is held up behind the opening of the watch, if it has been
-     * opened by then, until the agent's list has come. Was: the file's list was taken in after it, and what the agent had told
+     * The list of the file must not go over the agent's. The start is held up behind the opening of the watch until the
+     * agent's list has come. Was: the file's list was taken in after it, and what the agent had told
      * was never told again.
      */
     @Test
@@ -164,7 +164,7 @@
 
                 @Override
                 public String get(Object name) {
-                    if (name.equals("TMPDIR") && watchOpened()) {
+                    if (name.equals("TMPDIR")) {
                         listed.join();
                     }
                     return null;
@@ -190,11 +190,4 @@
             }
         }
     }
-
-    /** Whether the loop, with what it has to do by now done, has a connection or opens one. */
-    private boolean watchOpened() {
-        CompletableFuture<Boolean> opened = new CompletableFuture<>();
-        loop.execute(() -> opened.complete(loop.inUse() > 0));
-        return opened.join();
-    }
 }
--- a/src/test/java/pepperdock/platform/WatchTest.java
+++ b/src/test/java/pepperdock/platform/WatchTest.java
@@ -43,6 +43,7 @@
     private final Gatherer core = new Gatherer(site.module(), 3, loop, new WorkerPool(loop, site), watch);
 
     WatchTest() throws IOException {
+        server.setSoTimeout(30_000);
         watch.start(core);
         loop.execute(() -> {
             core.whenListed(lists::add);
@@ -318,6 +319,19 @@
         }
     }
 
+    /** Was: with every socket in use, as where workers hang, a watch that ended could not be opened again. */
+    @Test
+    void theListIsAskedForWhereEverySocketIsInUse() throws Exception {
+        loop.execute(() -> loop.capSockets(0));
+        server.accept().close();
+        try (Socket s = server.accept()) {
+            BufferedReader in = reader(s);
+            assertEquals("/api/targets?since=41", asked(in));
+            answer(s, 200, changes(42, "a"));
+            assertEquals("a", list().iterator().next().id());
+        }
+    }
+
     /** Word of a drain counts at once where lists come unasked, and half a second later nothing may go. */
     @Test
     void theNextTryAtAnAgentFitsIntoTheGraceOfADrain() {
