Carry the distribution of configuration over TCP on the program's own loop

MessageCodec has every message as a frame; its length is what the budgets count. A PublisherServer listens, a SubscriberClient dials, both on one Loop, and both end a connection on bytes that are no message. Not in service: StartIT holds that serve loads none of it.

No figure of processor time or memory yet.

--- a/src/main/java/pepperdock/distribution/Change.java
+++ b/src/main/java/pepperdock/distribution/Change.java
@@ -26,7 +26,7 @@
     record Remove(String key) implements Change {
         @Override
         public int bytes() {
-            return 1 + new Item(key, new byte[0]).bytes();
+            return 1 + Encoding.textBytes(key);
         }
     }
 }
--- a/src/main/java/pepperdock/distribution/Encoding.java
+++ b/src/main/java/pepperdock/distribution/Encoding.java
@@ -14,6 +14,11 @@
 
     private Encoding() {}
 
+    /** Bytes of a text behind its length. */
+    static int textBytes(String text) {
+        return 2 + text.getBytes(StandardCharsets.UTF_8).length;
+    }
+
     static byte[] write(Version version, int format, Collection<Item> items) {
         int bytes = HEAD + items.stream().mapToInt(Item::bytes).sum();
         ByteBuffer to = ByteBuffer.allocate(bytes);
--- a/src/main/java/pepperdock/distribution/Item.java
+++ b/src/main/java/pepperdock/distribution/Item.java
@@ -1,6 +1,5 @@
 package pepperdock.distribution;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
 /**
@@ -10,12 +9,12 @@
  */
 public record Item(String key, byte[] value) {
 
-    /** Bytes for the lengths of key and value. */
-    private static final int LENGTHS = 6;
+    /** Bytes for the length of the value. */
+    private static final int LENGTH = 4;
 
     /** Bytes of this item in an encoded configuration. */
     int bytes() {
-        return LENGTHS + key.getBytes(StandardCharsets.UTF_8).length + value.length;
+        return Encoding.textBytes(key) + LENGTH + value.length;
     }
 
     @Override
--- a/src/main/java/pepperdock/distribution/Message.java
+++ b/src/main/java/pepperdock/distribution/Message.java
@@ -31,7 +31,7 @@
             implements FromSubscriber {
         @Override
         public int content() {
-            return 4 + from.name().length() + Version.BYTES + Digest.BYTES + 1;
+            return Encoding.textBytes(from.name()) + 4 + Version.BYTES + Digest.BYTES + 1;
         }
     }
 
@@ -59,7 +59,7 @@
     record Refused(Refusal refusal) implements FromSubscriber {
         @Override
         public int content() {
-            return Version.BYTES + 1 + refusal.detail().length();
+            return Version.BYTES + 1 + Encoding.textBytes(refusal.detail());
         }
     }
 
--- a/src/main/java/pepperdock/distribution/Publisher.java
+++ b/src/main/java/pepperdock/distribution/Publisher.java
@@ -16,6 +16,8 @@
 public class Publisher {
 
     private static final int MILLIS = 1000;
+    /** A delta is one message; a larger one gives way to a snapshot, which comes in pieces. */
+    private static final int DELTA_BYTES_MOST = 64 << 10;
     /** Said where this machine has not been confirmed for longer, or never was. */
     private static final int LONGEST_UNCONFIRMED_MILLIS = 86_400_000;
 
@@ -195,7 +197,7 @@
             return;
         }
         Optional<Delta> delta = whole ? Optional.empty() : recent.since(session.inForce(), session.digest());
-        if (delta.isPresent() && delta.get().bytes() * 100L <= (long) latestEncoded.length * settings.deltaPercent()) {
+        if (delta.isPresent() && worthwhile(delta.get())) {
             session.enqueue(new Message.Update(delta.get()));
             session.sent(latest.version(), now);
         } else if (admission.admits()) {
@@ -206,6 +208,11 @@
         }
     }
 
+    private boolean worthwhile(Delta delta) {
+        long most = (long) latestEncoded.length * settings.deltaPercent() / 100;
+        return delta.bytes() <= Math.min(most, DELTA_BYTES_MOST);
+    }
+
     /** How long a snapshot takes at the rate of one subscriber, or at that of all that may be under way. */
     private int snapshotMillis() {
         int share = settings.snapshotBytesPerSecond() / settings.snapshotsAtOnce();
--- a/src/main/java/pepperdock/distribution/Subscriber.java
+++ b/src/main/java/pepperdock/distribution/Subscriber.java
@@ -128,7 +128,7 @@
             }
             case CONNECTING -> {
                 if (now >= phaseEnds) {
-                    output.close();
+                    output.disconnect();
                     waitToTryAgain(now);
                 }
             }
@@ -230,7 +230,7 @@
 
     /** Leaves a control machine that is open but of no use, for each of the others before it is tried again. */
     private void leave(long now) {
-        output.close();
+        output.disconnect();
         choice.last(machine);
         waitToTryAgain(now);
     }
--- a/src/main/java/pepperdock/distribution/SubscriberOutput.java
+++ b/src/main/java/pepperdock/distribution/SubscriberOutput.java
@@ -9,7 +9,7 @@
     void send(Message.FromSubscriber message);
 
     /** Closes the connection, also one that is being opened; {@link Subscriber#disconnected} need not be called. */
-    void close();
+    void disconnect();
 
     /** This configuration is in force from now on. */
     void inForce(Configuration configuration);
--- /dev/null
+++ b/src/main/java/pepperdock/distribution/wire/PublisherServer.java
@@ -0,0 +1,140 @@
+package pepperdock.distribution.wire;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.TreeMap;
+import pepperdock.core.Clock;
+import pepperdock.distribution.Message;
+import pepperdock.distribution.Publisher;
+import pepperdock.distribution.PublisherOutput;
+import pepperdock.distribution.PublisherSettings;
+import pepperdock.distribution.SubscriberState;
+import pepperdock.distribution.VersionSource;
+import pepperdock.net.Connection;
+import pepperdock.net.Loop;
+
+/** A publisher behind a listening address. All of it belongs to the loop's thread. */
+public final class PublisherServer implements PublisherOutput, AutoCloseable {
+
+    private static final System.Logger LOG = System.getLogger("pepperdock.distribution");
+    private static final double TICK_SECONDS = 0.05;
+    private static final double MILLIS = 1e3;
+
+    private final Loop loop;
+    private final Publisher publisher;
+    private final Loop.Listening listening;
+    private final int connectionsMost;
+    private final TreeMap<Long, Connection> connections = new TreeMap<>();
+    private Clock.Timer timer;
+    private long numbers;
+    private boolean closed;
+
+    /** Listens from now on; {@code connectionsMost} subscribers are served, and others closed unserved. */
+    public PublisherServer(
+            Loop loop,
+            InetSocketAddress at,
+            int connectionsMost,
+            PublisherSettings settings,
+            VersionSource source,
+            long seed)
+            throws IOException {
+        this.loop = loop;
+        this.connectionsMost = connectionsMost;
+        publisher = new Publisher(settings, source, this, seed, now());
+        listening = loop.listen(at, Loop.Kind.OWN, () -> connections.size() < connectionsMost, this::accepted);
+        timer = loop.after(TICK_SECONDS, this::tick);
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return listening.address();
+    }
+
+    /** The source has something newer. */
+    public void settled() {
+        publisher.settled(now());
+    }
+
+    /** Every subscriber that is connected here. */
+    public List<SubscriberState> subscribers() {
+        return publisher.subscribers(now());
+    }
+
+    /** Ends all connections, and listens no more. */
+    @Override
+    public void close() {
+        closed = true;
+        timer.cancel();
+        listening.close();
+        connections.values().forEach(Connection::close);
+        connections.clear();
+    }
+
+    private void tick() {
+        publisher.tick(now());
+        if (!closed) {
+            timer = loop.after(TICK_SECONDS, this::tick);
+        }
+    }
+
+    private void accepted(Connection connection) {
+        long number = ++numbers;
+        connections.put(number, connection);
+        connection.limitUnread(MessageCodec.LENGTH_BYTES + MessageCodec.FRAME_MOST);
+        publisher.connected(number, now());
+        connection.start(new Connection.Handler() {
+            @Override
+            public void received(Connection c) {
+                take(number, c);
+            }
+
+            @Override
+            public void ended(Connection c) {
+                forget(number);
+            }
+        });
+    }
+
+    private void take(long number, Connection connection) {
+        try {
+            MessageReader.take(connection, message -> {
+                if (!(message instanceof Message.FromSubscriber said)) {
+                    throw new IllegalArgumentException(
+                            "not a subscriber's: " + message.getClass().getSimpleName());
+                }
+                publisher.received(number, said, now());
+                return connections.containsKey(number);
+            });
+        } catch (IllegalArgumentException e) {
+            LOG.log(System.Logger.Level.WARNING, () -> "subscriber at " + connection.peer() + ": " + e.getMessage());
+            connection.close();
+            forget(number);
+        }
+    }
+
+    private void forget(long number) {
+        connections.remove(number);
+        publisher.disconnected(number);
+    }
+
+    @Override
+    public void send(long number, Message.FromPublisher message) {
+        Connection connection = connections.get(number);
+        if (connection != null) {
+            connection.write(MessageCodec.frame(message));
+        }
+    }
+
+    @Override
+    public void close(long number) {
+        Connection connection = connections.remove(number);
+        if (connection != null) {
+            connection.close();
+        }
+    }
+
+    private long now() {
+        return (long) (loop.now() * MILLIS);
+    }
+}
--- /dev/null
+++ b/src/main/java/pepperdock/distribution/wire/SubscriberClient.java
@@ -0,0 +1,188 @@
+package pepperdock.distribution.wire;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Consumer;
+import pepperdock.core.Clock;
+import pepperdock.distribution.Configuration;
+import pepperdock.distribution.ControlMachine;
+import pepperdock.distribution.Message;
+import pepperdock.distribution.Subscriber;
+import pepperdock.distribution.SubscriberId;
+import pepperdock.distribution.SubscriberOutput;
+import pepperdock.distribution.SubscriberSettings;
+import pepperdock.distribution.Validator;
+import pepperdock.distribution.VersionStore;
+import pepperdock.net.Connection;
+import pepperdock.net.Loop;
+
+/** A subscriber that dials its control machines. All of it belongs to the loop's thread, also its construction. */
+public final class SubscriberClient implements SubscriberOutput, AutoCloseable {
+
+    /** Where a control machine is reached. */
+    public record Reach(ControlMachine machine, InetSocketAddress address) {}
+
+    private static final System.Logger LOG = System.getLogger("pepperdock.distribution");
+    private static final double TICK_SECONDS = 0.1;
+    private static final double MILLIS = 1e3;
+
+    private final Loop loop;
+    private final List<Reach> reaches;
+    private final SubscriberSettings settings;
+    private final Consumer<Configuration> inForce;
+    private final Subscriber subscriber;
+    private Clock.Timer timer;
+    /** Null while there is none. */
+    private Connection connection;
+    /** Counts the attempts, so that one that was given up is known when it comes after all. */
+    private long attempt;
+
+    private long bytesIn;
+    private long bytesOut;
+    private boolean closed;
+
+    public SubscriberClient(
+            Loop loop,
+            SubscriberId id,
+            String region,
+            List<Reach> reaches,
+            SubscriberSettings settings,
+            VersionStore store,
+            Validator validator,
+            Consumer<Configuration> inForce,
+            long seed) {
+        this.loop = loop;
+        this.reaches = List.copyOf(reaches);
+        this.settings = settings;
+        this.inForce = inForce;
+        List<ControlMachine> machines = reaches.stream().map(Reach::machine).toList();
+        subscriber = new Subscriber(id, region, machines, settings, store, validator, this, seed, now());
+        timer = loop.after(TICK_SECONDS, this::tick);
+    }
+
+    public Subscriber subscriber() {
+        return subscriber;
+    }
+
+    /** Bytes of frames received and sent so far. */
+    public long bytes() {
+        return bytesIn + bytesOut;
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        timer.cancel();
+        end();
+    }
+
+    private void tick() {
+        subscriber.tick(now());
+        if (!closed) {
+            timer = loop.after(TICK_SECONDS, this::tick);
+        }
+    }
+
+    // ---- SubscriberOutput ------------------------------------------------------------
+
+    @Override
+    public void connect(ControlMachine to) {
+        long number = ++attempt;
+        InetSocketAddress address = reaches.stream()
+                .filter(r -> r.machine().equals(to))
+                .findFirst()
+                .orElseThrow()
+                .address();
+        loop.dial(address, settings.connectMillis() / MILLIS, new Loop.Dialled() {
+            @Override
+            public void up(Connection made) {
+                if (number == attempt && !closed) {
+                    opened(number, made);
+                } else {
+                    made.close();
+                }
+            }
+
+            @Override
+            public void failed() {
+                if (number == attempt && !closed) {
+                    subscriber.disconnected(now());
+                }
+            }
+        });
+    }
+
+    @Override
+    public void send(Message.FromSubscriber message) {
+        if (connection != null) {
+            byte[] frame = MessageCodec.frame(message);
+            bytesOut += frame.length;
+            connection.write(frame);
+        }
+    }
+
+    /** Ends the connection, or the attempt. */
+    private void end() {
+        attempt++;
+        if (connection != null) {
+            connection.close();
+            connection = null;
+        }
+    }
+
+    @Override
+    public void disconnect() {
+        end();
+    }
+
+    @Override
+    public void inForce(Configuration configuration) {
+        inForce.accept(configuration);
+    }
+
+    // ---- The connection ------------------------------------------------------------
+
+    private void opened(long number, Connection made) {
+        connection = made;
+        made.limitUnread(MessageCodec.LENGTH_BYTES + MessageCodec.FRAME_MOST);
+        made.start(new Connection.Handler() {
+            @Override
+            public void received(Connection c) {
+                if (number == attempt) {
+                    take(number, c);
+                }
+            }
+
+            @Override
+            public void ended(Connection c) {
+                if (number == attempt) {
+                    connection = null;
+                    subscriber.disconnected(now());
+                }
+            }
+        });
+        subscriber.connected(now());
+    }
+
+    private void take(long number, Connection from) {
+        try {
+            MessageReader.take(from, message -> {
+                if (!(message instanceof Message.FromPublisher said)) {
+                    throw new IllegalArgumentException(
+                            "not a publisher's: " + message.getClass().getSimpleName());
+                }
+                bytesIn += MessageCodec.LENGTH_BYTES + 1 + said.content();
+                subscriber.received(said, now());
+                return number == attempt;
+            });
+        } catch (IllegalArgumentException e) {
+            LOG.log(System.Logger.Level.WARNING, () -> "control machine at " + from.peer() + ": " + e.getMessage());
+            end();
+            subscriber.disconnected(now());
+        }
+    }
+
+    private long now() {
+        return (long) (loop.now() * MILLIS);
+    }
+}
--- a/src/main/java/pepperdock/lab/distribution/GathererNode.java
+++ b/src/main/java/pepperdock/lab/distribution/GathererNode.java
@@ -128,7 +128,7 @@
     }
 
     @Override
-    public void close() {
+    public void disconnect() {
         connection.closeByGatherer();
         connection = null;
     }
--- a/src/test/java/pepperdock/StartIT.java
+++ b/src/test/java/pepperdock/StartIT.java
@@ -151,6 +151,7 @@
                 "pepperdock.members.",
                 "pepperdock.membership.",
                 "pepperdock.lab.",
+                "pepperdock.distribution.",
                 "pepperdock.cli.",
                 "pepperdock.store.raft.",
                 "com.fasterxml.",
--- a/src/test/java/pepperdock/distribution/Pair.java
+++ b/src/test/java/pepperdock/distribution/Pair.java
@@ -101,7 +101,7 @@
     }
 
     @Override
-    public void close() {
+    public void disconnect() {
         closed = true;
     }
 
--- /dev/null
+++ b/src/test/java/pepperdock/distribution/wire/WireTest.java
@@ -0,0 +1,222 @@
+package pepperdock.distribution.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pepperdock.distribution.Change;
+import pepperdock.distribution.Configuration;
+import pepperdock.distribution.ControlMachine;
+import pepperdock.distribution.Durability;
+import pepperdock.distribution.Item;
+import pepperdock.distribution.Message;
+import pepperdock.distribution.PublisherSettings;
+import pepperdock.distribution.SubscriberId;
+import pepperdock.distribution.SubscriberSettings;
+import pepperdock.distribution.Version;
+import pepperdock.distribution.VersionSource;
+import pepperdock.distribution.VersionStore;
+import pepperdock.net.Loop;
+
+/** A subscriber and control machines over loopback; what crosses is forced by bytes that are held and ends that come. */
+class WireTest {
+
+    /** Guards against a test that hangs; nothing is judged by it. */
+    private static final int HANGS_SECONDS = 30;
+
+    private static final ControlMachine NEAR = new ControlMachine("c1", "r1");
+    private static final ControlMachine FAR = new ControlMachine("c2", "r2");
+    /** With a short patience, so that time-outs come soon. */
+    private static final SubscriberSettings SETTINGS =
+            new SubscriberSettings(1, 1000, 300, 10_000, 30_000, 5000, 5000, 10_000, 20, 100);
+
+    private final List<Configuration> settled = new ArrayList<>();
+    private final BlockingQueue<Configuration> inForce = new LinkedBlockingQueue<>();
+    private Loop loop;
+
+    @BeforeEach
+    void begin() throws Exception {
+        loop = new Loop(50, 512 << 10);
+        settled.add(Configuration.of(new Version(1, 1), 1, List.of(new Item("a", new byte[5000]))));
+    }
+
+    @AfterEach
+    void end() {
+        loop.close();
+    }
+
+    private <T> T onLoop(java.util.concurrent.Callable<T> action) throws Exception {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                done.complete(action.call());
+            } catch (Exception e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done.get(HANGS_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private static InetSocketAddress any() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    }
+
+    private PublisherServer server() throws Exception {
+        VersionSource source = new VersionSource() {
+            @Override
+            public List<Configuration> after(Version version) {
+                return settled.stream()
+                        .filter(c -> c.version().newerThan(version))
+                        .toList();
+            }
+
+            @Override
+            public long confirmedAtMillis() {
+                return (long) (loop.now() * 1e3);
+            }
+        };
+        PublisherSettings often = new PublisherSettings(
+                50, 15_000, 4000, 100_000, 50_000, 2_000_000, 64 << 10, 192, 1024, 50, 1000, 1 << 20);
+        return onLoop(() -> new PublisherServer(loop, any(), 10, often, source, 1));
+    }
+
+    private SubscriberClient client(InetSocketAddress near, InetSocketAddress far) throws Exception {
+        VersionStore store = new VersionStore() {
+            @Override
+            public Saved load() {
+                return Saved.NOTHING;
+            }
+
+            @Override
+            public boolean save(Configuration configuration) {
+                return true;
+            }
+
+            @Override
+            public boolean saveFloor(Version floor) {
+                return true;
+            }
+        };
+        List<SubscriberClient.Reach> reaches =
+                List.of(new SubscriberClient.Reach(NEAR, near), new SubscriberClient.Reach(FAR, far));
+        return onLoop(() -> new SubscriberClient(
+                loop, new SubscriberId("g1"), "r1", reaches, SETTINGS, store, c -> Optional.empty(), inForce::add, 1));
+    }
+
+    private Configuration next() throws Exception {
+        Configuration next = inForce.poll(HANGS_SECONDS, TimeUnit.SECONDS);
+        assertTrue(next != null, "nothing came in force");
+        return next;
+    }
+
+    private static void hello(InputStream from) throws Exception {
+        int length = java.nio.ByteBuffer.wrap(from.readNBytes(4)).getInt();
+        Message said = MessageCodec.read(from.readNBytes(length), 0, length);
+        assertEquals("g1", ((Message.Hello) said).from().name());
+    }
+
+    @Test
+    void aSnapshotAndThenADeltaComeInForce() throws Exception {
+        PublisherServer server = server();
+        client(server.address(), server.address());
+        assertEquals(settled.get(0).digest(), next().digest());
+        Configuration second = onLoop(() -> {
+            Configuration two =
+                    settled.get(0).with(new Version(1, 2), 1, List.of(new Change.Put(new Item("b", new byte[10]))));
+            settled.add(two);
+            server.settled();
+            return two;
+        });
+        assertEquals(second.digest(), next().digest());
+    }
+
+    @Test
+    void aControlMachineThatTakesBytesAndPassesNoneOnIsLeftForAnother() throws Exception {
+        PublisherServer server = server();
+        try (ServerSocket silent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            client((InetSocketAddress) silent.getLocalSocketAddress(), server.address());
+            try (Socket taken = silent.accept()) {
+                hello(taken.getInputStream());
+                assertEquals(settled.get(0).digest(), next().digest(), "from the other one");
+                assertEquals(-1, taken.getInputStream().read(), "and this one was closed");
+            }
+        }
+    }
+
+    @Test
+    void aSnapshotWithoutItsLastByteIsNotInForceAndTheEndOfTheConnectionLeadsToAnother() throws Exception {
+        Configuration other = Configuration.of(new Version(1, 5), 1, List.of(new Item("x", new byte[10])));
+        byte[] whole = other.encoded();
+        byte[] frame = MessageCodec.frame(
+                new Message.SnapshotPiece(other.version(), other.digest(), 1, whole.length, 0, whole));
+        PublisherServer server = server();
+        try (ServerSocket holds = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            client((InetSocketAddress) holds.getLocalSocketAddress(), server.address());
+            try (Socket taken = holds.accept()) {
+                hello(taken.getInputStream());
+                taken.getOutputStream().write(frame, 0, frame.length - 1);
+            }
+        }
+        assertEquals(new Version(1, 1), next().version(), "from the other one, and nothing before");
+    }
+
+    @Test
+    void bytesThatAreNoMessageEndTheConnectionOnEitherSide() throws Exception {
+        PublisherServer server = server();
+        try (Socket raw =
+                new Socket(server.address().getAddress(), server.address().getPort())) {
+            raw.getOutputStream().write(new byte[] {0, 0, 0, 1, 99});
+            assertEquals(-1, raw.getInputStream().read());
+        }
+        try (ServerSocket wrong = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            client((InetSocketAddress) wrong.getLocalSocketAddress(), server.address());
+            try (Socket taken = wrong.accept()) {
+                hello(taken.getInputStream());
+                taken.getOutputStream().write(new byte[] {0x7f, 0, 0, 0});
+                assertEquals(-1, taken.getInputStream().read());
+            }
+        }
+        assertEquals(settled.get(0).digest(), next().digest());
+        assertNull(inForce.peek());
+    }
+
+    @Test
+    void theControlMachineKnowsWhatIsInForceWhere() throws Exception {
+        PublisherServer server = server();
+        SubscriberClient client = client(server.address(), server.address());
+        next();
+        onLoop(() -> {
+            client.send(new Message.InForce(new Version(1, 1), settled.get(0).digest(), Durability.SAVED));
+            return null;
+        });
+        BlockingQueue<Version> seen = new LinkedBlockingQueue<>();
+        onLoop(() -> {
+            look(server, seen);
+            return null;
+        });
+        assertEquals(new Version(1, 1), seen.poll(HANGS_SECONDS, TimeUnit.SECONDS));
+    }
+
+    /** Looks at each turn of the loop until the subscriber is known with a version. */
+    private void look(PublisherServer server, BlockingQueue<Version> seen) {
+        server.subscribers().stream()
+                .filter(s -> s.inForce().newerThan(Version.NONE))
+                .findFirst()
+                .ifPresentOrElse(s -> seen.add(s.inForce()), () -> loop.after(0.001, () -> look(server, seen)));
+    }
+}
