Measure the distribution of configuration over loopback: lab scale streams

Four publishers, a loop each, and hollow subscribers on one further loop, in one process. Processor time is that of the loops' threads, memory the heap in use after a collection.

--- a/src/main/java/pepperdock/cli/ScaleCommand.java
+++ b/src/main/java/pepperdock/cli/ScaleCommand.java
@@ -11,7 +11,7 @@
         mixinStandardHelpOptions = true,
         versionProvider = Cli.Version.class,
         description = "Measure towards far more gatherers and workers than are in service.",
-        subcommands = {ScaleConfigCommand.class})
+        subcommands = {ScaleConfigCommand.class, ScaleStreamsCommand.class})
 final class ScaleCommand implements Runnable {
 
     @Spec
--- /dev/null
+++ b/src/main/java/pepperdock/cli/ScaleStreamsCommand.java
@@ -0,0 +1,76 @@
+package pepperdock.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import pepperdock.lab.distribution.StreamFigures;
+import pepperdock.lab.distribution.Streams;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Distribution of configuration over loopback, measured. */
+@Command(
+        name = "streams",
+        mixinStandardHelpOptions = true,
+        versionProvider = Cli.Version.class,
+        description =
+                "Distribute configuration to hollow subscribers in this process over loopback, and measure processor"
+                        + " time and memory (docs/design/distribution.md).")
+final class ScaleStreamsCommand implements Callable<Integer> {
+
+    @Option(
+            names = "--subscribers",
+            paramLabel = "N",
+            split = ",",
+            defaultValue = "50,100,200,500",
+            description = "How many; several, one after the other, with commas. Default: ${DEFAULT-VALUE}")
+    private List<Integer> subscribers;
+
+    @Option(
+            names = "--seconds",
+            paramLabel = "N",
+            defaultValue = "10",
+            description = "Idle, and as many with a change each second. Default: ${DEFAULT-VALUE}")
+    private int seconds;
+
+    @Option(
+            names = "--bytes",
+            paramLabel = "N",
+            defaultValue = "40000",
+            description = "Of the configuration, about. Default: ${DEFAULT-VALUE}")
+    private int bytes;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        PrintWriter out = spec.commandLine().getOut();
+        out.println("subscribers | first version at all, ms | heap of a pair, bytes | a subscriber, % of a core: idle,"
+                + " changing | busiest control machine: idle, changing | bytes a second of a subscriber: idle, changing"
+                + " | a change at all, ms: median, worst");
+        for (int count : subscribers) {
+            StreamFigures f = Streams.measure(count, bytes, seconds);
+            out.println(String.format(
+                    Locale.ROOT,
+                    "%d | %d | %d | %.4f %.4f | %.3f %.3f | %d %d | %d %d",
+                    f.subscribers(),
+                    f.firstVersionMillis(),
+                    f.pairBytes(),
+                    f.subscriberIdlePercent(),
+                    f.subscriberChangingPercent(),
+                    f.controlIdlePercent(),
+                    f.controlChangingPercent(),
+                    f.subscriberIdleBytes(),
+                    f.subscriberChangingBytes(),
+                    f.changeMedianMillis(),
+                    f.changeWorstMillis()));
+            out.flush();
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/pepperdock/lab/distribution/Streams.java
@@ -0,0 +1,268 @@
+package pepperdock.lab.distribution;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import pepperdock.distribution.Change;
+import pepperdock.distribution.Configuration;
+import pepperdock.distribution.ControlMachine;
+import pepperdock.distribution.Item;
+import pepperdock.distribution.PublisherSettings;
+import pepperdock.distribution.SubscriberId;
+import pepperdock.distribution.SubscriberSettings;
+import pepperdock.distribution.Version;
+import pepperdock.distribution.VersionSource;
+import pepperdock.distribution.wire.PublisherServer;
+import pepperdock.distribution.wire.SubscriberClient;
+import pepperdock.net.Loop;
+
+/** Four control machines, a loop each, and hollow subscribers on one further loop, all in this process over loopback. */
+public final class Streams implements AutoCloseable {
+
+    private static final int BUFFER_MOST = 512 << 10;
+    private static final int SOCKETS_SPARE = 50;
+    private static final int ITEMS = 500;
+    private static final int ITEM_HEAD = 16;
+    private static final int PATIENCE_SECONDS = 60;
+    private static final double NANOS = 1e9;
+    private static final long MILLION = 1_000_000;
+    private static final int PERCENT = 100;
+
+    /** A control machine: its loop, the versions that it was handed, its server. */
+    private static final class Control implements VersionSource {
+        private final Loop loop;
+        private final long thread;
+        private final List<Configuration> settled = new ArrayList<>();
+        private PublisherServer server;
+
+        Control(int subscribers) throws IOException {
+            loop = new Loop(subscribers + SOCKETS_SPARE, BUFFER_MOST);
+            thread = onLoop(loop, () -> Thread.currentThread().getId());
+        }
+
+        @Override
+        public List<Configuration> after(Version version) {
+            return settled.stream().filter(c -> c.version().newerThan(version)).toList();
+        }
+
+        @Override
+        public long confirmedAtMillis() {
+            return (long) (loop.now() * 1e3);
+        }
+    }
+
+    private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    private final Random chance = new Random(1);
+    private final int count;
+    private final int valueBytes;
+    private final List<Control> controls = new ArrayList<>();
+    private final List<SubscriberClient> clients = new ArrayList<>();
+    private final Loop loop;
+    private final long thread;
+    private Configuration latest;
+    /** Those that have not the latest in force yet. */
+    private volatile CountDownLatch missing;
+
+    private volatile Version awaited;
+
+    private Streams(int count, int configurationBytes) throws IOException {
+        this.count = count;
+        valueBytes = Math.max(8, configurationBytes / ITEMS - ITEM_HEAD);
+        List<Item> items = new ArrayList<>();
+        for (int i = 0; i < ITEMS; i++) {
+            items.add(item(i));
+        }
+        latest = Configuration.of(new Version(1, 1), 1, items);
+        for (int i = 0; i < Simulation.CONTROL_PLACES.size(); i++) {
+            Control control = new Control(count);
+            control.settled.add(latest);
+            control.server = onLoop(
+                    control.loop,
+                    () -> new PublisherServer(
+                            control.loop,
+                            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                            count,
+                            PublisherSettings.defaults(),
+                            control,
+                            1));
+            controls.add(control);
+        }
+        loop = new Loop(count + SOCKETS_SPARE, BUFFER_MOST);
+        thread = onLoop(loop, () -> Thread.currentThread().getId());
+    }
+
+    /** Measures so many subscribers, idle for so many seconds, and for as many with a change each second. */
+    public static StreamFigures measure(int subscribers, int configurationBytes, int seconds)
+            throws IOException, InterruptedException {
+        try (Streams streams = new Streams(subscribers, configurationBytes)) {
+            return streams.measure(seconds);
+        }
+    }
+
+    private StreamFigures measure(int seconds) throws IOException, InterruptedException {
+        long heapBefore = heap();
+        long began = System.nanoTime();
+        await(latest.version());
+        start();
+        awaitAll();
+        long firstMillis = (System.nanoTime() - began) / MILLION;
+        long pair = (heap() - heapBefore) / count;
+        Window idle = window(seconds, false, new Samples());
+        Samples changes = new Samples();
+        Window changing = window(seconds, true, changes);
+        return new StreamFigures(
+                count,
+                firstMillis,
+                pair,
+                idle.subscriberPercent / count,
+                changing.subscriberPercent / count,
+                idle.controlPercent,
+                changing.controlPercent,
+                idle.bytes / count,
+                changing.bytes / count,
+                changes.quantile(0.5),
+                changes.quantile(1));
+    }
+
+    private record Window(double subscriberPercent, double controlPercent, long bytes) {}
+
+    private Window window(int seconds, boolean changing, Samples latencies) throws IOException, InterruptedException {
+        long began = System.nanoTime();
+        long subscribers = threads.getThreadCpuTime(thread);
+        long[] busy = new long[controls.size()];
+        for (int i = 0; i < busy.length; i++) {
+            busy[i] = threads.getThreadCpuTime(controls.get(i).thread);
+        }
+        long bytes = bytes();
+        for (int second = 1; second <= seconds; second++) {
+            if (changing) {
+                latencies.add(change());
+            }
+            long left = began + second * (long) NANOS - System.nanoTime();
+            TimeUnit.NANOSECONDS.sleep(Math.max(0, left));
+        }
+        double took = System.nanoTime() - began;
+        long most = 0;
+        for (int i = 0; i < busy.length; i++) {
+            most = Math.max(most, threads.getThreadCpuTime(controls.get(i).thread) - busy[i]);
+        }
+        double ofSubscribers = threads.getThreadCpuTime(thread) - subscribers;
+        return new Window(
+                PERCENT * ofSubscribers / took, PERCENT * most / took, (long) ((bytes() - bytes) / (took / NANOS)));
+    }
+
+    private void start() throws IOException {
+        List<SubscriberClient.Reach> reaches = new ArrayList<>();
+        for (int i = 0; i < controls.size(); i++) {
+            Place place = Simulation.CONTROL_PLACES.get(i);
+            reaches.add(new SubscriberClient.Reach(
+                    new ControlMachine(place.name(), place.region()),
+                    controls.get(i).server.address()));
+        }
+        onLoop(loop, () -> {
+            for (int i = 0; i < count; i++) {
+                clients.add(new SubscriberClient(
+                        loop,
+                        new SubscriberId("g" + i),
+                        "r" + (i % 3 + 1),
+                        reaches,
+                        SubscriberSettings.defaults(),
+                        new GathererDisk(),
+                        c -> Optional.empty(),
+                        this::inForce,
+                        i));
+            }
+            return count;
+        });
+    }
+
+    private void inForce(Configuration configuration) {
+        if (configuration.version().equals(awaited)) {
+            missing.countDown();
+        }
+    }
+
+    private void await(Version version) {
+        missing = new CountDownLatch(count);
+        awaited = version;
+    }
+
+    private void awaitAll() throws IOException, InterruptedException {
+        if (!missing.await(PATIENCE_SECONDS, TimeUnit.SECONDS)) {
+            throw new IOException(missing.getCount() + " of " + count + " don't have " + awaited + " in force");
+        }
+    }
+
+    /** Changes one item; returns the milliseconds until it was in force at all. */
+    private long change() throws IOException, InterruptedException {
+        Change change = new Change.Put(item(chance.nextInt(ITEMS)));
+        Version next = new Version(1, latest.version().number() + 1);
+        latest = latest.with(next, 1, List.of(change));
+        await(next);
+        long began = System.nanoTime();
+        Configuration settled = latest;
+        for (Control control : controls) {
+            control.loop.execute(() -> {
+                control.settled.add(settled);
+                control.server.settled();
+            });
+        }
+        awaitAll();
+        return (System.nanoTime() - began) / MILLION;
+    }
+
+    private Item item(int number) {
+        byte[] value = new byte[valueBytes];
+        chance.nextBytes(value);
+        return new Item("item/" + number, value);
+    }
+
+    private long bytes() throws IOException {
+        return onLoop(
+                loop, () -> clients.stream().mapToLong(SubscriberClient::bytes).sum());
+    }
+
+    /** Bytes in use after a collection. */
+    private static long heap() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    private static <T> T onLoop(Loop loop, Callable<T> action) throws IOException {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                done.complete(action.call());
+            } catch (Exception e) {
+                done.completeExceptionally(e);
+            }
+        });
+        try {
+            return done.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IOException("the loop did not do it", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        loop.close();
+        controls.forEach(c -> c.loop.close());
+    }
+}
