--- a/src/main/java/pepperdock/cli/ScaleConfigCommand.java
+++ b/src/main/java/pepperdock/cli/ScaleConfigCommand.java
@@ -13,6 +13,7 @@
 import pepperdock.lab.distribution.Result;
 import pepperdock.lab.distribution.Setup;
 import pepperdock.lab.distribution.Simulation;
+import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -80,6 +81,7 @@
 
     @Override
     public Integer call() throws IOException {
+        check();
         PrintWriter out = spec.commandLine().getOut();
         boolean passed = true;
         if (!json) {
@@ -94,10 +96,27 @@
                 out.flush();
             }
         }
-        out.println(passed ? "passed" : "failed");
+        remarks().println(passed ? "passed" : "failed");
         return passed ? 0 : 1;
     }
 
+    /** Where what is no row goes: beside the lines of JSON. */
+    private PrintWriter remarks() {
+        return json ? spec.commandLine().getErr() : spec.commandLine().getOut();
+    }
+
+    /** A run of nothing must not pass. */
+    private void check() {
+        boolean some = seeds >= 1
+                && cutSeconds >= 1
+                && bytes >= 1
+                && gatherers.stream().allMatch(n -> n >= 1);
+        if (!some) {
+            throw new CommandLine.ParameterException(
+                    spec.commandLine(), "--gatherers, --seeds, --cut and --bytes are to be 1 or more");
+        }
+    }
+
     /** Whether nothing was found. */
     private boolean row(PrintWriter out, int count, HardCase hardCase) throws IOException {
         Figures figures = Figures.none();
--- a/src/main/java/pepperdock/cli/ScaleStreamsCommand.java
+++ b/src/main/java/pepperdock/cli/ScaleStreamsCommand.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Callable;
 import pepperdock.lab.distribution.StreamFigures;
 import pepperdock.lab.distribution.Streams;
+import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -49,6 +50,10 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
+        if (seconds < 1 || bytes < 1 || subscribers.stream().anyMatch(n -> n < 1)) {
+            throw new CommandLine.ParameterException(
+                    spec.commandLine(), "--subscribers, --seconds and --bytes are to be 1 or more");
+        }
         PrintWriter out = spec.commandLine().getOut();
         out.println("subscribers | first version at all, ms | heap of a pair, bytes | a subscriber, % of a core: idle,"
                 + " changing | busiest control machine: idle, changing | bytes a second of a subscriber: idle, changing"
