--- a/src/main/java/pepperdock/distribution/Publisher.java
+++ b/src/main/java/pepperdock/distribution/Publisher.java
@@ -16,7 +16,7 @@
 public class Publisher {
 
     private static final int MILLIS = 1000;
-    /** A delta is one message; a larger one gives way to a snapshot, which comes in pieces. */
+    /** A delta is one message, and no larger on the wire, whatever may be sent at once. */
     private static final int DELTA_BYTES_MOST = 64 << 10;
     /** Said where this machine has not been confirmed for longer, or never was. */
     private static final int LONGEST_UNCONFIRMED_MILLIS = 86_400_000;
@@ -208,9 +208,11 @@
         }
     }
 
+    /** Whether a delta is to be sent, and not the snapshot, which is longer but comes in pieces at the subscriber's pace. */
     private boolean worthwhile(Delta delta) {
         long most = (long) latestEncoded.length * settings.deltaPercent() / 100;
-        return delta.bytes() <= Math.min(most, DELTA_BYTES_MOST);
+        int atOnce = Math.min(DELTA_BYTES_MOST, settings.subscriberBurstBytes() - Message.OVERHEAD);
+        return delta.bytes() <= Math.min(most, atOnce);
     }
 
     /** How long a snapshot takes at the rate of one subscriber, or at that of all that may be under way. */
--- a/src/test/java/pepperdock/distribution/PublisherTest.java
+++ b/src/test/java/pepperdock/distribution/PublisherTest.java
@@ -67,6 +67,18 @@
         assertInstanceOf(Message.SnapshotPiece.class, pair.toSubscriber.peekFirst());
     }
 
+    /** Found by an hour's cut with 720 changes: one delta of 20 KB, in one second, where 15 KB are allowed. */
+    @Test
+    void aDeltaOfMoreThanMayBeSentAtOnceGivesWayToTheSnapshotInPieces() {
+        Configuration one = Configuration.of(new Version(1, 1), 1, List.of(new Item("large", new byte[40_000])));
+        Change added = new Change.Put(new Item("a", new byte[4000]));
+        pair.settled.addAll(List.of(one, one.with(new Version(1, 2), 1, List.of(added))));
+        Publisher publisher = pair.publisher(settings(3), 0);
+        publisher.connected(1, 0);
+        publisher.received(1, hello("g1", one), 0);
+        assertInstanceOf(Message.SnapshotPiece.class, pair.toSubscriber.peekFirst());
+    }
+
     @Test
     void aPublisherWithAnOldDiskOffersNothingToWhoIsAhead() {
         pair.settled.add(Pair.version(4));
