--- a/src/main/java/pepperdock/cli/ScaleCommand.java
+++ b/src/main/java/pepperdock/cli/ScaleCommand.java
@@ -117,6 +117,14 @@
         @Option(names = "--profile", description = "Sample the loop's thread meanwhile; costs a little of its time.")
         private boolean profiled;
 
+        @Option(
+                names = "--parts-a-connection",
+                paramLabel = "N",
+                defaultValue = "0",
+                description = "MEMORY is taken when about so many parts have gone over each connection."
+                        + " Default: ${DEFAULT-VALUE}")
+        private int partsAConnection;
+
         @Option(
                 names = "--jvm",
                 paramLabel = "FLAGS",
@@ -156,6 +164,7 @@
                     warmS,
                     measureS,
                     profiled,
+                    partsAConnection,
                     Arrays.asList(jvm.trim().split("\\s+")),
                     folder,
                     seed);
--- a/src/main/java/pepperdock/lab/scale/DataPath.java
+++ b/src/main/java/pepperdock/lab/scale/DataPath.java
@@ -15,7 +15,11 @@
     public enum What {
         /** Processor time and allocation of decisions alone, by workers and fan-out; simulated time. */
         DECISIONS,
-        /** The same with sockets, in a process of its own. */
+        /** Processor time and allocation of a change of the list that tells of one worker, by workers; simulated time. */
+        LIST,
+        /** The highest rate that one loop would carry within the target, by the cost of a part: a model, see LoopModel. */
+        MODEL,
+        /** The same as decisions, with sockets, in a process of its own. */
         COST,
         /** Latency by load, at one size. */
         LOAD,
@@ -37,6 +41,7 @@
      * @param warmS how long each load is played before it is measured, in seconds
      * @param measureS how long each load is measured, in seconds
      * @param profiled whether the loop's thread is sampled meanwhile
+     * @param partsAConnection for {@code MEMORY}: so many parts go over each connection before it is taken
      * @param jvm flags of the gatherer's process
      */
     public record Plan(
@@ -52,6 +57,7 @@
             double warmS,
             double measureS,
             boolean profiled,
+            int partsAConnection,
             List<String> jvm,
             Path folder,
             long seed) {
@@ -71,6 +77,12 @@
     private static final long WARM_PARTS = 300_000;
 
     private static final long MEASURED_PARTS = 400_000;
+    private static final int LIST_CHANGES = 3000;
+    /** Costs of a part for the model, in microseconds; half of each on the way out. */
+    private static final List<Integer> MODEL_US_A_PART = List.of(5, 10, 15, 20, 25);
+
+    private static final int MODEL_PARTS = 1_000_000;
+    private static final int MODEL_QUERIES_LEAST = 2000;
     /** Connections are opened by queries to all workers, at so many parts a second. */
     private static final int OPENING_PARTS_A_SECOND = 10_000;
 
@@ -97,6 +109,8 @@
         DataPath run = new DataPath(plan, progress);
         switch (plan.what()) {
             case DECISIONS -> run.decisions();
+            case LIST -> run.list();
+            case MODEL -> run.model();
             case COST -> run.cost();
             case LOAD -> run.load();
             case MEMORY -> run.memory();
@@ -133,6 +147,34 @@
         }
     }
 
+    private void list() {
+        List<LeastSquares.Point> points = new ArrayList<>();
+        for (int workers : plan.workers()) {
+            ListChangeCost.Result r = ListChangeCost.measure(plan.deployment(workers), LIST_CHANGES, plan.seed());
+            row(Results.row(r));
+            points.add(new LeastSquares.Point(workers, r.processorUsAChange()));
+        }
+        fit("us a change of the list by workers", points);
+    }
+
+    private void model() {
+        for (int fanOut : plan.fanOuts()) {
+            for (int usAPart : MODEL_US_A_PART) {
+                double halfS = usAPart / 2e6;
+                LoopModel model = new LoopModel(fanOut, halfS, halfS, plan.behaviour());
+                int queries = Math.max(MODEL_QUERIES_LEAST, MODEL_PARTS / fanOut);
+                double rate = model.highestRate(Deployment.AIM_S, queries, plan.seed());
+                JsonObject row = new JsonObject();
+                row.addProperty("fan_out", fanOut);
+                row.addProperty("us_per_part", usAPart);
+                row.addProperty("highest_queries_per_s", Math.round(rate * 10) / 10.0);
+                row.addProperty("highest_parts_per_s", Math.round(rate * fanOut));
+                row.addProperty("loop_busy", Math.round(rate * fanOut * usAPart / 1e4) / 100.0);
+                row(row);
+            }
+        }
+    }
+
     private void cost() throws IOException, InterruptedException {
         int partsPerSecond = plan.partsPerSecond().get(0);
         for (int workers : plan.workers()) {
@@ -169,8 +211,14 @@
             try (SocketBench bench = bench(workers)) {
                 int fanOut = Math.min(workers, plan.fanOuts().get(0));
                 bench.play(fanOut, OPENING_PARTS_A_SECOND / (double) fanOut, 0, OPENING_S, false);
+                int partsPerSecond = plan.partsPerSecond().get(0);
+                double useS = workers * (double) plan.partsAConnection() / partsPerSecond;
+                if (useS > 0) {
+                    bench.play(fanOut, partsPerSecond / (double) fanOut, 0, useS, false);
+                }
                 JsonObject row = bench.memory();
                 row.addProperty("workers", workers);
+                row.addProperty("parts_a_connection", plan.partsAConnection());
                 row(row);
                 double connections = row.get("connections").getAsDouble();
                 resident.add(new LeastSquares.Point(
--- a/src/main/java/pepperdock/lab/scale/Results.java
+++ b/src/main/java/pepperdock/lab/scale/Results.java
@@ -60,6 +60,15 @@
         return row;
     }
 
+    static JsonObject row(ListChangeCost.Result r) {
+        JsonObject row = new JsonObject();
+        row.addProperty("workers", r.deployment().workers());
+        row.addProperty("changes", r.changes());
+        row.addProperty("us_per_change", rounded(r.processorUsAChange()));
+        row.addProperty("bytes_per_change", Math.round(r.bytesAChange()));
+        return row;
+    }
+
     static JsonObject row(SocketBench.Load load) {
         LoadGenerator.Outcome ends = load.ends();
         JsonObject gatherer = load.gatherer();
--- a/src/test/java/pepperdock/lab/scale/DataPathTest.java
+++ b/src/test/java/pepperdock/lab/scale/DataPathTest.java
@@ -224,6 +224,25 @@
         assertTrue(late > 5 && late < 60, late + " of 200,000 parts are stragglers");
     }
 
+    /** Of queries with one part whose sending costs nothing it is the queue M/D/1, whose mean wait is known. */
+    @Test
+    void theModelOfTheLoopWaitsAsTheKnownQueueDoes() {
+        double serviceS = 0.01;
+        double busy = 0.6;
+        LoopModel model = new LoopModel(1, 0, serviceS, new Behaviour(0, 0, 0, 0, 1));
+        double meanS = model.latencies(busy / serviceS, 100_000, 3).getMean() / 1e6;
+        assertEquals(serviceS + busy * serviceS / (2 * (1 - busy)), meanS, 0.0004);
+    }
+
+    @Test
+    void theModelFindsTheHighestRateWithinALimit() {
+        LoopModel model = new LoopModel(10, 0.0005, 0.0005, Behaviour.even(1));
+        double highest = model.highestRate(0.05, 5000, 3);
+        assertTrue(model.latencies(highest, 5000, 3).getValueAtPercentile(99) <= 50_000);
+        assertTrue(model.latencies(highest * 1.1, 5000, 3).getValueAtPercentile(99) > 50_000);
+        assertEquals(0, new LoopModel(10, 0.01, 0, Behaviour.even(1)).highestRate(0.05, 100, 3), 1e-9);
+    }
+
     @Test
     void usageIsHeldTo(@TempDir Path folder) {
         assertEquals(2, run("lab", "scale"));
