--- a/src/main/java/pepperdock/lab/scale/Observed.java
+++ b/src/main/java/pepperdock/lab/scale/Observed.java
@@ -2,6 +2,7 @@
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
+import com.sun.management.UnixOperatingSystemMXBean;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -96,10 +97,9 @@
     private JsonObject figures() throws IOException {
         JsonObject all = new JsonObject();
         all.addProperty("at_ns", System.nanoTime());
-        all.addProperty(
-                "process_ns",
-                ((com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
-                        .getProcessCpuTime());
+        UnixOperatingSystemMXBean system = (UnixOperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+        all.addProperty("process_ns", system.getProcessCpuTime());
+        all.addProperty("descriptors", system.getOpenFileDescriptorCount());
         all.addProperty("loop_ns", threads.getThreadCpuTime(loop.getId()));
         all.addProperty("loop_user_ns", threads.getThreadUserTime(loop.getId()));
         all.addProperty("loop_bytes", threads.getThreadAllocatedBytes(loop.getId()));
