Test a cold worker's turn from when an instance is told, and settings with no fall window

Each fails on the module before: of twenty instances with one query each, 7 s after the start, none was allowed a part (the turn was drawn by that query; the twenty were allowed some fifty parts by then); with FallS 0 a cold worker got nothing at all, as the window reckoned was not a number.

--- a/src/test/java/pepperdock/aggregator/DecideTest.java
+++ b/src/test/java/pepperdock/aggregator/DecideTest.java
@@ -468,6 +468,39 @@
         assertTrue(sent[1] >= sent[0] / 2, sent[1] + " against " + sent[0]);
     }
 
+    @Test
+    void whereNoneFallsOverAColdSearcherIsUsedLikeAnyOther() {
+        Scene scene = new Scene();
+        scene.fallS = 0;
+        scene.start("a");
+        scene.change(Scene.listed("a", Readiness.HEALTHY, scene.now));
+        scene.query(1, 6, Scene.equal(4));
+        scene.module.endBatch();
+        assertEquals(4, scene.did.sends.size());
+    }
+
+    /** Its turn is not drawn at the first part that wants it: an instance with little traffic would never have one. */
+    @Test
+    void theTurnAtAColdSearcherCountsFromWhenAnInstanceIsTold() {
+        int used = 0;
+        for (int seed = 0; seed < 20; seed++) {
+            Scene scene = new Scene();
+            scene.instances = 20;
+            scene.seed = seed;
+            scene.start("a");
+            scene.serve(20, 0.1);
+            double boot = scene.now;
+            scene.change(Scene.listed("a", Readiness.HEALTHY, boot));
+            scene.module.endBatch();
+            scene.at(boot + 7);
+            scene.query(1, 6, 1.0);
+            scene.module.endBatch();
+            used += scene.did.sends.size();
+        }
+        // The twenty were allowed some fifty parts by then, between them.
+        assertEquals(20, used);
+    }
+
     // ---- Rule 5: honest answers
 
     @Test
--- a/src/test/java/pepperdock/aggregator/Scene.java
+++ b/src/test/java/pepperdock/aggregator/Scene.java
@@ -27,6 +27,7 @@
     double budgetShare;
     double budgetSpanS;
     double coldFrom = 0.2;
+    double fallS = 1;
     boolean mustAsk;
     List<Double> tenantRates = List.of();
     int tenant;
@@ -50,7 +51,7 @@
                 List.of(),
                 new Aggregator.Layout(shards, cells, 1, batch),
                 new Aggregator.Limits(cancel, duplicate, false, maxAttempts, 1000, 1),
-                new Aggregator.Rules(0.02, 1, coldFrom, 10, 2, 1, budgetFree, budgetShare, budgetSpanS, 10));
+                new Aggregator.Rules(0.02, 1, coldFrom, 10, 2, fallS, budgetFree, budgetShare, budgetSpanS, 10));
     }
 
     static Aggregator.Listed listed(String id, Aggregator.Readiness readiness, double bootAt) {
