--- a/src/test/java/pepperdock/aggregator/DecideTest.java
+++ b/src/test/java/pepperdock/aggregator/DecideTest.java
@@ -7,6 +7,7 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
@@ -467,6 +468,39 @@
         assertTrue(sent[1] >= sent[0] / 2, sent[1] + " against " + sent[0]);
     }
 
+    @Test
+    void whereNoneFallsOverAColdSearcherIsUsedLikeAnyOther() {
+        Scene scene = new Scene();
+        scene.fallS = 0;
+        scene.start("a");
+        scene.change(Scene.listed("a", Readiness.HEALTHY, scene.now));
+        scene.query(1, 6, Scene.equal(4));
+        scene.module.endBatch();
+        assertEquals(4, scene.did.sends.size());
+    }
+
+    /** Its turn is not drawn at the first part that wants it: an instance with little traffic would never have one. */
+    @Test
+    void theTurnAtAColdSearcherCountsFromWhenAnInstanceIsTold() {
+        int used = 0;
+        for (int seed = 0; seed < 20; seed++) {
+            Scene scene = new Scene();
+            scene.instances = 20;
+            scene.seed = seed;
+            scene.start("a");
+            scene.serve(20, 0.1);
+            double boot = scene.now;
+            scene.change(Scene.listed("a", Readiness.HEALTHY, boot));
+            scene.module.endBatch();
+            scene.at(boot + 7);
+            scene.query(1, 6, 1.0);
+            scene.module.endBatch();
+            used += scene.did.sends.size();
+        }
+        // The twenty were allowed some fifty parts by then, between them.
+        assertEquals(20, used);
+    }
+
     // ---- Rule 5: honest answers
 
     @Test
@@ -1098,6 +1132,49 @@
         assertTrue(sent <= 8, "sent by all in the first second: " + sent);
     }
 
+    /** The operators' bound on what a cold searcher gets, N + 2 root N + 2, under instances that all have parts for it at all times. */
+    @Test
+    void instancesThatAllWantAColdSearcherKeepItWithinTheBoundOverItsWholeWarmUp() {
+        double partS = 0.1;
+        for (int instances : new int[] {2, 20, 30, 100}) {
+            List<Double> sends = new ArrayList<>();
+            double boot = 0;
+            for (int i = 0; i < instances; i++) {
+                Scene scene = new Scene();
+                scene.instances = instances;
+                scene.seed = i;
+                scene.start("cold");
+                scene.serve(20, partS);
+                boot = scene.now;
+                scene.change(Scene.listed("cold", Readiness.HEALTHY, boot));
+                for (long n = 1; scene.now < boot + 10; n++) {
+                    int before = scene.did.sends.size();
+                    scene.query(n, 6, 1.0);
+                    scene.module.endBatch();
+                    if (scene.did.sends.size() > before) {
+                        sends.add(scene.now);
+                    }
+                    scene.at(scene.now + partS);
+                    scene.end(n * 100, 0, Outcome.OK, partS);
+                    scene.module.aborted(n);
+                    scene.module.endBatch();
+                }
+            }
+            sends.sort(null);
+            for (int last = 0, first = 0; last < sends.size(); last++) {
+                double at = sends.get(last);
+                while (sends.get(first) <= at - 1) {
+                    first++;
+                }
+                double allowed = 2 * (0.2 + 0.8 * (at - boot) / 10) / partS;
+                double bound = allowed + 2 * Math.sqrt(allowed) + 2;
+                int got = last - first + 1;
+                assertTrue(got <= bound, instances + " instances, " + (at - boot) + " s: " + got + " of " + bound);
+            }
+            assertTrue(sends.size() > 60, instances + " instances starve it: " + sends.size() + " of some 108");
+        }
+    }
+
     @Test
     void largeListsUnknownCentresAndSearchersThatMoveAreHandled() {
         Scene scene = new Scene();
