Give up gossip that was told and is old; tell first that a member is gone

Cause: what a fleet told while it joined stayed queued (up to 27 sendings of each of 1,000 items at 500 members) and took the room of what was new as soon as sums differed again.

Change: after ten probe intervals an item that was sent once is given up, exchanges have the rest; cards of those gone or left go before other items once.

--- a/src/main/java/pepperdock/membership/Gossip.java
+++ b/src/main/java/pepperdock/membership/Gossip.java
@@ -19,6 +19,11 @@
 
     private static final int LEAST_ITEM = 28;
 
+    /** Where an item begins: that a member is gone or has left goes before all else, once. */
+    private static final int VERDICT = 0;
+
+    private static final int UNSENT = 1;
+
     private record Key(String name, boolean card) {}
 
     /** By how often they were sent, each in the order in which they came there. */
@@ -26,13 +31,38 @@
 
     private final Map<Key, Integer> sent = new HashMap<>();
 
-    void add(Item item) {
+    /** When each came here; those longest here first. */
+    private final LinkedHashMap<Key, Double> addedAt = new LinkedHashMap<>();
+
+    void add(Item item, double now) {
         Key key = new Key(item.name(), item instanceof Card);
-        Integer before = sent.put(key, 0);
+        int first = item instanceof Card c && c.status() != Status.HERE ? VERDICT : UNSENT;
+        Integer before = sent.put(key, first);
         if (before != null) {
             bySent.get(before).remove(key);
         }
-        put(0, key, item);
+        put(first, key, item);
+        addedAt.remove(key);
+        addedAt.put(key, now);
+    }
+
+    /**
+     * Gives up what came before that and was sent at least once: it would take the room of what is new, and where it is still
+     * lacking, the sums differ and an exchange brings it.
+     */
+    void expire(double before) {
+        for (Iterator<Map.Entry<Key, Double>> i = addedAt.entrySet().iterator(); i.hasNext(); ) {
+            Map.Entry<Key, Double> oldest = i.next();
+            if (oldest.getValue() >= before) {
+                return;
+            }
+            int times = sent.get(oldest.getKey());
+            if (times > UNSENT) {
+                bySent.get(times).remove(oldest.getKey());
+                sent.remove(oldest.getKey());
+                i.remove();
+            }
+        }
     }
 
     private void put(int times, Key key, Item item) {
@@ -51,7 +81,7 @@
         if (sent.isEmpty()) {
             return List.of();
         }
-        int most = (int) Math.ceil(ROUNDS * (Math.log(members + 1.0) / Math.log(2)));
+        int most = UNSENT + (int) Math.ceil(ROUNDS * (Math.log(members + 1.0) / Math.log(2)));
         List<Item> taken = new ArrayList<>();
         List<Map.Entry<Key, Integer>> moved = new ArrayList<>();
         int left = bytes;
@@ -76,6 +106,7 @@
             int times = moved.get(i).getValue();
             if (times >= most) {
                 sent.remove(key);
+                addedAt.remove(key);
             } else {
                 sent.put(key, times);
                 put(times, key, taken.get(i));
--- a/src/main/java/pepperdock/membership/Membership.java
+++ b/src/main/java/pepperdock/membership/Membership.java
@@ -46,6 +46,8 @@
     private static final int STREAM_BYTES = 200;
     /** An exchange that brings nothing doubles the time to the next so often at most. */
     private static final int BACK_OFF_MOST = 2;
+    /** Times {@code probeS} after which what was told at least once is no longer gossiped. */
+    private static final int GOSSIP_PROBES = 10;
     /** News in one exchange after which the next is not put off until gossip has had its time. */
     private static final int BEHIND = 4;
 
@@ -199,6 +201,7 @@
             lives.keySet().removeIf(n -> table.get(n) == null);
             errands.values().removeIf(e -> e.until() < now);
         }
+        gossip.expire(now - GOSSIP_PROBES * settings.probeS());
         seek(now);
         if (rival != null) {
             contest(elapsed, now);
@@ -466,7 +469,7 @@
                     table.yield(c, now);
                     touched.add(c.name());
                     // In place of this one's own, which nobody has heard yet.
-                    gossip.add(c);
+                    gossip.add(c, now);
                 }
             }
         }
@@ -614,7 +617,7 @@
         } else {
             touched.add(i.name());
         }
-        gossip.add(i);
+        gossip.add(i, now);
         lastChange = now;
     }
 
