--- a/src/main/java/pepperdock/net/SharedAddress.java
+++ b/src/main/java/pepperdock/net/DirectServer.java
@@ -13,27 +13,31 @@
 import org.xnio.channels.AcceptingChannel;
 
 /**
- * Listens on an address that another process may listen on too (SO_REUSEPORT): an upgrade's two processes share the clients'.
- * The option has to be set before the address is bound. XNIO opens and binds in one step and does not know the option, and
- * its own server for a channel that is there already can't be reached from outside but by reflection; the version is fixed in
- * the build, and a test listens twice.
+ * A listening socket that the loop itself accepts from. XNIO's usual one accepts on a thread of its own, as fast as clients
+ * come, and hands over later: what it holds meanwhile is bounded by nothing but the system, and hundreds of clients that
+ * come at once took the process over its limit of descriptors. XNIO's server for a channel that is there already can't be
+ * reached from outside but by reflection; the version is fixed in the build, and tests listen with it.
  */
-final class SharedAddress {
+final class DirectServer {
 
-    private SharedAddress() {}
+    private DirectServer() {}
 
-    /** Accepts straight from the system, so that whoever closes it can first take in all that wait. */
+    /**
+     * Accepts straight from the system, one connection for each that is asked for. {@code shared}: another process may listen
+     * on the address too (SO_REUSEPORT, to be set before the address is bound), as an upgrade's two processes do.
+     */
     static AcceptingChannel<StreamConnection> listen(
             XnioWorker worker,
             InetSocketAddress at,
             int backlog,
+            boolean shared,
             OptionMap options,
             ChannelListener<AcceptingChannel<StreamConnection>> accept)
             throws IOException {
         ServerSocketChannel channel = ServerSocketChannel.open();
         try {
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-            channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            channel.setOption(StandardSocketOptions.SO_REUSEPORT, shared);
             channel.configureBlocking(false);
             channel.bind(at, backlog);
             AcceptingChannel<StreamConnection> server = server(worker, channel, options);
@@ -58,7 +62,7 @@
             made.setAccessible(true);
             return (AcceptingChannel<StreamConnection>) made.newInstance(worker, channel, options, false);
         } catch (ReflectiveOperationException e) {
-            throw new IOException("an address can't be shared with this version of XNIO", e);
+            throw new IOException("this version of XNIO can't accept on the loop", e);
         }
     }
 }
--- a/src/main/java/pepperdock/net/Loop.java
+++ b/src/main/java/pepperdock/net/Loop.java
@@ -167,11 +167,7 @@
             try {
                 for (StreamConnection c = server.accept(); c != null; c = server.accept()) {
                     StreamConnection taken = c;
-                    if (Thread.currentThread() == thread) {
-                        guarded(() -> accepted(taken, kind, room, opened));
-                    } else {
-                        execute(() -> accepted(taken, kind, room, opened));
-                    }
+                    guarded(() -> accepted(taken, kind, room, opened));
                 }
             } catch (IOException e) {
                 away.note(System.Logger.Level.WARNING, () -> "accept failed: " + e.getMessage());
@@ -182,9 +178,8 @@
                 .set(Options.REUSE_ADDRESSES, true)
                 .set(Options.TCP_NODELAY, true)
                 .getMap();
-        AcceptingChannel<StreamConnection> server = kind != Kind.SHARED
-                ? worker.createStreamConnectionServer(at, accept, options)
-                : SharedAddress.listen(worker, at, BACKLOG, options, accept);
+        AcceptingChannel<StreamConnection> server =
+                DirectServer.listen(worker, at, BACKLOG, kind == Kind.SHARED, options, accept);
         server.resumeAccepts();
         return new Listening() {
             @Override
--- a/src/test/java/pepperdock/net/HttpServerTest.java
+++ b/src/test/java/pepperdock/net/HttpServerTest.java
@@ -185,6 +185,28 @@
         }
     }
 
+    /**
+     * Found by counting a process's descriptors: accepted on a thread of XNIO's own, all who came at once were held beside the
+     * cap, until the loop came to look at them.
+     */
+    @Test
+    void whoComesWhileTheLoopIsHeldUpTakesNoDescriptorHere() throws Exception {
+        List<Socket> clients = new ArrayList<>();
+        List<Long> accepted = new ArrayList<>();
+        whileHeldUp(
+                () -> {
+                    for (int i = 0; i < 100; i++) {
+                        clients.add(connect());
+                    }
+                    accepted.add(TcpTable.accepted(server.address().getPort()));
+                },
+                () -> {});
+        assertEquals(List.of(0L), accepted);
+        for (Socket c : clients) {
+            c.close();
+        }
+    }
+
     /** An answer that its client does not read must not hold the room that another could have. */
     @Test
     void whoDoesNotReadItsAnswerGivesWay() throws Exception {
--- a/src/test/java/pepperdock/net/TcpTable.java
+++ b/src/test/java/pepperdock/net/TcpTable.java
@@ -4,10 +4,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Locale;
+import java.util.stream.Stream;
 
 /** What the kernel knows of loopback connections (Linux, /proc): tests wait here until it has what they caused. */
 public final class TcpTable {
 
+    private static final String ESTABLISHED = "01";
     private static final String CLOSE_WAIT = "08";
 
     private TcpTable() {}
@@ -30,22 +32,30 @@
         }
     }
 
+    /** How many connections to {@code port} a program has taken out of the kernel's queue. */
+    public static long accepted(int port) {
+        String local = String.format(Locale.ROOT, ":%04X", port);
+        return rows().filter(words -> words[1].endsWith(local) && words[3].equals(ESTABLISHED) && !words[9].equals("0"))
+                .count();
+    }
+
     /** The columns of one connection's row; null where there is none, as after a reset. */
     private static String[] row(int port, int peerPort) {
         String local = String.format(Locale.ROOT, ":%04X", port);
         String peer = String.format(Locale.ROOT, ":%04X", peerPort);
-        try {
-            for (String file : new String[] {"/proc/net/tcp", "/proc/net/tcp6"}) {
-                for (String line : Files.readAllLines(Path.of(file))) {
-                    String[] words = line.strip().split(" +");
-                    if (words[1].endsWith(local) && words[2].endsWith(peer)) {
-                        return words;
-                    }
-                }
+        return rows().filter(words -> words[1].endsWith(local) && words[2].endsWith(peer))
+                .findFirst()
+                .orElse(null);
+    }
+
+    private static Stream<String[]> rows() {
+        return Stream.of("/proc/net/tcp", "/proc/net/tcp6").flatMap(file -> {
+            try {
+                return Files.readAllLines(Path.of(file)).stream()
+                        .map(line -> line.strip().split(" +"));
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
             }
-            return null;
-        } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
-        }
+        });
     }
 }
