--- a/src/main/java/pepperdock/store/raft/Raft.java
+++ b/src/main/java/pepperdock/store/raft/Raft.java
@@ -1,8 +1,6 @@
 package pepperdock.store.raft;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Random;
 
@@ -24,8 +22,6 @@
  */
 public class Raft {
 
-    private record AfterSync(long write, Runnable then) {}
-
     final RaftSettings settings;
     final Log log;
     final Random chance;
@@ -39,19 +35,10 @@
 
     private int electionTimeoutTicks;
     private boolean hardStateDirty;
-    private long lastWrite;
-    private long lastSynced;
-    /** What may be said only once the state that it speaks of is synced; those of the write to come are in the second. */
-    private final Deque<AfterSync> awaitingSync = new ArrayDeque<>();
-
-    private final List<Runnable> deferred = new ArrayList<>();
+    private final SyncQueue syncQueue = new SyncQueue();
     private final List<Output> outputs = new ArrayList<>();
     private Output.StateChange lastStateChange;
-    /** A snapshot that comes in pieces. */
-    private Message.InstallSnapshot incomingSnapshot;
-
-    private byte[] snapshotBytes;
-    private int snapshotReceived;
+    private final SnapshotReceiver snapshotReceiver = new SnapshotReceiver();
 
     /** {@code saved} is what this peer's disk holds, and {@code id} the disk's. */
     public Raft(long id, RaftSettings settings, PersistedState saved, long seed) {
@@ -177,21 +164,17 @@
 
     /** All writes up to this one are synced. */
     public void written(long number) {
-        if (role.state() == PeerState.STORAGE_FAILED || number <= lastSynced) {
+        if (role.state() == PeerState.STORAGE_FAILED || number <= syncQueue.lastSynced()) {
             return;
         }
-        lastSynced = number;
         log.written(number);
-        while (!awaitingSync.isEmpty() && awaitingSync.peek().write() <= lastSynced) {
-            awaitingSync.poll().then().run();
-        }
+        syncQueue.synced(number);
         role.written();
     }
 
     /** A write or a sync failed: what is on the disk is not known, so nothing is promised from here on. */
     public void failed() {
-        awaitingSync.clear();
-        deferred.clear();
+        syncQueue.clear();
         leader = 0;
         become(new StorageFailed(this));
     }
@@ -231,19 +214,12 @@
         do {
             role.flush();
             if (role.state() != PeerState.STORAGE_FAILED && (hardStateDirty || log.hasUnwritten())) {
-                outputs.add(log.nextWrite(++lastWrite, hardStateDirty ? new HardState(term, votedFor) : null));
+                outputs.add(
+                        log.nextWrite(syncQueue.nextWrite(), hardStateDirty ? new HardState(term, votedFor) : null));
                 hardStateDirty = false;
             }
-            List<Runnable> now = List.copyOf(deferred);
-            deferred.clear();
-            for (Runnable r : now) {
-                if (lastWrite <= lastSynced) {
-                    r.run();
-                } else {
-                    awaitingSync.add(new AfterSync(lastWrite, r));
-                }
-            }
-        } while (!deferred.isEmpty());
+            syncQueue.release();
+        } while (syncQueue.hasDeferred());
         List<LogEntry> apply = log.toApply();
         if (!apply.isEmpty()) {
             outputs.add(new Output.Apply(apply));
@@ -320,7 +296,7 @@
     }
 
     final void onceSynced(Runnable r) {
-        deferred.add(r);
+        syncQueue.defer(r);
     }
 
     final void output(Output o) {
@@ -401,33 +377,19 @@
     private void onInstallSnapshot(Message.InstallSnapshot i) {
         if (coversSnapshot(i.index(), i.indexTerm())) {
             log.commitTo(i.index());
-            incomingSnapshot = null;
+            snapshotReceiver.clear();
             sendOnceSynced(
                     i.from(),
                     new Message.AppendResponse(
                             id, term, true, Math.max(log.commitIndex(), i.index()), 0, 0, i.round()));
             return;
         }
-        if (incomingSnapshot == null
-                || incomingSnapshot.index() != i.index()
-                || incomingSnapshot.indexTerm() != i.indexTerm()
-                || incomingSnapshot.total() != i.total()
-                || incomingSnapshot.term() != i.term()) {
-            incomingSnapshot = i;
-            snapshotBytes = new byte[(int) i.total()];
-            snapshotReceived = 0;
-        }
-        if (i.offset() == snapshotReceived) {
-            System.arraycopy(i.piece(), 0, snapshotBytes, snapshotReceived, i.piece().length);
-            snapshotReceived += i.piece().length;
-        }
-        if (snapshotReceived < i.total()) {
-            sendOnceSynced(i.from(), new Message.InstallResponse(id, term, i.index(), snapshotReceived, i.round()));
+        Snapshot s = snapshotReceiver.receive(i);
+        if (s == null) {
+            sendOnceSynced(
+                    i.from(), new Message.InstallResponse(id, term, i.index(), snapshotReceiver.received(), i.round()));
             return;
         }
-        Snapshot s = new Snapshot(i.index(), i.indexTerm(), i.configuration(), snapshotBytes);
-        incomingSnapshot = null;
-        snapshotBytes = null;
         log.restore(s);
         output(new Output.Restore(s));
         sendOnceSynced(i.from(), new Message.AppendResponse(id, term, true, s.index(), 0, 0, i.round()));
