Make up a long absence in steps of deltas, and lose less time on attempts in vain

A connection is given up after 1.5 s in place of 2, and no back-off is longer than 2 s in place of 3.

--- a/src/main/java/pepperdock/distribution/Delta.java
+++ b/src/main/java/pepperdock/distribution/Delta.java
@@ -11,7 +11,8 @@
  */
 public record Delta(Version base, Digest baseDigest, Version result, Digest digest, int format, List<Change> changes) {
 
-    private static final int HEAD = 2 * (Version.BYTES + Digest.BYTES) + 8;
+    /** Bytes beside the changes. */
+    static final int HEAD = 2 * (Version.BYTES + Digest.BYTES) + 8;
 
     public Delta {
         changes = List.copyOf(changes);
--- a/src/main/java/pepperdock/distribution/Publisher.java
+++ b/src/main/java/pepperdock/distribution/Publisher.java
@@ -196,10 +196,10 @@
                 || !mayOffer(latest.version(), session.inForce())) {
             return;
         }
-        Optional<Delta> delta = whole ? Optional.empty() : recent.since(session.inForce(), session.digest());
-        if (delta.isPresent() && worthwhile(delta.get())) {
+        Optional<Delta> delta = whole ? Optional.empty() : step(session);
+        if (delta.isPresent()) {
             session.enqueue(new Message.Update(delta.get()));
-            session.sent(latest.version(), now);
+            session.sent(delta.get().result(), now);
         } else if (admission.admits()) {
             session.begin(new SnapshotTransfer(latest, latestEncoded, settings.pieceBytes()));
         } else {
@@ -208,11 +208,22 @@
         }
     }
 
-    /** Whether a delta is to be sent, and not the snapshot, which is longer but comes in pieces at the subscriber's pace. */
-    private boolean worthwhile(Delta delta) {
+    /**
+     * The next delta for a subscriber: to the newest version, or as far as may be sent at once, the rest after the answer.
+     * Empty where the snapshot is to be sent: all deltas together would be too much beside it, or lead nowhere.
+     */
+    private Optional<Delta> step(Session session) {
+        Optional<Delta> all = recent.since(session.inForce(), session.digest());
         long most = (long) latestEncoded.length * settings.deltaPercent() / 100;
+        if (all.isEmpty() || all.get().bytes() > most) {
+            return Optional.empty();
+        }
         int atOnce = Math.min(DELTA_BYTES_MOST, settings.subscriberBurstBytes() - Message.OVERHEAD);
-        return delta.bytes() <= Math.min(most, atOnce);
+        if (all.get().bytes() <= atOnce) {
+            return all;
+        }
+        return recent.since(session.inForce(), session.digest(), atOnce, session.reads())
+                .filter(d -> !session.hasRefused(d.result()));
     }
 
     /** How long a snapshot takes at the rate of one subscriber, or at that of all that may be under way. */
--- a/src/main/java/pepperdock/distribution/RecentChanges.java
+++ b/src/main/java/pepperdock/distribution/RecentChanges.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Iterator;
+import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -29,27 +29,50 @@
 
     /** One delta from that version with that digest to the newest; empty where that version is no longer held. */
     Optional<Delta> since(Version version, Digest digest) {
-        Iterator<Delta> newestFirst = deltas.descendingIterator();
+        return since(version, digest, Integer.MAX_VALUE, Integer.MAX_VALUE);
+    }
+
+    /**
+     * One delta from that version with that digest as far towards the newest as so many bytes lead, to a version of a format
+     * that is no higher; empty where that version is no longer held or they lead nowhere.
+     */
+    Optional<Delta> since(Version version, Digest digest, int mostBytes, int highestFormat) {
+        Delta furthest = null;
         TreeMap<String, Change> changes = new TreeMap<>();
-        while (newestFirst.hasNext()) {
-            Delta delta = newestFirst.next();
-            delta.changes().forEach(c -> changes.putIfAbsent(c.key(), c));
-            if (delta.base().equals(version)) {
-                Delta newest = deltas.getLast();
-                return delta.baseDigest().equals(digest)
-                        ? Optional.of(new Delta(
-                                version,
-                                digest,
-                                newest.result(),
-                                newest.digest(),
-                                newest.format(),
-                                java.util.List.copyOf(changes.values())))
-                        : Optional.empty();
+        long size = Delta.HEAD;
+        boolean begun = false;
+        for (Delta delta : deltas) {
+            begun |= delta.base().equals(version) && delta.baseDigest().equals(digest);
+            if (begun) {
+                size += grown(changes, delta);
+                if (size > mostBytes) {
+                    break;
+                }
+                furthest = delta.format() <= highestFormat ? delta : furthest;
             }
-            if (version.newerThan(delta.base())) {
-                return Optional.empty();
+        }
+        return furthest == null ? Optional.empty() : Optional.of(sum(version, digest, furthest));
+    }
+
+    /** Adds the delta's changes to these; returns by how many bytes they have grown. */
+    private static long grown(TreeMap<String, Change> changes, Delta delta) {
+        long grown = 0;
+        for (Change change : delta.changes()) {
+            Change before = changes.put(change.key(), change);
+            grown += change.bytes() - (before == null ? 0 : before.bytes());
+        }
+        return grown;
+    }
+
+    /** All from that version up to and with the last one. */
+    private Delta sum(Version version, Digest digest, Delta last) {
+        TreeMap<String, Change> changes = new TreeMap<>();
+        for (Delta delta : deltas) {
+            boolean within = !version.newerThan(delta.base()) && !delta.result().newerThan(last.result());
+            if (within) {
+                delta.changes().forEach(c -> changes.put(c.key(), c));
             }
         }
-        return Optional.empty();
+        return new Delta(version, digest, last.result(), last.digest(), last.format(), List.copyOf(changes.values()));
     }
 }
--- a/src/main/java/pepperdock/distribution/Session.java
+++ b/src/main/java/pepperdock/distribution/Session.java
@@ -75,6 +75,11 @@
         unanswered = null;
     }
 
+    /** The highest format that the subscriber reads. */
+    int reads() {
+        return reads;
+    }
+
     Version inForce() {
         return inForce;
     }
--- a/src/main/java/pepperdock/distribution/SubscriberSettings.java
+++ b/src/main/java/pepperdock/distribution/SubscriberSettings.java
@@ -28,7 +28,7 @@
 
     /** For heartbeats once a second and a change in force within 11 s. */
     public static SubscriberSettings defaults() {
-        return new SubscriberSettings(1, 2000, 3000, 4000, 30_000, 2000, 5000, 10_000, 200, 3000);
+        return new SubscriberSettings(1, 1500, 3000, 4000, 30_000, 2000, 5000, 10_000, 200, 2000);
     }
 
     /** The same for a program version that reads up to that format. */
--- a/src/test/java/pepperdock/distribution/PublisherTest.java
+++ b/src/test/java/pepperdock/distribution/PublisherTest.java
@@ -79,6 +79,30 @@
         assertInstanceOf(Message.SnapshotPiece.class, pair.toSubscriber.peekFirst());
     }
 
+    @Test
+    void aLongAbsenceIsMadeUpInStepsThatMayEachBeSentAtOnceAndBeRead() {
+        Item large = new Item("large", new byte[40_000]);
+        Configuration one = Configuration.of(new Version(1, 1), 1, List.of(large));
+        pair.settled.add(one);
+        for (int i = 2; i <= 11; i++) {
+            Change added = new Change.Put(new Item("a" + i, new byte[1500]));
+            int format = i == 3 ? 2 : 1;
+            Configuration before = pair.settled.get(pair.settled.size() - 1);
+            pair.settled.add(before.with(new Version(1, i), format, List.of(added)));
+        }
+        pair.saved = new VersionStore.Saved(one, Version.NONE);
+        Publisher publisher = pair.publisher(PublisherSettings.defaults(), 0);
+        Subscriber subscriber = pair.subscriber(0);
+        subscriber.tick(200);
+        publisher.connected(Pair.CONNECTION, 200);
+        subscriber.connected(200);
+        pair.run(subscriber, publisher, 300, 3000);
+        List<Long> inForce =
+                pair.inForce.stream().map(c -> c.version().number()).toList();
+        assertEquals(List.of(1L, 2L, 4L, 6L, 8L, 10L, 11L), inForce, "two changes a step, and not the third version");
+        assertEquals(0, publisher.snapshotsUnderWay());
+    }
+
     @Test
     void aPublisherWithAnOldDiskOffersNothingToWhoIsAhead() {
         pair.settled.add(Pair.version(4));
