Take no request behind an answer that its client has not read yet

Cause, found by reading: a pipelined request was taken while the answers before it stood in the connection's buffer. Once that is full, Connection.read pauses, and the half-close of a client whose next request is in hand is not seen until the answer has not moved for 2.5 s; attempts begin meanwhile.

Change: HttpServer takes the next request once the answer before it is with the kernel.

Checked: ClientGoneTest fails with the condition taken out (a request was taken meanwhile), passes with it; HttpServerTest, ConnectionTest, DoorTest and FrontTest pass.

--- a/src/main/java/pepperdock/net/HttpServer.java
+++ b/src/main/java/pepperdock/net/HttpServer.java
@@ -258,7 +258,11 @@
             }
         }
 
-        /** Not called anew from within: hundreds of requests sent at once would otherwise pile up on the stack. */
+        /**
+         * Not called anew from within: hundreds of requests sent at once would otherwise pile up on the stack. Nothing is
+         * taken behind an answer that waits to be read: with answers upon answers the connection's buffer fills up, reading
+         * pauses, and the end of a client whose next request is in hand would not be seen.
+         */
         @Override
         public void received(Connection c) {
             if (feeding) {
@@ -266,7 +270,7 @@
             }
             feeding = true;
             try {
-                while (inHand == null && c.to() > c.from() && !c.closed() && at != At.LEAVING) {
+                while (inHand == null && c.to() > c.from() && !c.closed() && !c.unwritten() && at != At.LEAVING) {
                     if (at == At.IDLE) {
                         now(At.READING);
                     } else if (at == At.FRESH) {
@@ -286,6 +290,12 @@
             }
         }
 
+        /** The answer is with the kernel: what its client sent behind it is taken now. */
+        @Override
+        public void flushed(Connection c) {
+            received(c);
+        }
+
         /** What follows something malformed can't be told from it: answered, and not read on. */
         private void malformed(HttpException e) {
             long no = ++asked;
--- a/src/test/java/pepperdock/net/ClientGoneTest.java
+++ b/src/test/java/pepperdock/net/ClientGoneTest.java
@@ -29,24 +29,24 @@
     private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
 
     private final BlockingQueue<HttpServer.Reply> held = new LinkedBlockingQueue<>();
-    private final Loop loop = new Loop(100, 1 << 18);
-    private final HttpServer server = new HttpServer(
-            loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1024, () -> 10, new HttpServer.Service() {
-                private int taken;
-
-                @Override
-                public Runnable serve(HttpMessage request, HttpServer.Reply reply) {
-                    int no = ++taken;
-                    told.add("taken " + no);
-                    held.add(reply);
-                    return () -> told.add("gone " + no);
-                }
+    private final HttpServer.Service service = new HttpServer.Service() {
+        private int taken;
+
+        @Override
+        public Runnable serve(HttpMessage request, HttpServer.Reply reply) {
+            int no = ++taken;
+            told.add("taken " + no);
+            held.add(reply);
+            return () -> told.add("gone " + no);
+        }
 
-                @Override
-                public void malformed(int status, String why, HttpServer.Reply reply) {
-                    reply.send(status, "text/plain", "", new byte[0]);
-                }
-            });
+        @Override
+        public void malformed(int status, String why, HttpServer.Reply reply) {
+            reply.send(status, "text/plain", "", new byte[0]);
+        }
+    };
+    private final Loop loop = new Loop(100, 1 << 18);
+    private final HttpServer server = server(loop);
 
     ClientGoneTest() throws IOException {}
 
@@ -55,7 +55,15 @@
         loop.close();
     }
 
+    private HttpServer server(Loop by) throws IOException {
+        return new HttpServer(by, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1024, () -> 10, service);
+    }
+
     private Socket ask(String text) throws IOException {
+        return ask(server, text);
+    }
+
+    private static Socket ask(HttpServer server, String text) throws IOException {
         Socket s = new Socket(server.address().getAddress(), server.address().getPort());
         s.setSoTimeout(30_000);
         s.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
@@ -168,6 +176,37 @@
         }
     }
 
+    /** More than both sockets' buffers take. */
+    private static final int BIG = 24 << 20;
+
+    /**
+     * Found by reading: taken at once, a request behind answers that fill the connection's buffer was in hand while reading
+     * paused, and its client's half-close not seen.
+     */
+    @Test
+    void aRequestBehindAnAnswerThatIsNotReadYetWaitsUntilItIs() throws Exception {
+        try (Loop roomy = new Loop(100, 1 << 25)) {
+            HttpServer other = server(roomy);
+            try (Socket s = ask(other, REQUEST + REQUEST)) {
+                assertEquals("taken 1", next());
+                HttpServer.Reply first = held.take();
+                BlockingQueue<Integer> takenMeanwhile = new LinkedBlockingQueue<>();
+                roomy.execute(() -> {
+                    // Both requests are here before the answer to the first.
+                    other.poll();
+                    first.send(200, "text/plain", "", new byte[BIG]);
+                    takenMeanwhile.add(told.size());
+                });
+                assertEquals(0, takenMeanwhile.poll(30, TimeUnit.SECONDS));
+                assertEquals("200", head(s));
+                s.getInputStream().readNBytes(BIG);
+                assertEquals("taken 2", next());
+                s.shutdownOutput();
+                assertEquals("gone 2", next());
+            }
+        }
+    }
+
     private static boolean noDelay(Connection c) {
         try {
             java.lang.reflect.Field channel = Connection.class.getDeclaredField("channel");
