Read what a new connection has brought in the turn of the loop that accepts it

Accepted on the loop, a client's first bytes waited one more turn than with XNIO's own accepting thread, and the end of one that had already left with them. HttpServer reads each new connection once as it is accepted.

Checked: HttpServerTest, ClientGoneTest, DoorTest, FrontTest, EndOnABusyLoopTest, SearchFrontTest and LeftQueriesTest pass. No test forces the turn saved: nothing is wrong without it but later.

--- a/src/main/java/pepperdock/net/HttpServer.java
+++ b/src/main/java/pepperdock/net/HttpServer.java
@@ -99,6 +99,9 @@
             all.add(s);
             c.limitUnread(UNREAD_MOST);
             c.start(s);
+            // Whoever waited in the system's queue has mostly asked by now, and perhaps left: not a turn of the loop
+            // later.
+            c.poll();
         });
         loop.after(SWEEP_S, this::sweep);
     }
