Let a sole gatherer send to a cold worker at once

With one instance its first part and what it earns in the window stay within N + 1. For two and more nothing changes.

--- a/src/main/java/pepperdock/aggregator/Decide.java
+++ b/src/main/java/pepperdock/aggregator/Decide.java
@@ -73,6 +73,9 @@
     private static final double TRIAL_MOST_AIMS = 2;
     /** Share of the cold allowance that is used; it is reckoned with one core, which leaves room besides. */
     private static final double COLD_SAFETY = 0.9;
+    /** Share of what the fall window allows that instances may save up together. */
+    private static final double SAVED_SHARE = 0.5;
+
     /**
      * Pause before asking for the list again, in shares of AskWithinS; doubles up to the most, which with
      * its random half more leaves time for the answer: later, changes since its return would count as told.
@@ -606,11 +609,14 @@
                 && now < s.coldSince + settings.rules().warmUpS();
     }
 
-    /** A searcher that started then, as is known from now on; its turns here are drawn anew. */
+    /**
+     * A searcher that started then, as is known from now on. A sole instance, or one that may save up, sends
+     * at once; else its turns are drawn anew.
+     */
     private void startsCold(Searcher s, double since) {
         s.coldSince = since;
-        double most = mostSaved(s);
-        double overdrawn = most > 0 ? -most : random.nextDouble() * partWork.mean();
+        boolean atOnce = settings.instances() == 1 || mostSaved(s) > 0;
+        double overdrawn = atOnce ? -mostSaved(s) : random.nextDouble() * partWork.mean();
         s.warmUp = new WarmUpAllowance(now, coldRate(s), overdrawn);
     }
 
@@ -624,13 +630,14 @@
     }
 
     /**
-     * What may be saved up, 0 where instances are many: half of what the fall window allows, and so much that
-     * all of them, sending at once and one part more each, stay within its slack for chance, 2 root N + 2.
+     * What may be saved up, 0 where instances are many: a share of what the fall window allows, and so much
+     * that all of them, sending at once and one part more each, stay within its slack, 2 root N + 2.
      */
     private double mostSaved(Searcher s) {
         double fleet = coldRate(s) * settings.instances() * settings.rules().fallS();
         double slack = 2 * Math.sqrt(fleet * partWork.least()) + 2 * partWork.least();
-        return Math.max(0, Math.min(slack, fleet / 2) / settings.instances() - partWork.most());
+        double together = Math.min(slack, SAVED_SHARE * fleet);
+        return Math.max(0, together / settings.instances() - partWork.most());
     }
 
     /** This instance's part of the work a second that a cold searcher is allowed now. */
