Name the rig's link faults and metrics: LinkFaults, MembershipMetrics

lab.fleet.Links stood beside membership.Links; figures are metrics. Reports and events keep their words.

--- a/src/main/java/pepperdock/cli/LabCommand.java
+++ b/src/main/java/pepperdock/cli/LabCommand.java
@@ -172,7 +172,7 @@
         public Integer call() throws IOException, InterruptedException {
             Outcome outcome = Seeds.run(file, from, seeds, members, arm, threads);
             PrintWriter out = spec.commandLine().getOut();
-            outcome.figures().forEach(out::println);
+            outcome.metrics().forEach(out::println);
             outcome.findings().stream().limit(20).forEach(f -> out.println("FOUND " + f));
             out.println(outcome.verdict());
             return outcome.passed() ? 0 : 1;
--- a/src/main/java/pepperdock/lab/fleet/ActReader.java
+++ b/src/main/java/pepperdock/lab/fleet/ActReader.java
@@ -61,7 +61,7 @@
 
     private Act onLinks(String fault, double at, double last, double flip) {
         keys.only("at", "for", "flip_s", "fault", "from", "to", "both", "share", "by_s", "spread_s", "bytes_per_s");
-        Links.Kind kind = Links.Kind.valueOf(fault.toUpperCase(Locale.ROOT));
+        LinkFaults.Kind kind = LinkFaults.Kind.valueOf(fault.toUpperCase(Locale.ROOT));
         double amount = switch (kind) {
             case LOSS, DUPLICATE, REORDER -> share();
             case DELAY -> seconds("by_s", 0);
--- a/src/main/java/pepperdock/lab/fleet/Checker.java
+++ b/src/main/java/pepperdock/lab/fleet/Checker.java
@@ -24,7 +24,7 @@
     List<Finding> findings(boolean atEnd);
 
     /** Figures to report: a name and a value a line; none judged. */
-    default List<String> figures() {
+    default List<String> metrics() {
         return List.of();
     }
 }
--- a/src/main/java/pepperdock/lab/fleet/Checkers.java
+++ b/src/main/java/pepperdock/lab/fleet/Checkers.java
@@ -59,7 +59,7 @@
     }
 
     /** Those of membership; null where none of its checkers runs. */
-    MemberFigures memberFigures() {
+    MembershipMetrics membershipMetrics() {
         return of.stream()
                 .filter(c -> c instanceof MembersChecker)
                 .map(c -> ((MembersChecker) c).total())
@@ -67,7 +67,7 @@
                 .orElse(null);
     }
 
-    List<String> figures() {
-        return of.stream().flatMap(c -> c.figures().stream()).toList();
+    List<String> metrics() {
+        return of.stream().flatMap(c -> c.metrics().stream()).toList();
     }
 }
--- a/src/main/java/pepperdock/lab/fleet/FaultExposure.java
+++ b/src/main/java/pepperdock/lab/fleet/FaultExposure.java
@@ -14,20 +14,20 @@
     /** Of datagrams, lost at any member, without anybody being called gone. */
     private static final double LOSS_BORNE = 0.3;
 
-    private final Map<Integer, Links.Fault> faults = new TreeMap<>();
+    private final Map<Integer, LinkFaults.Fault> faults = new TreeMap<>();
     private double stoppedAt = Double.NaN;
     private double longestStop;
     private int mostCut;
     private double mostLoss;
 
-    void on(String who, int number, Links.Fault f) {
+    void on(String who, int number, LinkFaults.Fault f) {
         faults.put(number, f);
         Set<String> cut = new HashSet<>();
         double gets = 1;
-        for (Links.Fault x : faults.values()) {
-            if (x.kind() == Links.Kind.CUT) {
+        for (LinkFaults.Fault x : faults.values()) {
+            if (x.kind() == LinkFaults.Kind.CUT) {
                 x.pairs().stream().filter(p -> p.from().equals(who)).forEach(p -> cut.add(p.to()));
-            } else if (x.kind() == Links.Kind.LOSS) {
+            } else if (x.kind() == LinkFaults.Kind.LOSS) {
                 gets *= 1 - x.amount();
             }
         }
--- a/src/main/java/pepperdock/lab/fleet/Links.java
+++ b/src/main/java/pepperdock/lab/fleet/LinkFaults.java
@@ -11,7 +11,7 @@
  * What lies on each ordered pair of members: the faults in force, and their sum. Faults on one pair add up: any cut cuts,
  * losses multiply, delays add, the least rate holds. Pure: the chance comes in as a {@link Random}, time not at all.
  */
-final class Links {
+final class LinkFaults {
 
     /** From one member to another; the way back is another pair. */
     record Pair(String from, String to) {}
--- a/src/main/java/pepperdock/lab/fleet/MembersChecker.java
+++ b/src/main/java/pepperdock/lab/fleet/MembersChecker.java
@@ -55,7 +55,7 @@
     private final Set<String> up = new HashSet<>();
     private final Map<String, Double> endedAt = new HashMap<>();
     private final Map<String, double[]> budgets = new HashMap<>();
-    private final MemberFigures figures = new MemberFigures();
+    private final MembershipMetrics metrics = new MembershipMetrics();
     /** Seen since the fleet was first together. */
     private final Set<Long> rosters = new HashSet<>();
 
@@ -78,7 +78,7 @@
     @Override
     public void see(long number, Event e) {
         last = number;
-        figures.memberSeconds += (e.at() - at) * up.size();
+        metrics.memberSeconds += (e.at() - at) * up.size();
         at = e.at();
         if (e.ofRig()) {
             rig(number, e);
@@ -126,8 +126,8 @@
                 double[] budget = budgets.get(e.text("member"));
                 if (budget != null) {
                     double span = e.number("over_s") + SAVED_S;
-                    figures.datagrams.recordValue(Math.round(e.number("datagrams") / e.number("over_s")));
-                    figures.bytes.recordValue(Math.round(e.number("bytes") / e.number("over_s")));
+                    metrics.datagrams.recordValue(Math.round(e.number("datagrams") / e.number("over_s")));
+                    metrics.bytes.recordValue(Math.round(e.number("bytes") / e.number("over_s")));
                     if (e.number("datagrams") > budget[0] * span || e.number("bytes") > budget[1] * span) {
                         found.add(new Finding("members", number, e.text("member") + " sent more than its budget"));
                     }
@@ -138,7 +138,7 @@
     }
 
     private void fault(Event e) {
-        figures.faults++;
+        metrics.faults++;
         faultAt = e.at();
         agreed = false;
     }
@@ -148,16 +148,16 @@
             exposures.values().forEach(h -> h.off(number));
             return;
         }
-        Links.Kind kind = Links.Kind.valueOf(e.text("kind").toUpperCase(Locale.ROOT));
-        Map<String, Set<Links.Pair>> touched = new HashMap<>();
-        for (Links.Pair p : Links.pairs(e.text("links"))) {
+        LinkFaults.Kind kind = LinkFaults.Kind.valueOf(e.text("kind").toUpperCase(Locale.ROOT));
+        Map<String, Set<LinkFaults.Pair>> touched = new HashMap<>();
+        for (LinkFaults.Pair p : LinkFaults.pairs(e.text("links"))) {
             touched.computeIfAbsent(p.from(), x -> new HashSet<>()).add(p);
-            if (kind != Links.Kind.CUT) {
+            if (kind != LinkFaults.Kind.CUT) {
                 touched.computeIfAbsent(p.to(), x -> new HashSet<>()).add(p);
             }
         }
-        touched.forEach(
-                (who, pairs) -> exposure(who).on(who, number, new Links.Fault(kind, pairs, e.number("amount"), 0)));
+        touched.forEach((who, pairs) ->
+                exposure(who).on(who, number, new LinkFaults.Fault(kind, pairs, e.number("amount"), 0)));
     }
 
     /** What befalls this process adds to what came before, unless all was well again with it. */
@@ -196,20 +196,20 @@
                     rosters.add(views.get(e.who()).roster);
                 }
             }
-            case "refuted" -> figures.refuted++;
+            case "refuted" -> metrics.refuted++;
             case "change" -> change(number, e);
             default -> {}
         }
         if (!agreed && e.what().equals("change") && !Double.isNaN(faultAt) && wrongs == 0 && divided() == null) {
             agreed = true;
-            figures.agreement.recordValue(Math.round((e.at() - faultAt) * 1e3));
+            metrics.agreement.recordValue(Math.round((e.at() - faultAt) * 1e3));
         }
     }
 
     private void change(long number, Event e) {
         Seen seen = views.computeIfAbsent(e.who(), w -> new Seen());
         String name = e.text("name");
-        figures.changes++;
+        metrics.changes++;
         if (e.whole("no") != seen.number + 1) {
             found.add(new Finding(
                     "members", number, e.who() + " told change " + e.whole("no") + " after " + seen.number));
@@ -246,13 +246,13 @@
                 String why = exposures
                         .getOrDefault(process, new FaultExposure())
                         .why(e.at(), borneS.get(process), names.size() - 1);
-                figures.falseGone(why);
+                metrics.falseGone(why);
                 if (strict || why.equals(FaultExposure.BORNE)) {
                     found.add(new Finding("members", number, e.who() + " called " + name + " gone, which was running"));
                 }
             } else if (endedAt.containsKey(name)
                     && running.getOrDefault(name, Set.of()).isEmpty()) {
-                figures.noticed.recordValue(Math.round((e.at() - endedAt.get(name)) * 1e3));
+                metrics.noticed.recordValue(Math.round((e.at() - endedAt.get(name)) * 1e3));
             }
         }
         seen.roster ^= share(name, before) ^ share(name, seen.of.get(name));
@@ -385,14 +385,14 @@
     }
 
     @Override
-    public List<String> figures() {
+    public List<String> metrics() {
         return total().lines();
     }
 
     /** The figures of the run so far. */
-    MemberFigures total() {
-        MemberFigures all = new MemberFigures();
-        all.add(figures);
+    MembershipMetrics total() {
+        MembershipMetrics all = new MembershipMetrics();
+        all.add(metrics);
         all.rosters.recordValue(rosters.size());
         return all;
     }
--- a/src/main/java/pepperdock/lab/fleet/MemberFigures.java
+++ b/src/main/java/pepperdock/lab/fleet/MembershipMetrics.java
@@ -8,7 +8,7 @@
 import org.HdrHistogram.Histogram;
 
 /** What a run of membership is measured by, and several runs together. Times in milliseconds. */
-final class MemberFigures {
+final class MembershipMetrics {
 
     final Histogram noticed = new Histogram(3);
     final Histogram agreement = new Histogram(3);
@@ -31,7 +31,7 @@
         because.merge(why, 1L, Long::sum);
     }
 
-    void add(MemberFigures other) {
+    void add(MembershipMetrics other) {
         other.because.forEach((why, n) -> because.merge(why, n, Long::sum));
         noticed.add(other.noticed);
         agreement.add(other.agreement);
--- a/src/main/java/pepperdock/lab/fleet/Outcome.java
+++ b/src/main/java/pepperdock/lab/fleet/Outcome.java
@@ -6,7 +6,7 @@
  * What came of a run. {@code counts} is false where the machine was late by more than the script allows: then neither
  * findings nor their absence say anything of the program.
  */
-public record Outcome(boolean counts, List<String> findings, List<String> figures, double lateS) {
+public record Outcome(boolean counts, List<String> findings, List<String> metrics, double lateS) {
 
     public boolean passed() {
         return counts && findings.isEmpty();
--- a/src/main/java/pepperdock/lab/fleet/Relay.java
+++ b/src/main/java/pepperdock/lab/fleet/Relay.java
@@ -21,11 +21,11 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import pepperdock.lab.fleet.Links.Pair;
+import pepperdock.lab.fleet.LinkFaults.Pair;
 
 /**
  * The sockets between members: for each ordered pair an address of its own, where what comes is handed on to the receiver's
- * own address, or not, as {@link Links} says. One thread with one selector owns all of it; {@link #execute} hands it work.
+ * own address, or not, as {@link LinkFaults} says. One thread with one selector owns all of it; {@link #execute} hands it work.
  *
  * <p>Member number k is at 127.B.0.k, and what it sends to member m goes to 127.B.k.m at the same port. A stream belongs to
  * the pair that opened it one way, and to the pair the other way round for the way back. Where a stream stands, its bytes
@@ -57,7 +57,7 @@
     }
 
     private final int block;
-    private final Links links = new Links();
+    private final LinkFaults links = new LinkFaults();
     private final Random chance;
     private final Selector selector;
     private final Thread thread;
@@ -101,7 +101,7 @@
         selector.wakeup();
     }
 
-    void on(int number, Links.Fault fault) {
+    void on(int number, LinkFaults.Fault fault) {
         execute(() -> {
             links.on(number, fault);
             List.copyOf(streams).forEach(RelayStream::look);
@@ -197,7 +197,7 @@
         }
     }
 
-    Links links() {
+    LinkFaults links() {
         return links;
     }
 
--- a/src/main/java/pepperdock/lab/fleet/RelayStream.java
+++ b/src/main/java/pepperdock/lab/fleet/RelayStream.java
@@ -8,8 +8,8 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Set;
-import pepperdock.lab.fleet.Links.Effect;
-import pepperdock.lab.fleet.Links.Pair;
+import pepperdock.lab.fleet.LinkFaults.Effect;
+import pepperdock.lab.fleet.LinkFaults.Pair;
 
 /** One stream through a {@link Relay}: two halves, each with the links of its way. On the relay's thread. */
 final class RelayStream {
--- a/src/main/java/pepperdock/lab/fleet/Report.java
+++ b/src/main/java/pepperdock/lab/fleet/Report.java
@@ -37,7 +37,7 @@
         }
         lines.add("events: " + counts);
         lines.add(String.format(Locale.ROOT, "the machine was late by %.3f s in all", outcome.lateS()));
-        lines.addAll(outcome.figures());
+        lines.addAll(outcome.metrics());
         outcome.findings().forEach(f -> lines.add("FOUND " + f));
         return lines;
     }
@@ -102,7 +102,7 @@
         data.addProperty("verdict", outcome.verdict());
         JsonArray words = new JsonArray();
         outcome.findings().forEach(words::add);
-        outcome.figures().forEach(words::add);
+        outcome.metrics().forEach(words::add);
         data.add("words", words);
         return resource("/pepperdock/lab/fleet/report.html")
                 .replace("/*PLOTS*/", resource('/' + PLOTS))
--- a/src/main/java/pepperdock/lab/fleet/Rig.java
+++ b/src/main/java/pepperdock/lab/fleet/Rig.java
@@ -77,7 +77,7 @@
         events.stream()
                 .filter(e -> e.ofRig() && e.what().equals("not reached"))
                 .forEach(e -> findings.add(notReached(e.text("awaited"), e.text("members"))));
-        return new Outcome(counts, findings, judge.figures(), late);
+        return new Outcome(counts, findings, judge.metrics(), late);
     }
 
     private static List<String> words(List<Checker.Finding> findings) {
@@ -134,7 +134,7 @@
             Runtime.getRuntime().removeShutdownHook(hook);
             List<String> findings = new ArrayList<>(words(judge.findings(true)));
             findings.addAll(unmet);
-            Outcome outcome = new Outcome(late <= script.lateMost(), findings, judge.figures(), late);
+            Outcome outcome = new Outcome(late <= script.lateMost(), findings, judge.metrics(), late);
             history.rig("verdict", "verdict", outcome.verdict());
             return outcome;
         }
@@ -204,7 +204,7 @@
     private static void step(Timetable.Step step, History history, Relay relay, Children children)
             throws IOException, InterruptedException {
         if (step instanceof Timetable.On on) {
-            Links.Fault f = on.fault();
+            LinkFaults.Fault f = on.fault();
             history.rig(
                     "fault on",
                     "number",
@@ -216,13 +216,13 @@
                     "spread",
                     f.spread(),
                     "links",
-                    Links.text(f.pairs()));
+                    LinkFaults.text(f.pairs()));
             relay.on(on.number(), f);
         } else if (step instanceof Timetable.Off off) {
             history.rig("fault off", "number", off.number());
             relay.off(off.number());
         } else if (step instanceof Timetable.Cut cut) {
-            history.rig("reset", "links", Links.text(cut.pairs()));
+            history.rig("reset", "links", LinkFaults.text(cut.pairs()));
             relay.reset(cut.pairs());
         } else if (step instanceof Timetable.Signal signal) {
             children.signal(signal.what(), signal.members());
--- a/src/main/java/pepperdock/lab/fleet/Script.java
+++ b/src/main/java/pepperdock/lab/fleet/Script.java
@@ -50,7 +50,7 @@
     /** A fault on links. {@code lastS} infinite: to the end. {@code flipS} above 0: on and off by turns of that length. */
     record OnLinks(
             double at,
-            Links.Kind kind,
+            LinkFaults.Kind kind,
             double amount,
             double spread,
             Whom from,
--- a/src/main/java/pepperdock/lab/fleet/Seeds.java
+++ b/src/main/java/pepperdock/lab/fleet/Seeds.java
@@ -44,7 +44,7 @@
         }
     }
 
-    private record Run(long seed, List<String> findings, MemberFigures figures) {}
+    private record Run(long seed, List<String> findings, MembershipMetrics metrics) {}
 
     private Seeds() {}
 
@@ -67,22 +67,22 @@
                     if (unmet != null) {
                         findings.add(unmet);
                     }
-                    return new Run(drawn.seed(), findings, judge.memberFigures());
+                    return new Run(drawn.seed(), findings, judge.membershipMetrics());
                 }));
             }
-            MemberFigures all = new MemberFigures();
+            MembershipMetrics all = new MembershipMetrics();
             List<String> findings = new ArrayList<>();
             int failed = 0;
             for (Future<Run> f : runs) {
                 Run r = f.get();
-                if (r.figures() != null) {
-                    all.add(r.figures());
+                if (r.metrics() != null) {
+                    all.add(r.metrics());
                 }
                 failed += r.findings().isEmpty() ? 0 : 1;
                 r.findings().stream().limit(2).forEach(x -> findings.add("seed " + r.seed() + ": " + x));
             }
-            List<String> figures = new ArrayList<>();
-            figures.add(String.format(
+            List<String> metrics = new ArrayList<>();
+            metrics.add(String.format(
                     Locale.ROOT,
                     "%d seeds from %d, %d members, arm %s: %d failed",
                     count,
@@ -90,8 +90,8 @@
                     script.names().size(),
                     arm.name().toLowerCase(Locale.ROOT),
                     failed));
-            figures.addAll(all.lines());
-            return new Outcome(true, findings, figures, 0);
+            metrics.addAll(all.lines());
+            return new Outcome(true, findings, metrics, 0);
         } catch (ExecutionException e) {
             if (e.getCause() instanceof ConfigException c) {
                 throw c;
--- a/src/main/java/pepperdock/lab/fleet/Sim.java
+++ b/src/main/java/pepperdock/lab/fleet/Sim.java
@@ -15,7 +15,7 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import pepperdock.events.Events;
-import pepperdock.lab.fleet.Links.Pair;
+import pepperdock.lab.fleet.LinkFaults.Pair;
 import pepperdock.members.MemberEvents;
 import pepperdock.membership.Card;
 import pepperdock.membership.Membership;
@@ -108,7 +108,7 @@
     private final Settings settings;
     private final Consumer<Event> listener;
     private final Random chance;
-    private final Links links = new Links();
+    private final LinkFaults links = new LinkFaults();
     private final Map<String, Node> nodes = new LinkedHashMap<>();
     private final PriorityQueue<Due> queue =
             new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::no));
@@ -295,7 +295,7 @@
                     "amount",
                     on.fault().amount(),
                     "links",
-                    Links.text(on.fault().pairs()));
+                    LinkFaults.text(on.fault().pairs()));
             links.on(on.number(), on.fault());
         } else if (step instanceof Timetable.Off off) {
             rig("fault off", "number", off.number());
--- a/src/main/java/pepperdock/lab/fleet/Timetable.java
+++ b/src/main/java/pepperdock/lab/fleet/Timetable.java
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
-import pepperdock.lab.fleet.Links.Kind;
-import pepperdock.lab.fleet.Links.Pair;
+import pepperdock.lab.fleet.LinkFaults.Kind;
+import pepperdock.lab.fleet.LinkFaults.Pair;
 import pepperdock.lab.fleet.Script.Act;
 import pepperdock.lab.fleet.Script.What;
 import pepperdock.lab.fleet.Script.Whom;
@@ -36,7 +36,7 @@
     sealed interface Step permits On, Off, Cut, Signal, Start, Disk, Clock {}
 
     /** Fault number so-and-so begins. */
-    record On(int number, Links.Fault fault) implements Step {}
+    record On(int number, LinkFaults.Fault fault) implements Step {}
 
     /** The fault of that number ends. */
     record Off(int number) implements Step {}
@@ -136,7 +136,7 @@
                         a.at(),
                         a.lastS(),
                         a.flipS(),
-                        new Links.Fault(
+                        new LinkFaults.Fault(
                                 a.kind(), pairs(drawn(a.from()), drawn(a.to()), a.both()), a.amount(), a.spread()));
             } else if (act instanceof Script.Reset r) {
                 steps.add(new Timed(r.at(), new Cut(pairs(drawn(r.from()), drawn(r.to()), r.both()))));
@@ -160,7 +160,7 @@
             }
         }
 
-        private void fault(double at, double last, double flip, Links.Fault fault) {
+        private void fault(double at, double last, double flip, LinkFaults.Fault fault) {
             int no = number++;
             double end = at + last;
             if (flip <= 0) {
@@ -188,7 +188,7 @@
                 for (List<String> a : groups) {
                     groups.stream().filter(b -> b != a).forEach(b -> apart.addAll(pairs(a, b, true)));
                 }
-                fault(t, Math.min(each, end - t), 0, new Links.Fault(Kind.CUT, apart, 0, 0));
+                fault(t, Math.min(each, end - t), 0, new LinkFaults.Fault(Kind.CUT, apart, 0, 0));
                 t += each;
             } while (t < end && !Double.isInfinite(each));
         }
@@ -270,25 +270,26 @@
                                     List.copyOf(whom));
                         }
                     }
-                    case "cut" -> fault(t, last, 0, new Links.Fault(Kind.CUT, pairs(whom, names, true), 0, 0));
+                    case "cut" -> fault(t, last, 0, new LinkFaults.Fault(Kind.CUT, pairs(whom, names, true), 0, 0));
                     case "one-way" ->
                         fault(
                                 t,
                                 last,
                                 0,
-                                new Links.Fault(
+                                new LinkFaults.Fault(
                                         Kind.CUT,
                                         chance.nextBoolean() ? pairs(whom, names, false) : pairs(names, whom, false),
                                         0,
                                         0));
                     case "loss" ->
-                        fault(t, last, 0, new Links.Fault(Kind.LOSS, pairs(names, names, false), DRAWN_LOSS, 0));
+                        fault(t, last, 0, new LinkFaults.Fault(Kind.LOSS, pairs(names, names, false), DRAWN_LOSS, 0));
                     case "delay" ->
                         fault(
                                 t,
                                 last,
                                 0,
-                                new Links.Fault(Kind.DELAY, pairs(whom, names, true), DRAWN_DELAY_S, DRAWN_DELAY_S));
+                                new LinkFaults.Fault(
+                                        Kind.DELAY, pairs(whom, names, true), DRAWN_DELAY_S, DRAWN_DELAY_S));
                     case "partition" -> partition(new Script.Partition(t, List.of(), 2, last, 0));
                     case "reset" -> steps.add(new Timed(t, new Cut(pairs(whom, names, true))));
                     default -> throw new IllegalArgumentException(kind);
--- a/src/test/java/pepperdock/lab/fleet/MembersCheckerTest.java
+++ b/src/test/java/pepperdock/lab/fleet/MembersCheckerTest.java
@@ -167,8 +167,8 @@
         Checker checker = new MembersChecker(false);
         history.forEach(e -> checker.see(1, e));
         assertTrue(
-                checker.figures().get(1).endsWith(": most links out of it cut 1, stopped longer than is borne 1"),
-                checker.figures().get(1));
+                checker.metrics().get(1).endsWith(": most links out of it cut 1, stopped longer than is borne 1"),
+                checker.metrics().get(1));
         assertEquals(List.of(), checker.findings(false));
     }
 
--- a/src/test/java/pepperdock/lab/fleet/RelayTest.java
+++ b/src/test/java/pepperdock/lab/fleet/RelayTest.java
@@ -21,9 +21,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import pepperdock.lab.fleet.Links.Fault;
-import pepperdock.lab.fleet.Links.Kind;
-import pepperdock.lab.fleet.Links.Pair;
+import pepperdock.lab.fleet.LinkFaults.Fault;
+import pepperdock.lab.fleet.LinkFaults.Kind;
+import pepperdock.lab.fleet.LinkFaults.Pair;
 
 /** Real sockets through the relay. */
 class RelayTest {
--- a/src/test/java/pepperdock/lab/fleet/SimTest.java
+++ b/src/test/java/pepperdock/lab/fleet/SimTest.java
@@ -32,7 +32,7 @@
     }
 
     /** What was found over so many seeds, and the figures of all. */
-    private static List<String> found(Script script, Settings settings, int seeds, MemberFigures all) {
+    private static List<String> found(Script script, Settings settings, int seeds, MembershipMetrics all) {
         List<String> found = new ArrayList<>();
         for (int seed = 1; seed <= seeds; seed++) {
             Checkers judge = new Checkers(script.checkers());
@@ -42,7 +42,7 @@
             if (unmet != null) {
                 found.add(of + unmet);
             }
-            all.add(judge.memberFigures());
+            all.add(judge.membershipMetrics());
         }
         return found;
     }
@@ -67,7 +67,7 @@
             thirds                          | {'fault':'partition','into':3,'for':30}
             """)
     void nobodyWhoRunsIsCalledGone(String name, String acts) {
-        assertEquals(List.of(), found(script(10, true, acts), SETTINGS, 10, new MemberFigures()));
+        assertEquals(List.of(), found(script(10, true, acts), SETTINGS, 10, new MembershipMetrics()));
     }
 
     @ParameterizedTest(name = "{0}")
@@ -85,15 +85,15 @@
             drawn faults                    | {'fault':'drawn','for':120,'every_s':4,'most_members':2}
             """)
     void viewsMeetAgainAfterwards(String name, String acts) {
-        assertEquals(List.of(), found(script(10, false, acts), SETTINGS, 10, new MemberFigures()));
+        assertEquals(List.of(), found(script(10, false, acts), SETTINGS, 10, new MembershipMetrics()));
     }
 
     @Test
     void aFleetOfSixtyLosesAThirdWithinItsBudgetAndInOneChange() {
-        MemberFigures figures = new MemberFigures();
-        assertEquals(List.of(), found(script(60, false, "{'fault':'kill','members':20}"), SETTINGS, 2, figures));
-        assertEquals(2 * 20 * 40, figures.noticed.getTotalCount());
-        assertEquals(0, figures.falseGone);
+        MembershipMetrics metrics = new MembershipMetrics();
+        assertEquals(List.of(), found(script(60, false, "{'fault':'kill','members':20}"), SETTINGS, 2, metrics));
+        assertEquals(2 * 20 * 40, metrics.noticed.getTotalCount());
+        assertEquals(0, metrics.falseGone);
     }
 
     /** A member that hears nothing accuses all others: it doubts itself, or several must agree; without both they are gone. */
@@ -107,9 +107,9 @@
     }
 
     private static long falseGone(Seeds.Arm arm, String acts) {
-        MemberFigures figures = new MemberFigures();
-        found(script(10, false, acts), arm.of(SETTINGS), 5, figures);
-        return figures.falseGone;
+        MembershipMetrics metrics = new MembershipMetrics();
+        found(script(10, false, acts), arm.of(SETTINGS), 5, metrics);
+        return metrics.falseGone;
     }
 
     @Test
--- a/src/test/java/pepperdock/lab/fleet/TimetableTest.java
+++ b/src/test/java/pepperdock/lab/fleet/TimetableTest.java
@@ -14,9 +14,9 @@
 import pepperdock.config.Config;
 import pepperdock.config.ConfigException;
 import pepperdock.config.Keys;
-import pepperdock.lab.fleet.Links.Fault;
-import pepperdock.lab.fleet.Links.Kind;
-import pepperdock.lab.fleet.Links.Pair;
+import pepperdock.lab.fleet.LinkFaults.Fault;
+import pepperdock.lab.fleet.LinkFaults.Kind;
+import pepperdock.lab.fleet.LinkFaults.Pair;
 
 /** The rig's pure half: what a script means, and what becomes of a datagram. */
 class TimetableTest {
@@ -90,7 +90,7 @@
     @Test
     void faultsOnALinkAddUpAndEndSingly() {
         Pair ab = new Pair("a", "b");
-        Links links = new Links();
+        LinkFaults links = new LinkFaults();
         links.on(1, new Fault(Kind.LOSS, Set.of(ab), 0.5, 0));
         links.on(2, new Fault(Kind.LOSS, Set.of(ab), 0.5, 0));
         links.on(3, new Fault(Kind.DELAY, Set.of(ab), 0.1, 0));
@@ -106,7 +106,7 @@
                 java.util.Arrays.stream(links.on(ab).fate(new Random(1)))
                         .boxed()
                         .toList());
-        assertEquals(Links.Effect.NONE, links.on(new Pair("b", "a")), "one way only");
+        assertEquals(LinkFaults.Effect.NONE, links.on(new Pair("b", "a")), "one way only");
     }
 
     @Test
