--- a/src/main/java/pepperdock/lab/fleet/Seeds.java
+++ b/src/main/java/pepperdock/lab/fleet/Seeds.java
@@ -45,7 +45,7 @@
         }
     }
 
-    private record Run(long seed, List<String> findings, MemberFigures figures, long processorNs) {}
+    private record Run(long seed, List<String> findings, MembershipMetrics metrics, long processorNs) {}
 
     private Seeds() {}
 
@@ -73,24 +73,24 @@
                     if (unmet != null) {
                         findings.add(unmet);
                     }
-                    return new Run(drawn.seed(), findings, judge.memberFigures(), processorNs() - began);
+                    return new Run(drawn.seed(), findings, judge.membershipMetrics(), processorNs() - began);
                 }));
             }
-            MemberFigures all = new MemberFigures();
+            MembershipMetrics all = new MembershipMetrics();
             List<String> findings = new ArrayList<>();
             int failed = 0;
             long processorNs = 0;
             for (Future<Run> f : runs) {
                 Run r = f.get();
-                if (r.figures() != null) {
-                    all.add(r.figures());
+                if (r.metrics() != null) {
+                    all.add(r.metrics());
                 }
                 processorNs += r.processorNs();
                 failed += r.findings().isEmpty() ? 0 : 1;
                 r.findings().stream().limit(2).forEach(x -> findings.add("seed " + r.seed() + ": " + x));
             }
-            List<String> figures = new ArrayList<>();
-            figures.add(String.format(
+            List<String> metrics = new ArrayList<>();
+            metrics.add(String.format(
                     Locale.ROOT,
                     "%d seeds from %d, %d members, arm %s: %d failed",
                     count,
@@ -98,13 +98,13 @@
                     script.names().size(),
                     arm.name().toLowerCase(Locale.ROOT),
                     failed));
-            figures.addAll(all.lines());
-            figures.add(String.format(
+            metrics.addAll(all.lines());
+            metrics.add(String.format(
                     Locale.ROOT,
                     "processor time of the playing, its checkers included: %.1f s, %.3f ms a member and second",
                     processorNs / 1e9,
                     processorNs / 1e6 / Math.max(1, all.memberSeconds)));
-            return new Outcome(true, findings, figures, 0);
+            return new Outcome(true, findings, metrics, 0);
         } catch (ExecutionException e) {
             if (e.getCause() instanceof ConfigException c) {
                 throw c;
