--- a/src/test/java/pepperdock/distribution/PublisherTest.java
+++ b/src/test/java/pepperdock/distribution/PublisherTest.java
@@ -67,7 +67,7 @@
         assertInstanceOf(Message.SnapshotPiece.class, pair.toSubscriber.peekFirst());
     }
 
-    /** Found by an hour's cut with 720 changes: one delta of 20 KB, in one second, where 15 KB are allowed. */
+    /** Found by an hour's cut with 720 changes: 28 to 30 KB in one second, where 15 KB are allowed. */
     @Test
     void aDeltaOfMoreThanMayBeSentAtOnceGivesWayToTheSnapshotInPieces() {
         Configuration one = Configuration.of(new Version(1, 1), 1, List.of(new Item("large", new byte[40_000])));
