--- a/src/test/java/pepperdock/lab/fleet/SimTest.java
+++ b/src/test/java/pepperdock/lab/fleet/SimTest.java
@@ -109,6 +109,15 @@
         assertTrue(figures.noticed.getMaxValue() < 7_500, figures.lines()::toString);
     }
 
+    /** Joining, ten deaths and whatever is exchanged for it: in no second more than half as much again as the budget. */
+    @Test
+    void aFleetOfHundredAndFiftyKeepsItsBudgetInEverySecond() {
+        MemberFigures figures = new MemberFigures();
+        assertEquals(List.of(), found(script(150, true, "{'fault':'kill','members':10}"), SETTINGS, 1, figures));
+        assertEquals(10 * 140, figures.noticed.getTotalCount());
+        assertTrue(figures.bytes.getMaxValue() <= 1.5 * SETTINGS.bytesPerS(), figures.lines()::toString);
+    }
+
     /** A member that hears nothing accuses all others: it doubts itself, or several must agree; without both they are gone. */
     @Test
     void oneThatHearsNothingBringsDownOthersOnlyWhereBothGuardsAreLeftOut() {
