Look again at all that are spoken of only where a card has changed

With each statement taken in, every member that anybody said anything of was looked at anew; what a statement can change are the subjects that it names or named.

--- a/src/main/java/pepperdock/membership/Membership.java
+++ b/src/main/java/pepperdock/membership/Membership.java
@@ -68,6 +68,9 @@
 
     private final Map<String, Long> lives = new HashMap<>();
     private final Set<String> touched = new TreeSet<>();
+    /** A member came, went or returned: what it says of others, and how many observe them, may count otherwise now. */
+    private boolean cardsTouched;
+
     private final List<Output> outputs = new ArrayList<>();
     private Card self;
     private Card rival;
@@ -468,6 +471,7 @@
                 } else {
                     table.yield(c, now);
                     touched.add(c.name());
+                    cardsTouched = true;
                     // In place of this one's own, which nobody has heard yet.
                     gossip.add(c, now);
                 }
@@ -616,6 +620,7 @@
             touched.addAll(l.said().keySet());
         } else {
             touched.add(i.name());
+            cardsTouched = true;
         }
         gossip.add(i, now);
         lastChange = now;
@@ -692,7 +697,10 @@
             return;
         }
         Set<String> names = new TreeSet<>(touched);
-        names.addAll(table.spokenOf());
+        if (cardsTouched) {
+            names.addAll(table.spokenOf());
+        }
+        cardsTouched = false;
         names.addAll(impaired);
         touched.clear();
         for (String n : names) {
