--- a/src/main/java/pepperdock/aggregator/Aggregator.java
+++ b/src/main/java/pepperdock/aggregator/Aggregator.java
@@ -103,7 +103,16 @@
             double budgetFree,
             double budgetShare,
             double budgetSpanS,
-            double askWithinS) {}
+            double askWithinS) {
+
+        /** The protocol's: whatever a call missed counts as told so long after the list could be reached. */
+        private static final double TOLD_S = 6;
+
+        /** How long an instance without a watch may hold an old list, in seconds: by the protocol, or less by the settings. */
+        double staleS() {
+            return askWithinS > 0 ? Math.min(askWithinS, TOLD_S) : TOLD_S;
+        }
+    }
 
     /** The settings of one instance; {@code tenantRates} are the queries a second within share, fleet-wide. */
     record Settings(
--- a/src/main/java/pepperdock/aggregator/Decide.java
+++ b/src/main/java/pepperdock/aggregator/Decide.java
@@ -73,8 +73,6 @@
     private static final double TRIAL_MOST_AIMS = 2;
     /** Share of the cold allowance that is used; it is reckoned with one core, which leaves room besides. */
     private static final double COLD_SAFETY = 0.9;
-    /** The protocol's: whatever a call missed counts as told so long after the list could be reached. */
-    private static final double TOLD_S = 6;
     /** First pause before asking for the list again, as a share of that time or AskWithinS; it doubles. */
     private static final double ASK_AGAIN_SHARE = 1.0 / 12;
 
@@ -427,11 +425,10 @@
 
     /** Looks at every searcher: asked for only where a query can't spare its unfit parts. */
     private boolean mostAreSound() {
-        return cells.stream()
-                        .flatMap(List::stream)
-                        .mapToInt(s -> suspect(s) ? -1 : 1)
-                        .sum()
-                > 0;
+        long usable = searchers.values().stream().filter(s -> s.usable).count();
+        long suspects =
+                searchers.values().stream().filter(s -> s.usable && suspect(s)).count();
+        return 2 * suspects < usable;
     }
 
     /**
@@ -819,13 +816,10 @@
         return OVERDUE_QUARTERS * partTime.lowerQuartileS();
     }
 
-    private double lostAfter() {
-        return partTime.meanS() + DEVIATIONS * partTime.deviationS();
-    }
-
     /** Overdue attempts count against their searcher; silence since the send while it is overdue is fatal. */
     private void lookForOverdue() {
         double after = overdueAfter();
+        double lostAfter = Math.max(after, partTime.meanS() + DEVIATIONS * partTime.deviationS());
         for (Searcher s : searchers.values()) {
             for (Attempt a : s.open) {
                 if (!a.overdue && now - a.sentAt > after) {
@@ -839,7 +833,7 @@
                 if (cutOff(a)) {
                     continue;
                 }
-                if (!a.lost && now - a.sentAt > Math.max(after, lostAfter())) {
+                if (!a.lost && now - a.sentAt > lostAfter) {
                     a.lost = true;
                     shed(s, 1);
                     worsen(s, false);
@@ -1077,16 +1071,10 @@
         return searchers.size();
     }
 
-    /** How long a gatherer without a watch may have an old list: by the protocol, or less by the settings. */
-    private double staleS() {
-        double within = settings.rules().askWithinS();
-        return within > 0 ? Math.min(within, TOLD_S) : TOLD_S;
-    }
-
     /** A call has failed: the next comes after a pause that doubles, in time for news since this one. */
     private void askAgain() {
-        double first = ASK_AGAIN_SHARE * staleS();
-        double left = askedAt + ASK_APART_SHARE * staleS() - now;
+        double first = ASK_AGAIN_SHARE * settings.rules().staleS();
+        double left = askedAt + ASK_APART_SHARE * settings.rules().staleS() - now;
         askPause = Math.max(first, Math.min(2 * askPause, left / ASK_SPREAD_MOST));
         askAt = now + askPause * (ASK_SPREAD_MOST - 1 + asking.nextDouble());
     }
@@ -1097,7 +1085,9 @@
      */
     private void follow() {
         if (Double.isNaN(askAt)) {
-            double first = Math.min(settings.instances() * FIRST_ASK_S, ASK_AGAIN_SHARE * staleS());
+            double first = Math.min(
+                    settings.instances() * FIRST_ASK_S,
+                    ASK_AGAIN_SHARE * settings.rules().staleS());
             askAt = now + asking.nextDouble() * first;
         }
         if (!subscribed && !asked && now >= askAt) {
--- a/src/test/java/pepperdock/lab/fleet/SimTest.java
+++ b/src/test/java/pepperdock/lab/fleet/SimTest.java
@@ -112,7 +112,7 @@
     /** Joining, ten deaths and whatever is exchanged for it: in no second more than half as much again as the budget. */
     @Test
     void aFleetOfHundredAndFiftyKeepsItsBudgetInEverySecond() {
-        MemberFigures figures = new MemberFigures();
+        MembershipMetrics figures = new MembershipMetrics();
         assertEquals(List.of(), found(script(150, true, "{'fault':'kill','members':10}"), SETTINGS, 1, figures));
         assertEquals(10 * 140, figures.noticed.getTotalCount());
         assertTrue(figures.bytes.getMaxValue() <= 1.5 * SETTINGS.bytesPerS(), figures.lines()::toString);
