--- a/src/main/java/pepperdock/distribution/Subscriber.java
+++ b/src/main/java/pepperdock/distribution/Subscriber.java
@@ -60,8 +60,7 @@
     private boolean everCurrent;
 
     public Subscriber(
-            SubscriberId id,
-            String region,
+            SubscriberIdentity self,
             List<ControlMachine> machines,
             SubscriberSettings settings,
             VersionStore store,
@@ -69,13 +68,13 @@
             SubscriberOutput output,
             long seed,
             long now) {
-        this.id = id;
+        id = self.id();
         this.settings = settings;
         this.store = store;
         this.validator = validator;
         this.output = output;
         Random chance = new Random(seed);
-        choice = new MachineChoice(machines, region, settings, chance);
+        choice = new MachineChoice(machines, self.region(), settings, chance);
         currentAt = now;
         phaseEnds = now + chance.nextInt(settings.backOffMillis());
         begin(store.load());
--- a/src/main/java/pepperdock/distribution/wire/SubscriberClient.java
+++ b/src/main/java/pepperdock/distribution/wire/SubscriberClient.java
@@ -8,7 +8,7 @@
 import pepperdock.distribution.ControlMachine;
 import pepperdock.distribution.Message;
 import pepperdock.distribution.Subscriber;
-import pepperdock.distribution.SubscriberId;
+import pepperdock.distribution.SubscriberIdentity;
 import pepperdock.distribution.SubscriberOutput;
 import pepperdock.distribution.SubscriberSettings;
 import pepperdock.distribution.Validator;
@@ -43,8 +43,7 @@
 
     public SubscriberClient(
             Loop loop,
-            SubscriberId id,
-            String region,
+            SubscriberIdentity self,
             List<Reach> reaches,
             SubscriberSettings settings,
             VersionStore store,
@@ -56,7 +55,7 @@
         this.settings = settings;
         this.inForce = inForce;
         List<ControlMachine> machines = reaches.stream().map(Reach::machine).toList();
-        subscriber = new Subscriber(id, region, machines, settings, store, validator, this, seed, now());
+        subscriber = new Subscriber(self, machines, settings, store, validator, this, seed, now());
         timer = loop.after(TICK_SECONDS, this::tick);
     }
 
--- a/src/main/java/pepperdock/lab/distribution/Simulation.java
+++ b/src/main/java/pepperdock/lab/distribution/Simulation.java
@@ -13,6 +13,7 @@
 import pepperdock.distribution.PublisherSettings;
 import pepperdock.distribution.Subscriber;
 import pepperdock.distribution.SubscriberId;
+import pepperdock.distribution.SubscriberIdentity;
 import pepperdock.distribution.SubscriberOutput;
 import pepperdock.distribution.SubscriberSettings;
 import pepperdock.distribution.Validator;
@@ -136,15 +137,14 @@
     // ---- Where tests plant faults ------------------------------------------------------------
 
     protected Subscriber newSubscriber(
-            SubscriberId id,
-            String region,
+            SubscriberIdentity self,
             List<ControlMachine> known,
             SubscriberSettings settings,
             VersionStore store,
             SubscriberOutput output,
             long seed,
             long now) {
-        return new Subscriber(id, region, known, settings, store, NO_COMPLAINT, output, seed, now);
+        return new Subscriber(self, known, settings, store, NO_COMPLAINT, output, seed, now);
     }
 
     protected Publisher newPublisher(
@@ -248,8 +248,8 @@
 
     Subscriber subscriber(GathererNode node) {
         return newSubscriber(
-                new SubscriberId(node.place().name()),
-                node.place().region(),
+                new SubscriberIdentity(
+                        new SubscriberId(node.place().name()), node.place().region()),
                 machines,
                 setup.subscriber().reading(node.reads()),
                 node.disk(),
--- a/src/main/java/pepperdock/lab/distribution/Streams.java
+++ b/src/main/java/pepperdock/lab/distribution/Streams.java
@@ -21,6 +21,7 @@
 import pepperdock.distribution.Item;
 import pepperdock.distribution.PublisherSettings;
 import pepperdock.distribution.SubscriberId;
+import pepperdock.distribution.SubscriberIdentity;
 import pepperdock.distribution.SubscriberSettings;
 import pepperdock.distribution.Version;
 import pepperdock.distribution.VersionSource;
@@ -175,8 +176,7 @@
             for (int i = 0; i < count; i++) {
                 clients.add(new SubscriberClient(
                         loop,
-                        new SubscriberId("g" + i),
-                        "r" + (i % 3 + 1),
+                        new SubscriberIdentity(new SubscriberId("g" + i), "r" + (i % 3 + 1)),
                         reaches,
                         SubscriberSettings.defaults(),
                         new GathererDisk(),
--- a/src/main/java/pepperdock/membership/Membership.java
+++ b/src/main/java/pepperdock/membership/Membership.java
@@ -9,7 +9,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import pepperdock.membership.Message.Ack;
 import pepperdock.membership.Message.Ask;
 import pepperdock.membership.Message.Digest;
@@ -62,15 +61,7 @@
     private final Gossip gossip = new Gossip();
     private final Map<String, Probe> probes = new TreeMap<>();
     private final Map<Long, Errand> errands = new HashMap<>();
-    private final Map<String, Standing> standings = new TreeMap<>();
-    /** Those slow or cut off: looked at again with each change, as what was said of them may have been taken back. */
-    private final Set<String> impaired = new TreeSet<>();
-
-    private final Map<String, Long> lives = new HashMap<>();
-    private final Set<String> touched = new TreeSet<>();
-    /** A member came, went or returned: what it says of others, and how many observe them, may count otherwise now. */
-    private boolean cardsTouched;
-
+    private final MemberStates states;
     private final List<Output> outputs = new ArrayList<>();
     private Card self;
     private Card rival;
@@ -79,7 +70,6 @@
     /** Has heard from another what is held of this name: until then whoever has it was there first. */
     private boolean joined;
 
-    private long number;
     private long errand = ERRANDS;
     /** Whom the judge wants called gone, and since when just these. */
     private List<String> due = List.of();
@@ -121,6 +111,7 @@
         chance = new Random(seed);
         table = new Table(settings.membersMost(), settings.observers());
         judge = new Judge(settings, table);
+        states = new MemberStates(table, change -> outputs.add(new Output.Changed(change)));
         lastTick = now;
         budget = new Budget(settings, now);
         antiEntropy = new AntiEntropy(table, chance);
@@ -151,11 +142,12 @@
                     c.address(),
                     c.life(),
                     c.incarnation(),
-                    standings.getOrDefault(c.name(), Standing.HERE),
+                    states.of(c.name()),
                     e.since(),
                     Map.copyOf(table.saidOf(c.name()))));
         }
-        return new View(number, self.name(), sure, reached, known, rival == null ? "" : rival.address(), members);
+        return new View(
+                states.number(), self.name(), sure, reached, known, rival == null ? "" : rival.address(), members);
     }
 
     public Card self() {
@@ -182,7 +174,7 @@
                     ping(table.get(s).card(), 0);
                 }
             }
-            told();
+            states.tell();
         }
     }
 
@@ -199,9 +191,7 @@
         if (now >= nextForget) {
             nextForget = now + settings.doubtS();
             table.forget(now - settings.forgetS(), self.name());
-            standings.keySet().removeIf(n -> table.get(n) == null);
-            impaired.removeIf(n -> table.get(n) == null);
-            lives.keySet().removeIf(n -> table.get(n) == null);
+            states.forgetUnknown();
             errands.values().removeIf(e -> e.until() < now);
         }
         gossip.expire(now - GOSSIP_PROBES * settings.probeS());
@@ -213,7 +203,7 @@
             speak(now);
             verdicts(now);
         }
-        told();
+        states.tell();
     }
 
     /**
@@ -470,8 +460,7 @@
                     merged(c, now);
                 } else {
                     table.yield(c, now);
-                    touched.add(c.name());
-                    cardsTouched = true;
+                    states.recordChanged(c.name());
                     // In place of this one's own, which nobody has heard yet.
                     gossip.add(c, now);
                 }
@@ -502,7 +491,7 @@
         }
         if (m instanceof Welcome w) {
             taken(w.items(), now);
-            told();
+            states.tell();
             return;
         }
         if (m instanceof Ping p) {
@@ -529,7 +518,7 @@
             }
         }
         compare(m.head(), now);
-        told();
+        states.tell();
     }
 
     private boolean accepted(Head h) {
@@ -616,11 +605,10 @@
             return;
         }
         if (i instanceof Links l) {
-            touched.addAll(before.said().keySet());
-            touched.addAll(l.said().keySet());
+            states.observationsChanged(before.said().keySet());
+            states.observationsChanged(l.said().keySet());
         } else {
-            touched.add(i.name());
-            cardsTouched = true;
+            states.recordChanged(i.name());
         }
         gossip.add(i, now);
         lastChange = now;
@@ -649,7 +637,7 @@
             boolean first = back instanceof Message.Slices || back instanceof Message.Reply;
             budget.stream(back.size() + (first ? STREAM_BYTES : 0));
         }
-        told();
+        states.tell();
         return back;
     }
 
@@ -690,80 +678,6 @@
         }
     }
 
-    // ---- Changes told ------------------------------------------------------------
-
-    private void told() {
-        if (touched.isEmpty()) {
-            return;
-        }
-        Set<String> names = new TreeSet<>(touched);
-        if (cardsTouched) {
-            names.addAll(table.spokenOf());
-        }
-        cardsTouched = false;
-        names.addAll(impaired);
-        touched.clear();
-        for (String n : names) {
-            Table.Entry e = table.get(n);
-            if (e == null) {
-                continue;
-            }
-            Card c = e.card();
-            Standing before = standings.get(n);
-            Long life = lives.put(n, c.life());
-            if (life != null && life != c.life() && before != Standing.GONE && before != Standing.LEFT) {
-                change(c, life, before, Standing.GONE, "another life of it has taken its place");
-                before = Standing.GONE;
-            }
-            Standing is = standing(e);
-            if (is != before) {
-                change(c, c.life(), before, is, why(e, is));
-            }
-        }
-    }
-
-    private void change(Card c, long life, Standing from, Standing to, String why) {
-        standings.put(c.name(), to);
-        if (to == Standing.SLOW || to == Standing.CUT_OFF) {
-            impaired.add(c.name());
-        } else {
-            impaired.remove(c.name());
-        }
-        outputs.add(new Output.Changed(new View.Change(++number, c.name(), life, c.incarnation(), from, to, why)));
-    }
-
-    private Standing standing(Table.Entry e) {
-        if (!e.here()) {
-            return e.card().status() == Status.LEFT ? Standing.LEFT : Standing.GONE;
-        }
-        int slow = 0;
-        for (Map.Entry<String, Word> s : table.saidOf(e.card().name()).entrySet()) {
-            Table.Entry observer = table.get(s.getKey());
-            if (observer.here() && !observer.links().ill()) {
-                if (s.getValue() != Word.SLOW) {
-                    return Standing.CUT_OFF;
-                }
-                slow++;
-            }
-        }
-        return slow > 0
-                        && 2 * slow
-                                >= table.rings().observersOf(e.card().name()).size()
-                ? Standing.SLOW
-                : Standing.HERE;
-    }
-
-    private String why(Table.Entry e, Standing is) {
-        return switch (is) {
-            case HERE -> e.card().incarnation() > 0 ? "incarnation " + e.card().incarnation() : "";
-            case LEFT -> "it said so";
-            case SLOW, CUT_OFF, GONE ->
-                table.saidOf(e.card().name()).entrySet().stream()
-                        .map(s -> s.getKey() + ' ' + s.getValue().name().toLowerCase(java.util.Locale.ROOT))
-                        .collect(java.util.stream.Collectors.joining(", "));
-        };
-    }
-
     // ---- Sending, within the budget ------------------------------------------------------------
 
     private void ping(Card to, long seq) {
--- a/src/test/java/pepperdock/aggregator/Scene.java
+++ b/src/test/java/pepperdock/aggregator/Scene.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
 
 /** A small fleet and one instance in front of it, driven through the interface alone. */
 final class Scene {
@@ -147,4 +149,9 @@
         }
         return ids;
     }
+
+    /** Which searchers got parts, and how many. */
+    Map<String, Long> counts() {
+        return did.sends.stream().collect(Collectors.groupingBy(Recorder.Sent::searcher, Collectors.counting()));
+    }
 }
--- a/src/test/java/pepperdock/distribution/Pair.java
+++ b/src/test/java/pepperdock/distribution/Pair.java
@@ -54,8 +54,7 @@
 
     Subscriber subscriber(long now) {
         return new Subscriber(
-                new SubscriberId("g1"),
-                "r1",
+                new SubscriberIdentity(new SubscriberId("g1"), "r1"),
                 List.of(NEAR, FAR),
                 SubscriberSettings.defaults(),
                 this,
--- a/src/test/java/pepperdock/distribution/wire/WireTest.java
+++ b/src/test/java/pepperdock/distribution/wire/WireTest.java
@@ -27,6 +27,7 @@
 import pepperdock.distribution.Message;
 import pepperdock.distribution.PublisherSettings;
 import pepperdock.distribution.SubscriberId;
+import pepperdock.distribution.SubscriberIdentity;
 import pepperdock.distribution.SubscriberSettings;
 import pepperdock.distribution.Version;
 import pepperdock.distribution.VersionSource;
@@ -115,7 +116,14 @@
         List<SubscriberClient.Reach> reaches =
                 List.of(new SubscriberClient.Reach(NEAR, near), new SubscriberClient.Reach(FAR, far));
         return onLoop(() -> new SubscriberClient(
-                loop, new SubscriberId("g1"), "r1", reaches, SETTINGS, store, c -> Optional.empty(), inForce::add, 1));
+                loop,
+                new SubscriberIdentity(new SubscriberId("g1"), "r1"),
+                reaches,
+                SETTINGS,
+                store,
+                c -> Optional.empty(),
+                inForce::add,
+                1));
     }
 
     private Configuration next() throws Exception {
--- a/src/test/java/pepperdock/lab/ColdFleetMeasure.java
+++ b/src/test/java/pepperdock/lab/ColdFleetMeasure.java
@@ -21,19 +21,19 @@
         });
     }
 
-    private static Map<String, ColdFleet.Day> days() {
-        Map<String, ColdFleet.Day> days = new LinkedHashMap<>();
+    private static Map<String, ColdDay> days() {
+        Map<String, ColdDay> days = new LinkedHashMap<>();
         for (int cores : new int[] {1, 2}) {
             for (int instances : new int[] {2, 3, 20, 30, 100}) {
-                add(days, "ledger", ColdFleet.ledger(instances, cores));
-                add(days, "single", ColdFleet.single(instances, cores));
-                add(days, "mixed", ColdFleet.mixed(instances, cores));
+                add(days, "ledger", ColdDay.ledger(instances, cores));
+                add(days, "single", ColdDay.single(instances, cores));
+                add(days, "mixed", ColdDay.mixed(instances, cores));
             }
         }
         return days;
     }
 
-    private static void add(Map<String, ColdFleet.Day> days, String kind, ColdFleet.Day day) {
+    private static void add(Map<String, ColdDay> days, String kind, ColdDay day) {
         String name = kind + " " + day.cores() + " core, " + day.instances() + " instances, ";
         days.put(name + "usual", day);
         days.put(name + "eager", day.traffic(1.2, 1.9));
@@ -47,7 +47,7 @@
         }
     }
 
-    private static void print(String name, ColdFleet.Day day, int seeds) {
+    private static void print(String name, ColdDay day, int seeds) {
         double[] worst = new double[seeds];
         double toN = 0;
         double sent = 0;
--- a/src/test/java/pepperdock/lab/ColdWorkersTest.java
+++ b/src/test/java/pepperdock/lab/ColdWorkersTest.java
@@ -11,7 +11,7 @@
 
     private static final int SEEDS = 3;
 
-    private static double worst(ColdFleet.Day day) {
+    private static double worst(ColdDay day) {
         double worst = 0;
         for (int seed = 0; seed < SEEDS; seed++) {
             worst = Math.max(worst, ColdFleet.play(day, seed).worst());
@@ -19,7 +19,7 @@
         return worst;
     }
 
-    private static void staysWithin(ColdFleet.Day day) {
+    private static void staysWithin(ColdDay day) {
         double worst = worst(day);
         assertTrue(worst > 0 && worst <= 1, worst + " of the bound: " + day);
     }
@@ -27,16 +27,16 @@
     @Test
     void theSumOfTwoTwentyAndThirtyInstancesStaysWithinTheBound() {
         for (int instances : new int[] {2, 20, 30}) {
-            staysWithin(ColdFleet.single(instances, 1));
-            staysWithin(ColdFleet.single(instances, 1).traffic(1.2, 1.9));
-            staysWithin(ColdFleet.single(instances, 1).traffic(0.05, 20));
+            staysWithin(ColdDay.single(instances, 1));
+            staysWithin(ColdDay.single(instances, 1).traffic(1.2, 1.9));
+            staysWithin(ColdDay.single(instances, 1).traffic(0.05, 20));
         }
-        staysWithin(ColdFleet.ledger(30, 2));
+        staysWithin(ColdDay.ledger(30, 2));
     }
 
     @Test
     void soItDoesWithInstancesToldLateReplacedOrLost() {
-        for (ColdFleet.Day day : List.of(ColdFleet.single(20, 1), ColdFleet.single(30, 1))) {
+        for (ColdDay day : List.of(ColdDay.single(20, 1), ColdDay.single(30, 1))) {
             staysWithin(day.trouble(10, 0, 0));
             staysWithin(day.trouble(2, 0.7, 0));
             staysWithin(day.trouble(2, 0, 0.7));
@@ -54,8 +54,8 @@
     @Test
     void soItDoesWhereSomePartsAreTenTimesAsHeavyAsTheRest() {
         for (int seed = 0; seed < 10; seed++) {
-            double worst = ColdFleet.play(ColdFleet.mixed(2, 1).traffic(0.05, 20), seed)
-                    .worst();
+            double worst =
+                    ColdFleet.play(ColdDay.mixed(2, 1).traffic(0.05, 20), seed).worst();
             assertTrue(worst > 0 && worst <= 1, worst + " of the bound, seed " + seed);
         }
     }
@@ -75,17 +75,17 @@
     }
 
     /** More than the instances' own ceilings keep from cold workers without the rule. */
-    private static ColdFleet.Day flood(int instances) {
-        return ColdFleet.ledger(instances, 1).traffic(0.8, 25);
+    private static ColdDay flood(int instances) {
+        return ColdDay.ledger(instances, 1).traffic(0.8, 25);
     }
 
-    private static void breaks(ColdFleet.Day day) {
+    private static void breaks(ColdDay day) {
         double worst = worst(day);
         assertTrue(worst > 1, worst + " of the bound: " + day);
     }
 
     @Test
     void theSameSeedIsTheSameDay() {
-        assertEquals(ColdFleet.play(ColdFleet.single(20, 1), 5), ColdFleet.play(ColdFleet.single(20, 1), 5));
+        assertEquals(ColdFleet.play(ColdDay.single(20, 1), 5), ColdFleet.play(ColdDay.single(20, 1), 5));
     }
 }
--- a/src/test/java/pepperdock/lab/distribution/SimulationTest.java
+++ b/src/test/java/pepperdock/lab/distribution/SimulationTest.java
@@ -21,7 +21,7 @@
 import pepperdock.distribution.PublisherOutput;
 import pepperdock.distribution.PublisherSettings;
 import pepperdock.distribution.Subscriber;
-import pepperdock.distribution.SubscriberId;
+import pepperdock.distribution.SubscriberIdentity;
 import pepperdock.distribution.SubscriberOutput;
 import pepperdock.distribution.SubscriberSettings;
 import pepperdock.distribution.Validator;
@@ -149,15 +149,14 @@
         private static final Validator NO_COMPLAINT = configuration -> java.util.Optional.empty();
 
         Faulty(
-                SubscriberId id,
-                String region,
+                SubscriberIdentity self,
                 List<ControlMachine> known,
                 SubscriberSettings settings,
                 VersionStore store,
                 SubscriberOutput output,
                 long seed,
                 long now) {
-            super(id, region, known, settings, store, NO_COMPLAINT, output, seed, now);
+            super(self, known, settings, store, NO_COMPLAINT, output, seed, now);
         }
     }
 
@@ -198,15 +197,14 @@
         Planted planted = new OfferingOldVersions(HardCase.OLD_DISK, 1) {
             @Override
             protected Subscriber newSubscriber(
-                    SubscriberId id,
-                    String region,
+                    SubscriberIdentity self,
                     List<ControlMachine> known,
                     SubscriberSettings settings,
                     VersionStore store,
                     SubscriberOutput output,
                     long seed,
                     long now) {
-                return new Faulty(id, region, known, settings, store, output, seed, now) {
+                return new Faulty(self, known, settings, store, output, seed, now) {
                     @Override
                     protected boolean mayFollow(Version next) {
                         return !next.equals(inForce().version());
@@ -229,15 +227,14 @@
         Planted planted = new Planted(HardCase.CALM, 1) {
             @Override
             protected Subscriber newSubscriber(
-                    SubscriberId id,
-                    String region,
+                    SubscriberIdentity self,
                     List<ControlMachine> known,
                     SubscriberSettings settings,
                     VersionStore store,
                     SubscriberOutput output,
                     long seed,
                     long now) {
-                return new Faulty(id, region, known, settings, store, output, seed, now) {
+                return new Faulty(self, known, settings, store, output, seed, now) {
                     @Override
                     protected Configuration applied(Configuration base, Delta delta) {
                         return withoutLastChange(base, delta);
@@ -255,15 +252,14 @@
         Planted planted = new Planted(HardCase.CALM, 1) {
             @Override
             protected Subscriber newSubscriber(
-                    SubscriberId id,
-                    String region,
+                    SubscriberIdentity self,
                     List<ControlMachine> known,
                     SubscriberSettings settings,
                     VersionStore store,
                     SubscriberOutput output,
                     long seed,
                     long now) {
-                return new Faulty(id, region, known, settings, store, output, seed, now) {
+                return new Faulty(self, known, settings, store, output, seed, now) {
                     @Override
                     protected Configuration applied(Configuration base, Delta delta) {
                         return withoutLastChange(base, delta);
@@ -284,15 +280,14 @@
         Planted planted = new Planted(HardCase.CALM, 1) {
             @Override
             protected Subscriber newSubscriber(
-                    SubscriberId id,
-                    String region,
+                    SubscriberIdentity self,
                     List<ControlMachine> known,
                     SubscriberSettings settings,
                     VersionStore store,
                     SubscriberOutput output,
                     long seed,
                     long now) {
-                return new Faulty(id, region, known, settings, store, output, seed, now) {
+                return new Faulty(self, known, settings, store, output, seed, now) {
                     @Override
                     protected boolean mayFollow(Version next) {
                         return inForce().version().equals(Version.NONE) && super.mayFollow(next);
@@ -308,15 +303,14 @@
         Planted planted = new Planted(HardCase.MACHINE_PASSES_NOTHING, 1) {
             @Override
             protected Subscriber newSubscriber(
-                    SubscriberId id,
-                    String region,
+                    SubscriberIdentity self,
                     List<ControlMachine> known,
                     SubscriberSettings settings,
                     VersionStore store,
                     SubscriberOutput output,
                     long seed,
                     long now) {
-                return new Faulty(id, region, known, settings, store, output, seed, now) {
+                return new Faulty(self, known, settings, store, output, seed, now) {
                     @Override
                     protected boolean tooSilent(long silentMillis) {
                         return false;
@@ -368,15 +362,14 @@
         Planted planted = new Planted(HardCase.REGION_CUT, 1) {
             @Override
             protected Subscriber newSubscriber(
-                    SubscriberId id,
-                    String region,
+                    SubscriberIdentity self,
                     List<ControlMachine> known,
                     SubscriberSettings settings,
                     VersionStore store,
                     SubscriberOutput output,
                     long seed,
                     long now) {
-                return new Faulty(id, region, known, settings, store, output, seed, now) {
+                return new Faulty(self, known, settings, store, output, seed, now) {
                     @Override
                     public Age age(long at) {
                         return new Age(0, false);
