Give the laboratory one backend that does nothing in place of three

Cause: three stand-ins of the laboratory each wrote out the same empty methods. InertBackend has them once; run does not load it. Left: Warmup's and the tests' own.

Checked: FleetTest, DataPathTest, NodeListCostTest, PackagesTest.

--- a/src/main/java/pepperdock/lab/SimulatedFleet.java
+++ b/src/main/java/pepperdock/lab/SimulatedFleet.java
@@ -13,10 +13,10 @@
 import pepperdock.config.PlanConfig;
 import pepperdock.core.Ask;
 import pepperdock.core.Attempt;
-import pepperdock.core.Backend;
 import pepperdock.core.Client;
 import pepperdock.core.Gatherer;
 import pepperdock.core.Host;
+import pepperdock.core.InertBackend;
 import pepperdock.core.ManualClock;
 import pepperdock.core.Query;
 import pepperdock.planner.PlannerThread;
@@ -223,7 +223,7 @@
     }
 
     /** One gatherer's way to the nodes. */
-    private final class Wire implements Backend {
+    private final class Wire extends InertBackend {
         private final int gatherer;
         private Gatherer core;
 
@@ -255,17 +255,5 @@
         private double normal() {
             return work.nextGaussian();
         }
-
-        @Override
-        public void cancel(Attempt attempt) {}
-
-        @Override
-        public void probe(String worker) {}
-
-        @Override
-        public void dropConnections(String worker) {}
-
-        @Override
-        public void listed(Map<String, Host> hosts) {}
     }
 }
--- a/src/main/java/pepperdock/lab/scale/DecisionCost.java
+++ b/src/main/java/pepperdock/lab/scale/DecisionCost.java
@@ -3,16 +3,14 @@
 import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import pepperdock.aggregator.Aggregator.ListKind;
 import pepperdock.aggregator.Aggregator.Outcome;
 import pepperdock.core.Ask;
 import pepperdock.core.Attempt;
-import pepperdock.core.Backend;
 import pepperdock.core.Client;
 import pepperdock.core.Gatherer;
-import pepperdock.core.Host;
+import pepperdock.core.InertBackend;
 import pepperdock.core.ManualClock;
 import pepperdock.core.Query;
 
@@ -138,7 +136,7 @@
     }
 
     /** Answers each part after its drawn time, by a timer. */
-    private final class Workers implements Backend {
+    private final class Workers extends InertBackend {
         private final Behaviour behaviour;
 
         private Workers(Behaviour behaviour) {
@@ -155,17 +153,5 @@
                 clock.after(takes, () -> core.ended(a, Outcome.OK, null, VALUE));
             }
         }
-
-        @Override
-        public void cancel(Attempt attempt) {}
-
-        @Override
-        public void probe(String worker) {}
-
-        @Override
-        public void dropConnections(String worker) {}
-
-        @Override
-        public void listed(Map<String, Host> hosts) {}
     }
 }
--- a/src/main/java/pepperdock/lab/scale/NodeListCost.java
+++ b/src/main/java/pepperdock/lab/scale/NodeListCost.java
@@ -5,15 +5,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import pepperdock.aggregator.Aggregator.ListKind;
 import pepperdock.config.HostList;
 import pepperdock.config.Site;
-import pepperdock.core.Attempt;
-import pepperdock.core.Backend;
 import pepperdock.core.Gatherer;
 import pepperdock.core.Host;
+import pepperdock.core.InertBackend;
 import pepperdock.core.ManualClock;
 
 /**
@@ -62,7 +60,7 @@
         change = HostList.write(hosts.subList(0, ONE_CHANGE), site)
                 .replace("\"whole\":true", "\"whole\":false")
                 .getBytes(StandardCharsets.UTF_8);
-        core = new Gatherer(site.module(), 1, clock, new NoBackend(), () -> {});
+        core = new Gatherer(site.module(), 1, clock, new InertBackend(), () -> {});
         core.whenListed(listed -> known = listed.size());
     }
 
@@ -135,22 +133,4 @@
         core.listed(list.whole() ? ListKind.COMPLETE : ListKind.CHANGES, list.hosts());
         clock.advance(site.module().tickS());
     }
-
-    /** Opens nothing and sends nothing. */
-    private static final class NoBackend implements Backend {
-        @Override
-        public void send(String worker, List<Attempt> call) {}
-
-        @Override
-        public void cancel(Attempt attempt) {}
-
-        @Override
-        public void probe(String worker) {}
-
-        @Override
-        public void dropConnections(String worker) {}
-
-        @Override
-        public void listed(Map<String, Host> hosts) {}
-    }
 }
