--- a/review/kit/Bench.java
+++ b/review/kit/Bench.java
@@ -86,6 +86,15 @@
         return Files.createDirectories(temporary.resolve(name));
     }
 
+    /** Deletes the files in a folder of the temporary one. */
+    void empty(String name) throws IOException {
+        try (Stream<Path> files = Files.list(temporary.resolve(name))) {
+            for (Path path : files.toList()) {
+                Files.delete(path);
+            }
+        }
+    }
+
     /** Writes a configuration file and returns its path. */
     Path file(String name, String text) throws IOException {
         return Files.writeString(temporary.resolve(name), text);
