Let an open query keep the estimate of its class instead of the class's number

Cause: the work of a part is estimated by class number. A change of the classes sizes the estimates anew; an open query kept its number in the old list, and PartWork.add threw ArrayIndexOutOfBoundsException out of AdaptiveScheduler.onAttemptResult, after the attempt had ended and before the part counted as answered. Evidence: the trace in the gatherer's log, once for each of these sends, and no other exception there.

Change: a query takes its class's estimate with it and has no class number, so none can go stale; a result is recorded before the policies learn from it, so a fault in what is learnt can't have a part sent again.

--- a/src/main/java/pepperdock/estimate/PartWork.java
+++ b/src/main/java/pepperdock/estimate/PartWork.java
@@ -6,6 +6,9 @@
  * Estimates the work of a part of each class, in seconds, from the time of parts that did not queue. Each class has its
  * own estimate: a single estimate would follow the class with the shortest parts, and would count ten heavy parts as
  * ten light ones.
+ *
+ * <p>Class numbers are valid only for the list of classes that this was created for. Whoever may outlive that list
+ * keeps the {@link ClassEstimate}, which stays valid.
  */
 public final class PartWork {
 
@@ -23,34 +26,48 @@
      */
     private static final int FIRST_PARTS = 16;
 
-    private final double[] workS;
-    private final int[] firstPartsSeen;
+    private final ClassEstimate[] classes;
     private double meanS;
     private int partsInMean;
 
     /** Creates an estimate that starts with the same guess for all classes, in seconds. */
     public PartWork(int classes, double guessS) {
-        workS = new double[classes];
-        Arrays.fill(workS, guessS);
-        firstPartsSeen = new int[classes];
+        this.classes = new ClassEstimate[classes];
+        Arrays.setAll(this.classes, index -> new ClassEstimate(guessS));
         meanS = guessS;
     }
 
-    /** Records a part of a class that was answered after {@code elapsedS}. */
-    public void add(int classIndex, double elapsedS) {
-        double difference = elapsedS - workS[classIndex];
-        double gain = difference < 0 ? SHORTER_GAIN : LONGER_GAIN;
-        if (firstPartsSeen[classIndex] < FIRST_PARTS) {
-            gain = 1.0 / ++firstPartsSeen[classIndex];
+    /** The estimate of one class. It stays usable after the list of classes has been replaced. */
+    public final class ClassEstimate {
+
+        private double workS;
+        private int firstPartsSeen;
+
+        private ClassEstimate(double guessS) {
+            workS = guessS;
+        }
+
+        /** Records a part of the class that was answered after {@code elapsedS}. */
+        public void add(double elapsedS) {
+            double difference = elapsedS - workS;
+            double gain = difference < 0 ? SHORTER_GAIN : LONGER_GAIN;
+            if (firstPartsSeen < FIRST_PARTS) {
+                gain = 1.0 / ++firstPartsSeen;
+            }
+            workS += gain * difference;
+            partsInMean += partsInMean < 1 / MEAN_GAIN ? 1 : 0;
+            meanS += (workS - meanS) / partsInMean;
+        }
+
+        /** Returns the work of a part of the class, in seconds. */
+        public double workS() {
+            return workS;
         }
-        workS[classIndex] += gain * difference;
-        partsInMean += partsInMean < 1 / MEAN_GAIN ? 1 : 0;
-        meanS += (workS[classIndex] - meanS) / partsInMean;
     }
 
-    /** Returns the work of a part of the class, in seconds. */
-    public double estimateS(int classIndex) {
-        return workS[classIndex];
+    /** Returns the estimate of the class with this number in the list of classes that this was created for. */
+    public ClassEstimate ofClass(int classIndex) {
+        return classes[classIndex];
     }
 
     /** Returns the mean over the parts answered, in seconds. */
@@ -60,11 +77,11 @@
 
     /** Returns the work of a part of the lightest class, in seconds. */
     public double minS() {
-        return Arrays.stream(workS).min().orElseThrow();
+        return Arrays.stream(classes).mapToDouble(ClassEstimate::workS).min().orElseThrow();
     }
 
     /** Returns the work of a part of the heaviest class, in seconds. */
     public double maxS() {
-        return Arrays.stream(workS).max().orElseThrow();
+        return Arrays.stream(classes).mapToDouble(ClassEstimate::workS).max().orElseThrow();
     }
 }
--- a/src/main/java/pepperdock/scheduler/AdaptiveScheduler.java
+++ b/src/main/java/pepperdock/scheduler/AdaptiveScheduler.java
@@ -106,13 +106,17 @@
     public void onQuery(QueryArrival arrival) {
         SchedulerSettings settings = context.settings();
         QueryClass queryClass = settings.classes().get(arrival.queryClass());
-        QueryState query = new QueryState(arrival, queryClass, settings.limits().maxAttempts());
+        QueryState query = new QueryState(
+                arrival,
+                queryClass,
+                estimates.partWork().ofClass(arrival.queryClass()),
+                settings.limits().maxAttempts());
         double now = context.nowS();
         double remainingS = arrival.remainingS();
         query.deadlineAtS = now + remainingS;
         query.objectiveAtS = now + Math.min(queryClass.latencyObjectiveS(), remainingS);
         query.halfTimeAtS = now + remainingS / 2;
-        double alreadyWaitedS = freshness.alreadyWaitedS(query.classIndex, queryClass, remainingS);
+        double alreadyWaitedS = freshness.alreadyWaitedS(arrival.queryClass(), queryClass, remainingS);
         query.firstRequestObjectiveAtS =
                 Math.min(query.objectiveAtS, now + queryClass.latencyObjectiveS() - alreadyWaitedS);
         retries.onArrival();
@@ -150,19 +154,18 @@
         attempt.endpoint.lastUsedAtS = context.nowS();
         part.outstanding--;
         limit.onResult();
-        resultHandler.onResult(attempt, result.elapsedS());
-        if (result.outcome() == AttemptOutcome.OK && part.wanted && !part.answered && !part.query.ended) {
-            onPartAnswered(part);
+        boolean answersPart =
+                result.outcome() == AttemptOutcome.OK && part.wanted && !part.answered && !part.query.ended;
+        if (answersPart) {
+            part.answered = true;
+            part.query.coverage += part.weight;
         }
         if (!part.wanted && part.outstanding == 0) {
             queries.remove(part);
         }
-    }
-
-    private void onPartAnswered(PartState part) {
-        part.answered = true;
-        part.query.coverage += part.weight;
-        if (context.nowS() < part.query.objectiveAtS) {
+        // The policies learn last: whatever happens there, a part that is answered is not sent again.
+        resultHandler.onResult(attempt, result.elapsedS());
+        if (answersPart && context.nowS() < part.query.objectiveAtS) {
             limit.onTimelyPart();
         }
     }
--- a/src/main/java/pepperdock/scheduler/AttemptSender.java
+++ b/src/main/java/pepperdock/scheduler/AttemptSender.java
@@ -53,7 +53,7 @@
         if (part.attempts.isEmpty()) {
             policies.outliers.onFirstAttempt();
         }
-        policies.slowStart.onSend(endpoint, part.query.classIndex);
+        policies.slowStart.onSend(endpoint, part.query.classWork.workS());
         AttemptState attempt = new AttemptState(part, endpoint, joinCall(endpoint));
         if (policies.outliers.failureRate(endpoint) > OutlierDetector.CLEARLY_WORSE_RATE
                 && !policies.outliers.isLastResort(part, endpoint)) {
--- a/src/main/java/pepperdock/scheduler/FleetEstimates.java
+++ b/src/main/java/pepperdock/scheduler/FleetEstimates.java
@@ -27,7 +27,10 @@
         resetPartWork();
     }
 
-    /** Discards the estimated work of each class, because the classes have changed. */
+    /**
+     * Discards the estimated work of each class, because the classes have changed. Open queries keep the estimate of
+     * their class, and no longer contribute to those of the new classes.
+     */
     void resetPartWork() {
         int classes = context.settings().classes().size();
         partWork = new PartWork(classes, context.shortestObjectiveS() * INITIAL_PART_TIME_SHARE);
@@ -37,7 +40,7 @@
     void addPartTime(AttemptState attempt, double elapsedS) {
         QueryState query = attempt.part.query;
         partTime.add(elapsedS, query.parts.size());
-        partWork.add(query.classIndex, elapsedS);
+        query.classWork.add(elapsedS);
     }
 
     /** Counts a part that is answered now. */
--- a/src/main/java/pepperdock/scheduler/QueryState.java
+++ b/src/main/java/pepperdock/scheduler/QueryState.java
@@ -2,8 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
-/** A query from its arrival to its final answer. Plain data; times are seconds on the batch clock. */
+import pepperdock.estimate.PartWork;
+
+/**
+ * A query from its arrival to its final answer. Plain data; times are seconds on the batch clock.
+ *
+ * <p>A query may outlive the list of classes in force on its arrival. It therefore holds what it needs of its class, and
+ * not the number of its class, which may mean another class later, or none.
+ */
 final class QueryState {
 
     /** Tolerance for rounding in sums of weights. */
@@ -21,12 +27,12 @@
     /** Number by which {@link PartArrival} refers to the query. */
     final long sequenceNumber;
 
-    /** Index into {@link SchedulerSettings#classes} when the query arrived. */
-    final int classIndex;
-
     /** The class when the query arrived; later changes of the settings don't affect it. */
     final QueryClass queryClass;
 
+    /** Estimated work of a part of the class when the query arrived. */
+    final PartWork.ClassEstimate classWork;
+
     /** Maximum number of attempts at one part. */
     final int maxAttempts;
 
@@ -63,11 +69,11 @@
     /** Parts of the current stage. */
     List<PartState> parts = new ArrayList<>();
 
-    QueryState(QueryArrival arrival, QueryClass queryClass, int maxAttempts) {
+    QueryState(QueryArrival arrival, QueryClass queryClass, PartWork.ClassEstimate classWork, int maxAttempts) {
         id = arrival.id();
         sequenceNumber = arrival.sequenceNumber();
-        classIndex = arrival.queryClass();
         this.queryClass = queryClass;
+        this.classWork = classWork;
         this.maxAttempts = maxAttempts;
     }
 }
--- a/src/main/java/pepperdock/scheduler/SlowStart.java
+++ b/src/main/java/pepperdock/scheduler/SlowStart.java
@@ -59,10 +59,10 @@
                 || endpoint.warmUpAllowance.allows(context.nowS(), workRate(endpoint), maxSavedS(endpoint));
     }
 
-    /** Deducts the work of a part of the class {@code classIndex} that is sent to the endpoint. */
-    void onSend(EndpointRecord endpoint, int classIndex) {
+    /** Deducts the work of a part that is sent to the endpoint, {@code partWorkS} seconds. */
+    void onSend(EndpointRecord endpoint, double partWorkS) {
         if (isWarmingUp(endpoint)) {
-            endpoint.warmUpAllowance.onSend(estimates.partWork().estimateS(classIndex));
+            endpoint.warmUpAllowance.onSend(partWorkS);
         }
     }
 
--- a/src/test/java/pepperdock/estimate/EstimatesTest.java
+++ b/src/test/java/pepperdock/estimate/EstimatesTest.java
@@ -54,24 +54,25 @@
         PartWork work = new PartWork(1, 0.1);
         for (int i = 0; i < 4000; i++) {
             time.add(i % 4 == 0 ? 0.09 : 5, 4);
-            work.add(0, i % 4 == 0 ? 0.09 : 5);
+            work.ofClass(0).add(i % 4 == 0 ? 0.09 : 5);
         }
         assertTrue(time.lowerQuartileS() < 0.2, "lower quartile, expected below 0.2 s: " + time.lowerQuartileS());
         assertTrue(time.meanS() > 3, "mean, expected above 3 s: " + time.meanS());
-        assertTrue(work.estimateS(0) < 1, "estimated work, expected below 1 s: " + work.estimateS(0));
+        double workS = work.ofClass(0).workS();
+        assertTrue(workS < 1, "estimated work, expected below 1 s: " + workS);
     }
 
     @Test
     void workIsEstimatedForEachClassByItself() {
         PartWork work = new PartWork(2, 0.1);
         for (int i = 0; i < 4000; i++) {
-            work.add(i % 10 == 0 ? 1 : 0, i % 10 == 0 ? 0.15 : 0.015);
+            work.ofClass(i % 10 == 0 ? 1 : 0).add(i % 10 == 0 ? 0.15 : 0.015);
         }
-        assertEquals(0.015, work.estimateS(0), 1e-3);
-        assertEquals(0.15, work.estimateS(1), 1e-2);
+        assertEquals(0.015, work.ofClass(0).workS(), 1e-3);
+        assertEquals(0.15, work.ofClass(1).workS(), 1e-2);
         assertEquals(0.0285, work.meanS(), 0.01);
-        assertEquals(work.estimateS(0), work.minS());
-        assertEquals(work.estimateS(1), work.maxS());
+        assertEquals(work.ofClass(0).workS(), work.minS());
+        assertEquals(work.ofClass(1).workS(), work.maxS());
     }
 
     @Test
