Read what is numbered by the configuration by the numbers in use

Change: the core reports that class numbers denote other names, and the scheduler then discards what it learnt by number; the list is read by the settings that the program was started with. Scheduler.updateSettings says what must not change.

ConfigReloaderTest.knownListIsReadByTheZonesInUse failed before (zone 0 where 1 is in use) and passes now. Reordered equal classes: by reading only, no test tells the estimates apart.

--- a/src/main/java/pepperdock/core/Gatherer.java
+++ b/src/main/java/pepperdock/core/Gatherer.java
@@ -63,8 +63,11 @@
      * number of attempts that applied when they arrived.
      */
     public void updateSettings(SchedulerSettings replacement, List<String> names) {
-        settings.replace(replacement, names);
+        boolean renumbered = settings.replace(replacement, names);
         reportSettings();
+        if (renumbered) {
+            batcher.enqueueEvent(Scheduler::onClassesRenumbered);
+        }
     }
 
     /**
--- a/src/main/java/pepperdock/core/SettingsHolder.java
+++ b/src/main/java/pepperdock/core/SettingsHolder.java
@@ -37,9 +37,12 @@
         return settings.withInstances(settings.instances() * processes);
     }
 
-    void replace(SchedulerSettings replacement, List<String> names) {
+    /** Replaces the settings; returns whether some class number now denotes a class of another name, or none. */
+    boolean replace(SchedulerSettings replacement, List<String> names) {
+        boolean renumbered = !names.equals(classNames);
         settings = replacement;
         setClassNames(names);
+        return renumbered;
     }
 
     /**
--- a/src/main/java/pepperdock/scheduler/AdaptiveScheduler.java
+++ b/src/main/java/pepperdock/scheduler/AdaptiveScheduler.java
@@ -193,11 +193,16 @@
         context.updateSettings(settings);
         retries.onSettingsUpdated();
         if (classesChanged) {
-            freshness.reset();
-            estimates.resetPartWork();
+            onClassesRenumbered();
         }
     }
 
+    @Override
+    public void onClassesRenumbered() {
+        freshness.reset();
+        estimates.resetPartWork();
+    }
+
     @Override
     public boolean isAvoided(String endpointId) {
         EndpointRecord endpoint = registry.find(endpointId);
--- a/src/main/java/pepperdock/scheduler/Scheduler.java
+++ b/src/main/java/pepperdock/scheduler/Scheduler.java
@@ -42,9 +42,18 @@
     /** Replaces the planned shares of work; without any, all replicas of a shard have equal shares. */
     void updatePlannedShares(PlannedShares planned);
 
-    /** Replaces classes and limits for queries that arrive from now on; the replica layout and the rules stay. */
+    /**
+     * Replaces classes and limits for queries that arrive from now on, and the rules; the replica layout and the tenants
+     * must be the same as before. Queries in flight keep the class that they arrived with, whatever its number means now.
+     */
     void updateSettings(SchedulerSettings settings);
 
+    /**
+     * Reports that numbers of classes denote other classes than before, although the classes may have the same rules.
+     * What was learnt about a class under its number is discarded.
+     */
+    void onClassesRenumbered();
+
     /**
      * Returns whether an endpoint is ejected and has received no attempt for the longest backoff between two trials.
      */
--- a/src/main/java/pepperdock/service/ConfigReloader.java
+++ b/src/main/java/pepperdock/service/ConfigReloader.java
@@ -12,6 +12,7 @@
 import pepperdock.config.ConfigException;
 import pepperdock.config.ConfigReader;
 import pepperdock.config.DeploymentSettingsReader;
+import pepperdock.config.EndpointListJson;
 import pepperdock.core.WorkerEndpoint;
 
 /**
@@ -48,6 +49,9 @@
     private final ReloadTargets targets;
     private final Consumer<Boolean> reloadListener;
     private final boolean settingsFromStore;
+    /** Settings of the file that the program was started with; some of them stay in use until a restart. */
+    private final ConfigReader startSettings;
+
     private ConfigReader current;
 
     /**
@@ -70,6 +74,7 @@
         this.env = new HashMap<>(env);
         this.env.remove("EDGE_DISCOVERY");
         this.current = current;
+        startSettings = current.optionalObject("settings");
         this.loop = loop;
         this.targets = targets;
     }
@@ -156,7 +161,10 @@
             return () -> targets.discovery().accept(config.discovery());
         }
         if (key.equals("known") && targets.known() != null) {
-            return () -> targets.known().accept(config.known().hosts());
+            // Zones and kinds of the new file wait for a restart, so the list is read by those in use.
+            EndpointListJson known =
+                    EndpointListJson.read(file.requiredObject("known"), DeploymentSettingsReader.read(startSettings));
+            return () -> targets.known().accept(known.hosts());
         }
         if (key.equals("settings") && targets.settings() != null) {
             return () -> targets.settings().accept(config);
--- a/src/test/java/pepperdock/service/ConfigReloaderTest.java
+++ b/src/test/java/pepperdock/service/ConfigReloaderTest.java
@@ -70,6 +70,32 @@
         assertEquals(List.of(true, true, true, true), reloadResults);
     }
 
+    /** Guards against a list whose zones are numbered by the new file, while the zones in use are those of the old one. */
+    @Test
+    void knownListIsReadByTheZonesInUse() throws Exception {
+        String file = """
+                {"name":"n","listen":"127.0.0.4:8000","known":{"hosts":[
+                {"host":"a","dial":"127.0.0.1:1","site":"%s","block":0,"health":"in_service"}]},"settings":%s}""";
+        String settings = TestDeploymentSettings.SETTINGS.replace("[\"room\"]", "%s");
+        Map<String, String> env = Map.of(
+                "EDGE_CONFIG",
+                write(file.formatted("room", settings.formatted("[\"room\",\"hall\"]")))
+                        .toString());
+        List<Integer> zones = new ArrayList<>();
+        ConfigReloader reloader = new ConfigReloader(
+                env,
+                Config.readFile(env),
+                false,
+                Runnable::run,
+                new ConfigReloader.ReloadTargets(
+                        null, hosts -> hosts.forEach(host -> zones.add(host.zone())), null, to -> {}),
+                reloadResults::add);
+        write(file.formatted("hall", settings.formatted("[\"hall\",\"room\"]")));
+        reloader.reload();
+        assertEquals(List.of(true), reloadResults);
+        assertEquals(List.of(1), zones);
+    }
+
     /** Applies classes that were added, removed or given another effect, and a lower number of attempts. */
     @Test
     void appliesChangedClassesAndFewerAttempts() throws Exception {
