Keep a failing event, decision, call or answer from costing other queries theirs

Change: InternalFailures guards these steps in the core, counts each exception (svc.internal_failures) and logs it with its trace; DecisionGuard does so for each query in the scheduler. A query that can't be decided is ended at once; an answer that can't be given becomes a failure. An attempt is counted by the scheduler only once it is sent.

--- a/src/main/java/pepperdock/core/AttemptLifecycle.java
+++ b/src/main/java/pepperdock/core/AttemptLifecycle.java
@@ -11,9 +11,11 @@
     private final Clock clock;
     private final Backend backend;
     private final EventBatcher batcher;
+    private final InternalFailures failures;
     private ObjDoubleConsumer<Attempt> servedListener = (attempt, elapsedS) -> {};
 
-    AttemptLifecycle(Clock clock, Backend backend, EventBatcher batcher) {
+    AttemptLifecycle(Clock clock, Backend backend, EventBatcher batcher, InternalFailures failures) {
+        this.failures = failures;
         this.clock = clock;
         this.backend = backend;
         this.batcher = batcher;
@@ -45,26 +47,28 @@
         }
         double elapsedS = clock.now() - attempt.decidedAt;
         if (outcome == AttemptOutcome.OK) {
-            servedListener.accept(attempt, elapsedS);
+            failures.run("a listener recorded a served attempt", () -> servedListener.accept(attempt, elapsedS));
         }
         batcher.enqueueEvent(scheduler -> {
             Part part = attempt.part();
-            if (outcome == AttemptOutcome.OK) {
-                storeValue(attempt, value);
-            }
+            boolean unused = outcome == AttemptOutcome.OK && !storeValue(attempt, value);
             scheduler.onAttemptResult(
                     new AttemptResult(part.id, attempt.number, attempt.worker, outcome, elapsedS, report));
+            if (unused) {
+                backend.releaseUnusedAnswer(attempt, value);
+            }
         });
     }
 
-    private void storeValue(Attempt attempt, byte[] value) {
+    /** Stores the value in the attempt's part; returns false if the part does not need it. */
+    private static boolean storeValue(Attempt attempt, byte[] value) {
         Part part = attempt.part();
-        if (part.value == null && !part.query().ended) {
-            part.value = value;
-            part.servedBy = attempt.worker;
-        } else {
-            backend.releaseUnusedAnswer(attempt, value);
+        if (part.value != null || part.query().ended) {
+            return false;
         }
+        part.value = value;
+        part.servedBy = attempt.worker;
+        return true;
     }
 
     /** Ends an attempt that has no outcome yet, and cancels it in the backend if it was handed over. */
@@ -72,7 +76,7 @@
         if (!attempt.hasEnded()) {
             onAttemptEnded(attempt, outcome, LoadReport.NONE, null);
             if (attempt.handedToBackend) {
-                backend.cancel(attempt);
+                failures.run("the backend cancelled an attempt", () -> backend.cancel(attempt));
             }
         }
     }
--- a/src/main/java/pepperdock/core/CallDispatcher.java
+++ b/src/main/java/pepperdock/core/CallDispatcher.java
@@ -20,6 +20,7 @@
     private final SettingsHolder settings;
     private final KnownEndpoints endpoints;
     private final AttemptLifecycle attempts;
+    private final InternalFailures failures;
     /** Attempts decided on in this batch, by worker, in the order of the decisions. */
     private final Map<String, List<Attempt>> pendingAttempts = new LinkedHashMap<>();
 
@@ -28,7 +29,9 @@
             Backend backend,
             SettingsHolder settings,
             KnownEndpoints endpoints,
-            AttemptLifecycle attempts) {
+            AttemptLifecycle attempts,
+            InternalFailures failures) {
+        this.failures = failures;
         this.clock = clock;
         this.backend = backend;
         this.settings = settings;
@@ -84,16 +87,29 @@
         Map<String, List<Attempt>> batch = new LinkedHashMap<>(pendingAttempts);
         pendingAttempts.clear();
         batch.forEach((worker, decided) -> {
-            List<Attempt> startable = retainStartable(decided);
-            int maxPartsPerCall = settings.current().layout().maxPartsPerCall();
-            for (int i = 0; i < startable.size(); i += maxPartsPerCall) {
-                List<Attempt> call = startable.subList(i, Math.min(startable.size(), i + maxPartsPerCall));
-                call.forEach(attempt -> attempt.handedToBackend = true);
-                backend.sendCall(worker, call);
+            if (!failures.run("calls to a worker were sent", () -> dispatchCalls(worker, decided))) {
+                endAfterFailure(decided);
             }
         });
     }
 
+    private void dispatchCalls(String worker, List<Attempt> decided) {
+        List<Attempt> startable = retainStartable(decided);
+        int maxPartsPerCall = settings.current().layout().maxPartsPerCall();
+        for (int i = 0; i < startable.size(); i += maxPartsPerCall) {
+            List<Attempt> call = startable.subList(i, Math.min(startable.size(), i + maxPartsPerCall));
+            call.forEach(attempt -> attempt.handedToBackend = true);
+            backend.sendCall(worker, call);
+        }
+    }
+
+    /** Ends the attempts that a failure has left without an outcome; those handed to the backend may have been sent. */
+    private void endAfterFailure(List<Attempt> decided) {
+        for (Attempt attempt : decided) {
+            attempts.abandonAttempt(attempt, attempt.handedToBackend ? AttemptOutcome.RESET : AttemptOutcome.NOT_SENT);
+        }
+    }
+
     /**
      * Returns those attempts that may start now; the others end as not sent. Polls their clients first: a disconnect
      * that the kernel has received, but that this thread was too busy to read, still precedes the attempt.
--- a/src/main/java/pepperdock/core/DecisionExecutor.java
+++ b/src/main/java/pepperdock/core/DecisionExecutor.java
@@ -80,6 +80,11 @@
         }
     }
 
+    @Override
+    public void onDecisionFailed(long queryId, RuntimeException cause) {
+        queries.onDecisionFailed(queryId, cause);
+    }
+
     @Override
     public void checkHealth(String worker) {
         backend.checkHealth(worker);
--- a/src/main/java/pepperdock/core/EventBatcher.java
+++ b/src/main/java/pepperdock/core/EventBatcher.java
@@ -12,21 +12,24 @@
  */
 final class EventBatcher {
 
-    private static final System.Logger LOG = System.getLogger("pepperdock.core");
+    /** An event, and what to do if it can't be processed. */
+    private record Event(Consumer<Scheduler> report, Runnable onFailure) {}
 
     private final Clock clock;
     private final SettingsHolder settings;
+    private final InternalFailures failures;
     private Scheduler scheduler;
     private Runnable afterBatch;
-    private List<Consumer<Scheduler>> pendingEvents = new ArrayList<>();
+    private List<Event> pendingEvents = new ArrayList<>();
     private boolean closeScheduled;
     private boolean reportingBatch;
     private double batchTime;
     private double lastCloseAt = Double.NEGATIVE_INFINITY;
 
-    EventBatcher(Clock clock, SettingsHolder settings) {
+    EventBatcher(Clock clock, SettingsHolder settings, InternalFailures failures) {
         this.clock = clock;
         this.settings = settings;
+        this.failures = failures;
     }
 
     /**
@@ -53,7 +56,12 @@
      * following batch.
      */
     void enqueueEvent(Consumer<Scheduler> event) {
-        pendingEvents.add(event);
+        enqueueEvent(event, () -> {});
+    }
+
+    /** Like {@link #enqueueEvent(Consumer)}; {@code onFailure} runs if the scheduler fails to process the event. */
+    void enqueueEvent(Consumer<Scheduler> event, Runnable onFailure) {
+        pendingEvents.add(new Event(event, onFailure));
         if (!closeScheduled) {
             closeScheduled = true;
             double delayS = Math.max(0, lastCloseAt + settings.current().tickS() - clock.now());
@@ -64,26 +72,26 @@
     private void closeBatch() {
         closeScheduled = false;
         reportingBatch = true;
-        List<Consumer<Scheduler>> events = pendingEvents;
+        List<Event> events = pendingEvents;
         pendingEvents = new ArrayList<>();
         batchTime = clock.now();
         lastCloseAt = batchTime;
         deliver(target -> target.beginBatch(batchTime));
-        events.forEach(this::deliver);
+        for (Event event : events) {
+            if (!deliver(event.report())) {
+                event.onFailure().run();
+            }
+        }
         deliver(Scheduler::endBatch);
         reportingBatch = false;
         afterBatch.run();
     }
 
     /**
-     * Passes an event to the scheduler and logs a runtime exception that it throws. It must not end the thread; the
-     * deadline guards answer the queries that are left undecided.
+     * Passes an event to the scheduler and records a runtime exception that it throws, which must not keep the other
+     * events of the batch from it. Returns whether there was none.
      */
-    private void deliver(Consumer<Scheduler> event) {
-        try {
-            event.accept(scheduler);
-        } catch (RuntimeException e) {
-            LOG.log(System.Logger.Level.ERROR, "scheduler failed to process an event of a batch", e);
-        }
+    private boolean deliver(Consumer<Scheduler> event) {
+        return failures.run("the scheduler processed an event of a batch", () -> event.accept(scheduler));
     }
 }
--- a/src/main/java/pepperdock/core/Gatherer.java
+++ b/src/main/java/pepperdock/core/Gatherer.java
@@ -40,11 +40,12 @@
      */
     public Gatherer(SchedulerSettings settings, long seed, Clock clock, Backend backend, EndpointDiscovery discovery) {
         this.settings = new SettingsHolder(settings, metrics);
-        batcher = new EventBatcher(clock, this.settings);
-        endpoints = new KnownEndpoints(clock, backend, batcher);
-        attempts = new AttemptLifecycle(clock, backend, batcher);
-        dispatcher = new CallDispatcher(clock, backend, this.settings, endpoints, attempts);
-        queries = new QueryLifecycle(clock, this.settings, metrics, batcher, attempts, registry);
+        InternalFailures failures = new InternalFailures(clock, metrics);
+        batcher = new EventBatcher(clock, this.settings, failures);
+        endpoints = new KnownEndpoints(clock, backend, batcher, failures);
+        attempts = new AttemptLifecycle(clock, backend, batcher, failures);
+        dispatcher = new CallDispatcher(clock, backend, this.settings, endpoints, attempts, failures);
+        queries = new QueryLifecycle(clock, this.settings, metrics, batcher, attempts, registry, failures);
         scheduler = Scheduler.create(
                 settings,
                 seed,
--- a/src/main/java/pepperdock/core/KnownEndpoints.java
+++ b/src/main/java/pepperdock/core/KnownEndpoints.java
@@ -34,6 +34,7 @@
     private final Clock clock;
     private final Backend backend;
     private final EventBatcher batcher;
+    private final InternalFailures failures;
     private final Map<String, WorkerEndpoint> listedEndpoints = new LinkedHashMap<>();
     private final Set<String> bannedEndpoints = new LinkedHashSet<>();
     /** Times at which ids left the list, in seconds on the clock, earliest first. */
@@ -41,7 +42,8 @@
 
     private Consumer<Collection<WorkerEndpoint>> listener = endpoints -> {};
 
-    KnownEndpoints(Clock clock, Backend backend, EventBatcher batcher) {
+    KnownEndpoints(Clock clock, Backend backend, EventBatcher batcher, InternalFailures failures) {
+        this.failures = failures;
         this.clock = clock;
         this.backend = backend;
         this.batcher = batcher;
@@ -60,9 +62,11 @@
         entries.forEach(this::apply);
         forgetDeparted();
         if (kind != EndpointListKind.FAILED) {
-            updateBackend();
+            // The scheduler has to receive the list whatever happens to the others that do.
+            failures.run("the backend applied an endpoint list", this::updateBackend);
             if (kind != EndpointListKind.CACHED) {
-                listener.accept(List.copyOf(listedEndpoints.values()));
+                List<WorkerEndpoint> listed = List.copyOf(listedEndpoints.values());
+                failures.run("a listener applied an endpoint list", () -> listener.accept(listed));
             }
         }
         List<Endpoint> endpoints = entries.stream().map(this::forScheduler).toList();
@@ -144,7 +148,7 @@
         if (!bannedEndpoints.equals(ids)) {
             bannedEndpoints.clear();
             bannedEndpoints.addAll(ids);
-            updateBackend();
+            failures.run("the backend applied a change of the bans", this::updateBackend);
             // Reported as cached, because no list has arrived from discovery and the state of its watch is unchanged.
             List<Endpoint> endpoints =
                     listedEndpoints.values().stream().map(this::forScheduler).toList();
--- a/src/main/java/pepperdock/core/LogRateLimiter.java
+++ b/src/main/java/pepperdock/core/LogRateLimiter.java
@@ -36,13 +36,18 @@
 
     /** Writes the line or counts it as suppressed; {@code text} is evaluated only for a line that is written. */
     public void log(System.Logger.Level level, Supplier<String> text) {
+        log(level, text, null);
+    }
+
+    /** Like {@link #log(System.Logger.Level, Supplier)}, with the stack trace of {@code cause} unless that is null. */
+    public void log(System.Logger.Level level, Supplier<String> text, Throwable cause) {
         double now = clock.now();
         if (now - windowStart > WINDOW_S) {
             windowStart = now;
             linesInWindow = 0;
         }
         if (++linesInWindow <= MAX_LINES_PER_SECOND) {
-            logger.log(level, text);
+            logger.log(level, text, cause);
         } else if (++suppressed == 1) {
             clock.after(WINDOW_S, this::logSuppressed);
         }
--- a/src/main/java/pepperdock/core/Metrics.java
+++ b/src/main/java/pepperdock/core/Metrics.java
@@ -6,9 +6,9 @@
 import java.util.Map;
 
 /**
- * Counters of a gatherer since its start. Each event is counted once, where it happens. At any moment the number of
- * queries submitted equals the number that have ended, with one of the four outcomes, plus the number in flight. Owned
- * by the gatherer's thread.
+ * Counters of a gatherer since its start. Each event is counted once, where it happens. The number of queries submitted
+ * equals the number that have ended, with one of the four outcomes, plus the number in flight, except while an answer is
+ * being given. Owned by the gatherer's thread.
  */
 public final class Metrics {
 
@@ -45,6 +45,7 @@
 
     private long submitted;
     private long attempts;
+    private long internalFailures;
 
     /** Adds a class of the current settings; a new class is counted from 0. The classes added last are kept longest. */
     void addClass(String className) {
@@ -89,6 +90,15 @@
                 .sum();
     }
 
+    void recordInternalFailure() {
+        internalFailures++;
+    }
+
+    /** Returns the number of exceptions that showed a fault of this program and were kept from affecting others. */
+    public long internalFailures() {
+        return internalFailures;
+    }
+
     /** Returns the number of attempts whose last byte was handed to the operating system. */
     public long attempts() {
         return attempts;
--- a/src/main/java/pepperdock/core/QueryLifecycle.java
+++ b/src/main/java/pepperdock/core/QueryLifecycle.java
@@ -5,6 +5,7 @@
 import pepperdock.scheduler.PartArrival;
 import pepperdock.scheduler.QueryArrival;
 import pepperdock.scheduler.RetrySafety;
+import pepperdock.scheduler.Scheduler;
 
 /**
  * Accepts or rejects queries on arrival and gives each one its only final answer: on the scheduler's decision, when the
@@ -32,6 +33,7 @@
     private final QueryRegistry registry;
     private final LogRateLimiter endingLog;
     private final LogRateLimiter rejectionLog;
+    private final InternalFailures failures;
     private boolean shuttingDown;
 
     QueryLifecycle(
@@ -40,7 +42,9 @@
             Metrics metrics,
             EventBatcher batcher,
             AttemptLifecycle attempts,
-            QueryRegistry registry) {
+            QueryRegistry registry,
+            InternalFailures failures) {
+        this.failures = failures;
         this.clock = clock;
         this.settings = settings;
         this.metrics = metrics;
@@ -91,7 +95,7 @@
                                 : "in-flight limit reached, " + registry.capacityInUse() + " of "
                                         + settings.current().limits().maxQueriesAndParts()
                                         + " queries and parts in flight"));
-        clock.after(0, () -> query.listener.onRejected(query, retryAfterS()));
+        clock.after(0, () -> giveAnswer(query, () -> query.listener.onRejected(query, retryAfterS())));
     }
 
     private void accept(Query query) {
@@ -99,27 +103,34 @@
         registry.add(query);
         query.deadlineGuard = clock.after(request.timeoutS() + DEADLINE_GUARD_DELAY_S, () -> failUndecided(query));
         long arrivalNumber = registry.nextArrivalNumber();
-        batcher.enqueueEvent(scheduler -> {
-            if (!query.ended) {
-                scheduler.onQuery(new QueryArrival(
-                        query.id,
-                        request.queryClass(),
-                        SOLE_TENANT,
-                        request.idempotencyKey(),
-                        query.deadline - batcher.batchTime(),
-                        arrivalNumber,
-                        query.parts.size()));
-                for (Part part : query.parts) {
-                    scheduler.onPart(new PartArrival(part.id, arrivalNumber, part.shard(), part.weight()));
-                }
-            }
-        });
+        batcher.enqueueEvent(
+                scheduler -> {
+                    if (!query.ended) {
+                        reportArrival(scheduler, query, arrivalNumber);
+                    }
+                },
+                () -> abort(query));
+    }
+
+    private void reportArrival(Scheduler scheduler, Query query, long arrivalNumber) {
+        scheduler.onQuery(new QueryArrival(
+                query.id,
+                query.request().queryClass(),
+                SOLE_TENANT,
+                query.request().idempotencyKey(),
+                query.deadline - batcher.batchTime(),
+                arrivalNumber,
+                query.parts.size()));
+        for (Part part : query.parts) {
+            scheduler.onPart(new PartArrival(part.id, arrivalNumber, part.shard(), part.weight()));
+        }
     }
 
     /** Ends a query whose client has disconnected; has no effect if the query has ended. */
     void onClientGone(Query query) {
         if (!query.ended) {
-            end(query, Metrics.QueryOutcome.CLIENT_GONE);
+            end(query);
+            metrics.recordEnded(query.className, Metrics.QueryOutcome.CLIENT_GONE);
             logEnding("cancelled by its client", query);
             cancelInScheduler(query);
         }
@@ -135,9 +146,33 @@
                     System.Logger.Level.WARNING,
                     "query {0} failed by the deadline guard: the scheduler made no decision by its deadline",
                     query.request().id());
-            end(query, Metrics.QueryOutcome.FAILED);
+            end(query);
             cancelInScheduler(query);
-            query.listener.onFailed(query, true);
+            giveFailure(query, true);
+        }
+    }
+
+    /** Records a decision of the scheduler that failed, and ends its query, if it concerned one that is in flight. */
+    void onDecisionFailed(long queryId, RuntimeException cause) {
+        failures.record("the scheduler decided on a query", cause);
+        Query query = registry.query(queryId);
+        if (query != null) {
+            abort(query);
+        }
+    }
+
+    /**
+     * Ends a query that can't be decided any more because of a fault of this program. The scheduler may have lost track
+     * of it, so its attempts are abandoned here.
+     */
+    private void abort(Query query) {
+        if (!query.ended) {
+            boolean repeatable = isRepeatable(query);
+            end(query);
+            abandonAttempts(query);
+            logEnding("aborted after an internal failure", query);
+            cancelInScheduler(query);
+            giveAnswerWithoutParts(query, repeatable);
         }
     }
 
@@ -149,14 +184,10 @@
         shuttingDown = true;
         for (Query query : registry.queries()) {
             boolean repeatable = isRepeatable(query);
-            end(query, repeatable ? Metrics.QueryOutcome.REJECTED : Metrics.QueryOutcome.FAILED);
+            end(query);
             logEnding("ended at shutdown", query);
             cancelInScheduler(query);
-            if (repeatable) {
-                query.listener.onRejected(query, retryAfterS());
-            } else {
-                query.listener.onFailed(query, false);
-            }
+            giveAnswerWithoutParts(query, repeatable);
         }
     }
 
@@ -171,24 +202,55 @@
 
     /** Ends a query in flight with an answer from the values received so far. */
     void answer(Query query, boolean complete) {
-        end(query, Metrics.QueryOutcome.SERVED);
-        query.listener.onAnswer(query, complete);
+        end(query);
+        boolean served = giveAnswer(query, () -> query.listener.onAnswer(query, complete));
+        metrics.recordEnded(query.className, served ? Metrics.QueryOutcome.SERVED : Metrics.QueryOutcome.FAILED);
     }
 
     /** Ends a query in flight as rejected. */
     void reject(Query query, double retryAfterS) {
-        end(query, Metrics.QueryOutcome.REJECTED);
+        end(query);
         logEnding("rejected", query);
-        query.listener.onRejected(query, retryAfterS);
+        giveRejection(query, retryAfterS);
     }
 
     /** Ends a query in flight as failed. */
     void fail(Query query) {
-        end(query, Metrics.QueryOutcome.FAILED);
+        end(query);
         logEnding("failed", query);
         boolean overdue =
                 clock.now() >= query.deadline - settings.current().rules().answerSlackS();
-        query.listener.onFailed(query, overdue);
+        giveFailure(query, overdue);
+    }
+
+    private void giveAnswerWithoutParts(Query query, boolean repeatable) {
+        if (repeatable) {
+            giveRejection(query, retryAfterS());
+        } else {
+            giveFailure(query, false);
+        }
+    }
+
+    private void giveRejection(Query query, double retryAfterS) {
+        boolean rejected = giveAnswer(query, () -> query.listener.onRejected(query, retryAfterS));
+        metrics.recordEnded(query.className, rejected ? Metrics.QueryOutcome.REJECTED : Metrics.QueryOutcome.FAILED);
+    }
+
+    private void giveFailure(Query query, boolean overdue) {
+        giveAnswer(query, () -> query.listener.onFailed(query, overdue));
+        metrics.recordEnded(query.className, Metrics.QueryOutcome.FAILED);
+    }
+
+    /**
+     * Gives a query, which has ended, its final answer; returns whether that succeeded. The query is no longer in flight
+     * by now, so nothing else would answer it: an answer that can't be given is replaced by a failure.
+     */
+    private boolean giveAnswer(Query query, Runnable answer) {
+        boolean given = failures.run("a query was answered", answer);
+        if (!given) {
+            failures.run("a query was answered as failed", () -> query.listener.onFailed(query, false));
+        }
+        return given;
     }
 
     /**
@@ -196,16 +258,19 @@
      * itself; otherwise this method abandons them. The parts stay registered until the next batch, because the
      * scheduler may still refer to them.
      */
-    private void end(Query query, Metrics.QueryOutcome outcome) {
+    private void end(Query query) {
         query.ended = true;
-        metrics.recordEnded(query.className, outcome);
         query.deadlineGuard.cancel();
         registry.remove(query);
         batcher.enqueueEvent(scheduler -> registry.removeParts(query));
         if (!batcher.isReportingBatch()) {
-            for (Part part : query.parts) {
-                part.attempts.forEach(attempt -> attempts.abandonAttempt(attempt, AttemptOutcome.CANCELLED));
-            }
+            abandonAttempts(query);
+        }
+    }
+
+    private void abandonAttempts(Query query) {
+        for (Part part : query.parts) {
+            part.attempts.forEach(attempt -> attempts.abandonAttempt(attempt, AttemptOutcome.CANCELLED));
         }
     }
 
--- a/src/main/java/pepperdock/core/QueryListener.java
+++ b/src/main/java/pepperdock/core/QueryListener.java
@@ -2,7 +2,9 @@
 
 /**
  * Receives the final answer of one query on behalf of its client. Exactly one of {@link #onAnswer}, {@link #onRejected}
- * and {@link #onFailed} is called, once, unless the client disconnects first. Called on the gatherer's thread.
+ * and {@link #onFailed} is called, once, unless the client disconnects first. If the method called throws an exception,
+ * {@link #onFailed} is called in its place, so that the client gets an answer all the same; it must then have no effect
+ * where an answer has been sent. Called on the gatherer's thread.
  */
 public interface QueryListener {
 
--- a/src/main/java/pepperdock/operator/MetricsText.java
+++ b/src/main/java/pepperdock/operator/MetricsText.java
@@ -30,6 +30,7 @@
         line(text, "in_progress", core.inFlightQueries());
         line(text, "known_workers", core.listedEndpointCount());
         line(text, "skipped_workers", core.avoidedEndpointCount());
+        line(text, "internal_failures", metrics.internalFailures());
         line(text, "loads", reloads);
         line(text, "load_errors", rejectedReloads);
         return text.toString();
--- a/src/main/java/pepperdock/scheduler/AdaptiveScheduler.java
+++ b/src/main/java/pepperdock/scheduler/AdaptiveScheduler.java
@@ -33,6 +33,7 @@
     private final AttemptResultHandler resultHandler;
     private final OverdueDetector overdueDetector;
     private final QueryFinisher finisher;
+    private final DecisionGuard guard;
     private final QueryReviewer reviewer;
     private final AdmissionController admission;
 
@@ -69,6 +70,7 @@
                 new AttemptSender.Policies(deadlines, outliers, idleConnections, limit, slowStart, retries, hedging));
         selector = new ReplicaSelector(registry, outliers, hedging, sender, random);
         finisher = new QueryFinisher(context, actions, queries);
+        guard = new DecisionGuard(actions, finisher);
         CompletionPolicy completion = new CompletionPolicy(context, registry, estimates, deadlines, retries, finisher);
         reviewer = new QueryReviewer(actions, hedging, selector, completion);
         QueryDispatcher dispatcher =
@@ -227,14 +229,14 @@
         }
         decideArrivals();
         if (!context.stalled()) {
-            overdueDetector.checkAll();
+            guard.run(overdueDetector::checkAll);
         }
         for (QueryState query : List.copyOf(queries.open())) {
             if (query.dispatched && !query.ended) {
-                reviewer.review(query);
+                guard.run(query, reviewer::review);
             }
         }
-        admission.dispatchQueued(queries);
+        admission.dispatchQueued(queries, guard);
         if (!queries.isEmpty() || !listPoller.isWatching()) {
             sweepTimer.arm(context.nowS(), settings.tickS());
         }
@@ -242,19 +244,22 @@
 
     private void decideArrivals() {
         for (QueryState query : arrivals) {
-            if (query.ended) {
-                continue;
-            }
-            limit.onQuery(query.parts.size());
-            if (shedder.shouldReject(query)) {
-                finisher.endWithoutAnswer(query);
-            } else {
-                admission.onArrival(query);
+            if (!query.ended) {
+                guard.run(query, this::decideArrival);
             }
         }
         arrivals.clear();
     }
 
+    private void decideArrival(QueryState query) {
+        limit.onQuery(query.parts.size());
+        if (shedder.shouldReject(query)) {
+            finisher.endWithoutAnswer(query);
+        } else {
+            admission.onArrival(query);
+        }
+    }
+
     /** Returns the number of endpoints with a record: those listed, and those removed with attempts outstanding. */
     int knownEndpointCount() {
         return registry.all().size();
--- a/src/main/java/pepperdock/scheduler/AdmissionController.java
+++ b/src/main/java/pepperdock/scheduler/AdmissionController.java
@@ -69,17 +69,26 @@
      * Rejects queued queries that would be answered too late, and dispatches the others in order while the limit has
      * room.
      */
-    void dispatchQueued(QueryTable queries) {
+    void dispatchQueued(QueryTable queries, DecisionGuard guard) {
         for (QueryState query : queue) {
-            if (!query.ended && (isTooLate(query) || completion.hasReachedNoEndpoint(query))) {
-                finisher.endWithoutAnswer(query);
+            if (!query.ended) {
+                guard.run(query, this::rejectIfHopeless);
             }
         }
         queue.removeIf(query -> query.ended);
         while (!queue.isEmpty() && limit.hasRoom(1)) {
             QueryState head = queue.removeFirst();
             long running = queries.dispatchedCount();
-            dispatcher.dispatch(head, fanOut.countForQueuedQuery(head, limit.limit(), queue.size(), running));
+            guard.run(
+                    head,
+                    query -> dispatcher.dispatch(
+                            query, fanOut.countForQueuedQuery(query, limit.limit(), queue.size(), running)));
+        }
+    }
+
+    private void rejectIfHopeless(QueryState query) {
+        if (isTooLate(query) || completion.hasReachedNoEndpoint(query)) {
+            finisher.endWithoutAnswer(query);
         }
     }
 
--- a/src/main/java/pepperdock/scheduler/AttemptSender.java
+++ b/src/main/java/pepperdock/scheduler/AttemptSender.java
@@ -60,11 +60,12 @@
             attempt.trial = true;
             policies.outliers.onTrial(endpoint);
         }
+        // Counted only once it is sent: no result would ever end one that was not.
+        actions.sendAttempt(part.id, endpoint.id, policies.deadlines.answerUntilS(part.query));
         part.attempts.add(attempt);
         endpoint.outstanding.add(attempt);
         part.outstanding++;
         policies.limit.onSend();
-        actions.sendAttempt(part.id, endpoint.id, policies.deadlines.answerUntilS(part.query));
         return true;
     }
 
--- a/src/main/java/pepperdock/scheduler/SchedulerActions.java
+++ b/src/main/java/pepperdock/scheduler/SchedulerActions.java
@@ -6,6 +6,9 @@
  */
 public interface SchedulerActions {
 
+    /** Stands for no query in {@link #onDecisionFailed}. */
+    long NO_QUERY = Long.MIN_VALUE;
+
     /**
      * Sends an attempt at a part. Its number is the count of earlier attempts at the part.
      *
@@ -35,6 +38,16 @@
     /** Fails a query that may or may not have had an effect; this ends the query. */
     void failQuery(long query);
 
+    /**
+     * Reports that a decision failed with an exception, which is a fault of the scheduler; this ends the query. Other
+     * queries are decided as usual.
+     *
+     * @param query {@link QueryArrival#id}, or {@link #NO_QUERY} if the decision concerned none in particular
+     */
+    default void onDecisionFailed(long query, RuntimeException cause) {
+        throw cause;
+    }
+
     /**
      * Sends a health check to an endpoint. {@link AdaptiveScheduler} judges endpoints by their attempts and sends none.
      */
--- a/src/test/java/pepperdock/core/ChangedClassesTest.java
+++ b/src/test/java/pepperdock/core/ChangedClassesTest.java
@@ -70,6 +70,7 @@
         assertEquals(List.of("answered true 1", "answered true 1", "answered true 1"), fixture.answers);
         assertEquals(List.of(), fixture.attemptsInFlight());
         assertEquals(3, fixture.calls.stream().mapToInt(List::size).sum(), "sends");
+        assertEquals(0, fixture.gatherer.metrics().internalFailures());
     }
 
     /** Guards against a part that fails after the change and is not retried, for the same reason. */
--- a/src/test/java/pepperdock/core/GathererFixture.java
+++ b/src/test/java/pepperdock/core/GathererFixture.java
@@ -1,8 +1,10 @@
 package pepperdock.core;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.IntStream;
 import pepperdock.config.TestDeploymentSettings;
 import pepperdock.scheduler.AttemptOutcome;
@@ -20,6 +22,9 @@
     final List<List<Attempt>> calls = new ArrayList<>();
     final List<Attempt> cancelled = new ArrayList<>();
     final List<String> answers = new ArrayList<>();
+    /** Workers to which every call fails with an exception. */
+    final Set<String> failingWorkers = new HashSet<>();
+
     int watchCalls;
     final Gatherer gatherer =
             new Gatherer(TestDeploymentSettings.small().scheduler(), 7, clock, this, () -> watchCalls++);
@@ -69,6 +74,9 @@
 
     @Override
     public void sendCall(String worker, List<Attempt> call) {
+        if (failingWorkers.contains(worker)) {
+            throw new IllegalStateException("injected");
+        }
         calls.add(List.copyOf(call));
     }
 
--- a/src/test/java/pepperdock/scheduler/AdaptiveSchedulerTest.java
+++ b/src/test/java/pepperdock/scheduler/AdaptiveSchedulerTest.java
@@ -27,6 +27,53 @@
         assertEquals(List.of("reject 5"), fixture.actions.endings(5));
     }
 
+    /** Guards against queries that are never decided because a decision about another one of the batch failed. */
+    @Test
+    void decisionThatFailsEndsItsOwnQueryOnly() {
+        SchedulerFixture fixture = new SchedulerFixture();
+        fixture.actions.failingPart = 200;
+        fixture.start("a", "b");
+        for (int query = 1; query <= 3; query++) {
+            fixture.query(query, 6, 1.0);
+        }
+        fixture.scheduler.endBatch();
+        fixture.sweep(100.1);
+        assertEquals(List.of(100L, 300L), fixture.actions.sentParts());
+        fixture.beginBatch(100.2);
+        fixture.endAttempt(100, 0, AttemptOutcome.OK, 0.2);
+        fixture.endAttempt(300, 0, AttemptOutcome.OK, 0.2);
+        fixture.scheduler.endBatch();
+        assertEquals(List.of("answer 1 true"), fixture.actions.endings(1));
+        assertEquals(List.of("answer 3 true"), fixture.actions.endings(3));
+        assertEquals(1, fixture.actions.count("decision failed 2"));
+        assertEquals(1, fixture.actions.count("decision failed"));
+    }
+
+    /**
+     * Guards against a query that waits for a free slot and is neither dispatched nor rejected any more, and against
+     * those behind it, because its dispatch failed.
+     */
+    @Test
+    void dispatchOfAQueuedQueryThatFailsDoesNotHoldUpTheQueue() {
+        SchedulerFixture fixture = SchedulerFixture.atConcurrencyLimit(1);
+        fixture.actions.failingPart = 300;
+        fixture.query(3, 6, SchedulerFixture.equalWeights(8));
+        fixture.query(4, 6, SchedulerFixture.equalWeights(8));
+        fixture.scheduler.endBatch();
+        assertEquals(0, fixture.actions.count("decision failed"));
+        fixture.beginBatch(fixture.now + 0.05);
+        for (long part : SchedulerFixture.partIds(2, 8)) {
+            fixture.endAttempt(part, 0, AttemptOutcome.OK, 0.05);
+        }
+        fixture.scheduler.endBatch();
+        assertEquals(1, fixture.actions.count("decision failed 3"));
+        assertEquals(
+                8,
+                fixture.actions.sentParts().stream()
+                        .filter(part -> part / 100 == 4)
+                        .count());
+    }
+
     @Test
     void sameEventsAndSeedGiveTheSameActions() {
         List<List<String>> runs = new ArrayList<>();
--- a/src/test/java/pepperdock/scheduler/RecordingActions.java
+++ b/src/test/java/pepperdock/scheduler/RecordingActions.java
@@ -12,9 +12,14 @@
 
     final List<String> recorded = new ArrayList<>();
     final List<Sent> sends = new ArrayList<>();
+    /** The part whose attempts can't be sent: each fails with an exception. */
+    long failingPart = -1;
 
     @Override
     public void sendAttempt(long part, String endpointId, double until) {
+        if (part == failingPart) {
+            throw new IllegalStateException("injected");
+        }
         sends.add(new Sent(part, endpointId, until));
         recorded.add("send " + part + " " + endpointId + " " + until);
     }
@@ -39,6 +44,14 @@
         recorded.add("fail " + query);
     }
 
+    @Override
+    public void onDecisionFailed(long query, RuntimeException cause) {
+        if (failingPart < 0) {
+            throw cause;
+        }
+        recorded.add("decision failed " + query);
+    }
+
     @Override
     public void checkHealth(String endpointId) {
         recorded.add("check health " + endpointId);
