--- /dev/null
+++ b/src/main/java/pepperdock/transport/ServerConnection.java
@@ -0,0 +1,247 @@
+package pepperdock.transport;
+
+import java.util.Arrays;
+import pepperdock.codec.http.HttpException;
+import pepperdock.codec.http.HttpMessage;
+import pepperdock.codec.http.HttpParser;
+import pepperdock.codec.http.HttpWriter;
+
+/**
+ * One client's connection to an {@link HttpServer}. It serves one request at a time, and enforces the time limits of its
+ * states. Owned by the I/O thread.
+ */
+final class ServerConnection implements Connection.Handler {
+
+    private static final System.Logger LOG = System.getLogger("pepperdock.transport");
+    /** Time limit for a client to read more of what it was sent. */
+    private static final double RESPONSE_READ_TIMEOUT_S = 2.5;
+
+    /** Time limit for a client to close after its last response, such as an error. */
+    private static final double LINGER_TIMEOUT_S = 1;
+    /** Time after which a connection that is kept between requests is closed if others do not need its room earlier. */
+    private static final double IDLE_TIMEOUT_S = 60;
+
+    private final HttpServer server;
+    private final Connection connection;
+    private final HttpParser parser;
+    private Runnable disconnectHandler;
+    private boolean isHeadRequest;
+    private boolean readingRequests;
+    private long requestNumber;
+    private ConnectionState state = ConnectionState.NEW;
+    private double stateSince;
+    private long bytesWritten;
+    private double lastWriteAt;
+
+    ServerConnection(HttpServer server, Connection connection, int maxBodyBytes) {
+        this.server = server;
+        this.connection = connection;
+        parser = HttpParser.ofRequests(maxBodyBytes);
+        stateSince = server.loop().now();
+    }
+
+    Connection connection() {
+        return connection;
+    }
+
+    ConnectionState state() {
+        return state;
+    }
+
+    /** Returns when the connection entered its state, in seconds on the loop's clock. */
+    double stateSince() {
+        return stateSince;
+    }
+
+    /** Returns whether a whole request has arrived on this connection. */
+    boolean hasCompletedRequest() {
+        return requestNumber > 0;
+    }
+
+    /**
+     * Closes the connection if it has no request in progress after all its input is read, and all responses are written.
+     * Without that check, a request that has arrived since the last read would be accepted and never answered.
+     */
+    void closeIfIdle() {
+        connection.readNow();
+        if ((state == ConnectionState.IDLE || state == ConnectionState.NEW) && !connection.hasUnwrittenBytes()) {
+            connection.close();
+        }
+    }
+
+    private void enter(ConnectionState next) {
+        state = next;
+        stateSince = server.loop().now();
+        server.onStateEntered(this);
+    }
+
+    /** Closes the connection, or answers 408, if it has been in its state for too long; called periodically. */
+    void enforceTimeout(double now) {
+        if (connection.isClosed()) {
+            return;
+        }
+        if (connection.bytesWritten() > bytesWritten || !connection.hasUnwrittenBytes()) {
+            bytesWritten = connection.bytesWritten();
+            lastWriteAt = now;
+        }
+        if (mustCloseAtOnce(now)) {
+            connection.close();
+            onClosed(connection);
+        } else if (isTimedOut(ConnectionState.NEW, server.requestTimeoutS(), now)
+                || isTimedOut(ConnectionState.IDLE, IDLE_TIMEOUT_S, now)) {
+            closeIfIdle();
+        } else if (isTimedOut(ConnectionState.READING, server.requestTimeoutS(), now)) {
+            respondWithError(new HttpException(408, "request not finished in time"));
+        }
+    }
+
+    private boolean isTimedOut(ConnectionState inState, double timeoutS, double now) {
+        return state == inState && now - stateSince > timeoutS;
+    }
+
+    /** Returns whether the client does not read, or has been given enough time to close after its last response. */
+    private boolean mustCloseAtOnce(double now) {
+        if (connection.hasUnwrittenBytes()) {
+            return now - lastWriteAt > RESPONSE_READ_TIMEOUT_S || isTimedOut(ConnectionState.IDLE, IDLE_TIMEOUT_S, now);
+        }
+        return isTimedOut(ConnectionState.CLOSING, LINGER_TIMEOUT_S, now);
+    }
+
+    /**
+     * Serves requests until one is in progress. Nested calls return at once: hundreds of requests sent at once
+     * would otherwise overflow the stack. No request is taken while a response waits to be read: further responses
+     * would fill the connection's buffer, reading would pause, and the disconnect of a client whose next request is
+     * in progress would go unnoticed.
+     */
+    @Override
+    public void onBytes(Connection connection) {
+        if (readingRequests) {
+            return;
+        }
+        readingRequests = true;
+        try {
+            while (disconnectHandler == null
+                    && connection.readEnd() > connection.readStart()
+                    && !connection.isClosed()
+                    && !connection.hasUnwrittenBytes()
+                    && state != ConnectionState.CLOSING) {
+                if (state == ConnectionState.IDLE) {
+                    enter(ConnectionState.READING);
+                } else if (state == ConnectionState.NEW) {
+                    // The time limit counts from connecting: a client gains nothing by sending byte by byte.
+                    state = ConnectionState.READING;
+                }
+                connection.consume(parser.feed(connection.bytes(), connection.readStart(), connection.readEnd()));
+                if (!parser.isComplete()) {
+                    return;
+                }
+                serve(parser.take());
+            }
+        } catch (HttpException e) {
+            respondWithError(e);
+        } finally {
+            readingRequests = false;
+        }
+    }
+
+    /** The kernel has taken the whole response: requests that the client sent behind it are served now. */
+    @Override
+    public void onFlushed(Connection connection) {
+        onBytes(connection);
+    }
+
+    /** Answers a malformed request and reads no further, as later input can't be told apart from it. */
+    private void respondWithError(HttpException e) {
+        long number = ++requestNumber;
+        disconnectHandler = () -> {};
+        server.rejectedRequestLog().log(System.Logger.Level.INFO, () -> "malformed request: " + e.getMessage());
+        server.handler()
+                .respondWithError(
+                        e.status(),
+                        e.getMessage(),
+                        (status, contentType, extraHeaders, body) ->
+                                respond(number, false, status, contentType, extraHeaders, body));
+    }
+
+    private void serve(HttpMessage message) {
+        long number = ++requestNumber;
+        disconnectHandler = () -> {};
+        enter(ConnectionState.SERVING);
+        isHeadRequest = message.method().equals("HEAD");
+        HttpResponseSender reply = responseSender(number, message.keepAlive());
+        try {
+            Runnable onDisconnect = server.handler().serve(message, reply);
+            if (number == requestNumber && disconnectHandler != null) {
+                disconnectHandler = onDisconnect;
+            }
+        } catch (HttpException e) {
+            server.rejectedRequestLog()
+                    .log(
+                            System.Logger.Level.INFO,
+                            () -> "request for " + message.path() + " rejected: " + e.status() + ' ' + e.getMessage());
+            server.handler().respondWithError(e.status(), e.getMessage(), reply);
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "request handler failed", e);
+            server.handler().respondWithError(500, "internal error", reply);
+        }
+    }
+
+    private HttpResponseSender responseSender(long number, boolean keepAlive) {
+        return new HttpResponseSender() {
+            @Override
+            public void send(int status, String contentType, String extraHeaders, byte[] body) {
+                respond(number, keepAlive, status, contentType, extraHeaders, body);
+            }
+
+            @Override
+            public void pollForDisconnect() {
+                if (number == requestNumber) {
+                    connection.readNow();
+                }
+            }
+        };
+    }
+
+    private void respond(
+            long number, boolean keepAlive, int status, String contentType, String extraHeaders, byte[] body) {
+        if (number != requestNumber || disconnectHandler == null || connection.isClosed()) {
+            return;
+        }
+        disconnectHandler = null;
+        // Discarded requests can't be answered: closing shows the client that this response is the last.
+        boolean keep = keepAlive && !server.isDraining() && !connection.hasDiscardedInput();
+        byte[] response = HttpWriter.response(status, contentType, extraHeaders, body, keep);
+        // A HEAD is answered without the body: the client would take its bytes for the next response.
+        connection.write(isHeadRequest ? Arrays.copyOf(response, response.length - body.length) : response);
+        if (!keep) {
+            enter(ConnectionState.CLOSING);
+            connection.closeAfterWrites();
+            return;
+        }
+        enter(ConnectionState.IDLE);
+        if (connection.readEnd() > connection.readStart()) {
+            onBytes(connection);
+        }
+    }
+
+    /** Ends the request in progress with 413: a client that keeps sending behind it does not await the response. */
+    @Override
+    public void onInputOverflow(Connection connection) {
+        notifyDisconnect();
+        respondWithError(new HttpException(413, "too much sent behind a request in hand"));
+    }
+
+    @Override
+    public void onClosed(Connection connection) {
+        server.onClosed(this);
+        notifyDisconnect();
+    }
+
+    private void notifyDisconnect() {
+        if (disconnectHandler != null) {
+            Runnable onDisconnect = disconnectHandler;
+            disconnectHandler = null;
+            onDisconnect.run();
+        }
+    }
+}
