Count and log input of a server that no request asked for

Change: svc.unsolicited_inputs and a line that names the server. Nothing else changes yet: the bytes are still parsed.

--- a/src/main/java/pepperdock/operator/MetricsText.java
+++ b/src/main/java/pepperdock/operator/MetricsText.java
@@ -15,10 +15,11 @@
     /**
      * Returns the current values of all metrics.
      *
+     * @param unsolicitedInputs how many connections were closed because a server sent input that no request asked for
      * @param reloads how many configuration files were put into use
      * @param rejectedReloads how many were rejected
      */
-    static String of(Gatherer core, long reloads, long rejectedReloads) {
+    static String of(Gatherer core, long unsolicitedInputs, long reloads, long rejectedReloads) {
         Metrics metrics = core.metrics();
         StringBuilder text = new StringBuilder();
         for (String queryClass : metrics.classes()) {
@@ -30,6 +31,7 @@
         line(text, "in_progress", core.inFlightQueries());
         line(text, "known_workers", core.listedEndpointCount());
         line(text, "skipped_workers", core.avoidedEndpointCount());
+        line(text, "unsolicited_inputs", unsolicitedInputs);
         line(text, "internal_failures", metrics.internalFailures());
         line(text, "loads", reloads);
         line(text, "load_errors", rejectedReloads);
--- a/src/main/java/pepperdock/operator/OperatorService.java
+++ b/src/main/java/pepperdock/operator/OperatorService.java
@@ -259,7 +259,7 @@
 
     @Override
     public String metrics() {
-        return MetricsText.of(core, reloads, rejectedReloads);
+        return MetricsText.of(core, loop.unsolicitedInputs(), reloads, rejectedReloads);
     }
 
     @Override
--- a/src/main/java/pepperdock/transport/EventLoop.java
+++ b/src/main/java/pepperdock/transport/EventLoop.java
@@ -45,7 +45,10 @@
     private final long startedNanos = System.nanoTime();
     private final ByteBuffer discardBuffer = ByteBuffer.allocateDirect(1 << 16);
     private final LogRateLimiter rejectedClientLog = new LogRateLimiter(LOG, this, "clients rejected");
+    private final LogRateLimiter unsolicitedInputLog =
+            new LogRateLimiter(LOG, this, "connections closed for unsolicited input");
     private int connectingCount;
+    private long unsolicitedInputs;
 
     /**
      * Starts a loop; {@code socketCap} bounds connections of all kinds together, {@code bufferCap} the buffer of each.
@@ -313,6 +316,19 @@
         return connection;
     }
 
+    /** Called when a connection is closed because its server sent input that no request asked for. */
+    void onUnsolicitedInput(InetSocketAddress server) {
+        unsolicitedInputs++;
+        unsolicitedInputLog.log(
+                System.Logger.Level.WARNING,
+                () -> "closing the connection to " + server + ": it sent input that no request asked for");
+    }
+
+    /** Returns the number of connections closed because their server sent input that no request asked for. */
+    public long unsolicitedInputs() {
+        return unsolicitedInputs;
+    }
+
     /** Called when a connection has been closed: it no longer counts under the cap. */
     void onClosed(Connection connection) {
         open.remove(connection);
--- a/src/main/java/pepperdock/transport/HttpClient.java
+++ b/src/main/java/pepperdock/transport/HttpClient.java
@@ -155,8 +155,13 @@
 
     @Override
     public void onBytes(Connection source) {
+        boolean responseComplete = false;
         try {
             while (source.readEnd() > source.readStart() && connection == source) {
+                if (responseComplete) {
+                    loop.onUnsolicitedInput(server);
+                    responseComplete = false;
+                }
                 if (listener == null) {
                     // These bytes are unsolicited: a later response could not be told apart from them.
                     close();
@@ -169,6 +174,7 @@
                 HttpMessage message = parser.take();
                 if (message.status() >= 200) {
                     complete(message);
+                    responseComplete = true;
                 }
             }
         } catch (HttpException e) {
