Reuse a connection to a server only while its answers are in step

Cause: HttpClient called the listener of a finished request before it looked for input behind the answer. The listener of SearchWorker sends the next waiting request at once, on the same connection, and the client then parsed the bytes left over as the answer to it.

Change: input behind an answer closes the connection before the listener is called; an idle connection is read once before it is used again; input that comes before the request is wholly written is no answer to it. The rule stands in the client, so it holds for EndpointWatch too, which sends its next poll from within the answer of the last. A listener that throws no longer keeps the waiting requests from being started.

--- a/src/main/java/pepperdock/opensearch/SearchWorker.java
+++ b/src/main/java/pepperdock/opensearch/SearchWorker.java
@@ -1,8 +1,5 @@
 package pepperdock.opensearch;
 
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -147,41 +144,14 @@
     }
 
     private void onAttemptResponse(Attempt attempt, HttpMessage message) {
-        SearchRequest searched = attempt.part().query().request().frontContext() instanceof SearchRequest searchRequest
-                ? searchRequest
-                : null;
-        boolean update = searched != null && searched.isUpdate();
-        byte[] value = null;
-        AttemptOutcome outcome = message.status() == 429 ? AttemptOutcome.OVERLOADED : AttemptOutcome.ERROR;
-        if (message.status() == 200 || update && message.status() == 201) {
-            try {
-                if (update) {
-                    checkUpdateSucceeded(message.body());
-                } else {
-                    ShardAnswer.parseStrictly(attempt.part().shard(), message.body());
-                }
-                value = message.body();
-                outcome = AttemptOutcome.OK;
-            } catch (RuntimeException e) {
-                unusableAnswerLog.log(
-                        System.Logger.Level.INFO,
-                        () -> "worker " + id + " returned an unusable answer for shard "
-                                + attempt.part().shard() + ": " + e.getMessage());
-            }
-        }
-        gatherer.onAttemptEnded(attempt, outcome, LoadReport.NONE, value);
-    }
-
-    /** Throws if the primary did not apply the update, which is an error whatever the status says. */
-    private static void checkUpdateSucceeded(byte[] body) {
-        JsonObject shards = JsonParser.parseString(new String(body, StandardCharsets.UTF_8))
-                .getAsJsonObject()
-                .getAsJsonObject("_shards");
-        if (shards != null
-                && shards.get("successful").getAsInt() < 1
-                && shards.get("total").getAsInt() > 0) {
-            throw new IllegalArgumentException("no shard applied the update");
+        AttemptAnswer answer = AttemptAnswer.of(attempt, message);
+        if (answer.defect() != null) {
+            unusableAnswerLog.log(
+                    System.Logger.Level.INFO,
+                    () -> "worker " + id + " returned an unusable answer for shard "
+                            + attempt.part().shard() + ": " + answer.defect());
         }
+        gatherer.onAttemptEnded(attempt, answer.outcome(), LoadReport.NONE, answer.value());
     }
 
     /**
@@ -348,20 +318,32 @@
         slot.http.send(queued.request(), timeoutS, queued.stillWanted(), new HttpClient.ResponseListener() {
             @Override
             public void onResponse(HttpMessage message) {
-                releaseSlot(slot);
-                queued.listener().onResponse(message);
-                startQueued();
+                if (attempt != null && !WorkerRequests.isResponseTo(attempt, message)) {
+                    // The responses on this connection are out of step with its requests.
+                    slot.http.close();
+                    onFailure(HttpClient.Failure.CONNECTION_LOST);
+                    return;
+                }
+                endRequest(slot, () -> queued.listener().onResponse(message));
             }
 
             @Override
             public void onFailure(HttpClient.Failure failure) {
-                releaseSlot(slot);
-                queued.listener().onFailure(failure);
-                startQueued();
+                endRequest(slot, () -> queued.listener().onFailure(failure));
             }
         });
     }
 
+    /** Frees a connection and reports the end of its request; the requests that wait go on whatever happens there. */
+    private void endRequest(ConnectionSlot slot, Runnable report) {
+        releaseSlot(slot);
+        try {
+            report.run();
+        } finally {
+            startQueued();
+        }
+    }
+
     private void releaseSlot(ConnectionSlot slot) {
         slot.attempt = null;
         slot.usedAt = loop.now();
--- a/src/main/java/pepperdock/opensearch/WorkerRequests.java
+++ b/src/main/java/pepperdock/opensearch/WorkerRequests.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonObject;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import pepperdock.codec.http.HttpMessage;
 import pepperdock.codec.http.HttpWriter;
 import pepperdock.core.Attempt;
 import pepperdock.core.QueryRequest;
@@ -11,6 +12,8 @@
 record WorkerRequests(String host) {
 
     private static final String JSON = "Content-Type: application/json\r\n";
+    /** Header with the client's id of a request, which servers of this API repeat in their response. */
+    private static final String REQUEST_ID = "X-Opaque-Id";
 
     /**
      * Encodes a request for the next page of a scroll, whose context is kept for another {@code keepAliveS} seconds.
@@ -43,7 +46,7 @@
         QueryRequest request = attempt.part().query().request();
         int shard = attempt.part().shard();
         long timeoutMs = Math.max(1, (long) ((attempt.deadline() - now) * 1e3));
-        String headers = "X-Opaque-Id: " + request.id() + '.' + shard + "\r\n" + JSON;
+        String headers = REQUEST_ID + ": " + requestId(attempt) + "\r\n" + JSON;
         if (!(request.frontContext() instanceof SearchRequest search)) {
             JsonObject queryString = new JsonObject();
             queryString.addProperty("query", new String(request.body(), StandardCharsets.UTF_8));
@@ -74,6 +77,16 @@
                 search.body());
     }
 
+    /** Returns whether a response may belong to an attempt: it repeats the id of its request, or no id at all. */
+    static boolean isResponseTo(Attempt attempt, HttpMessage response) {
+        String repeatedId = response.header(REQUEST_ID);
+        return repeatedId == null || repeatedId.equals(requestId(attempt));
+    }
+
+    private static String requestId(Attempt attempt) {
+        return attempt.part().query().request().id() + '.' + attempt.part().shard();
+    }
+
     private byte[] post(String target, String extra, JsonObject body) {
         return HttpWriter.request("POST", target, host, extra, body.toString().getBytes(StandardCharsets.UTF_8));
     }
--- a/src/main/java/pepperdock/transport/HttpClient.java
+++ b/src/main/java/pepperdock/transport/HttpClient.java
@@ -9,6 +9,10 @@
 
 /**
  * Sends requests to one server, one at a time, over a connection that is opened as needed and kept between requests.
+ *
+ * <p>HTTP/1.1 matches responses to requests by their order alone. A connection is therefore kept only while that order
+ * is certain: input beyond a response, or before a request is completely written, belongs to no request, and the
+ * connection is closed before another request can be sent on it.
  */
 public final class HttpClient implements Connection.Handler {
 
@@ -90,6 +94,10 @@
      * connection is established, and a request that is no longer wanted fails unsent.
      */
     public void send(byte[] request, double timeoutS, BooleanSupplier stillWanted, ResponseListener listener) {
+        if (connection != null) {
+            // Input that has arrived unread would be taken for the response to this request.
+            connection.readNow();
+        }
         this.listener = listener;
         long number = ++requestNumber;
         if (connection != null) {
@@ -155,18 +163,13 @@
 
     @Override
     public void onBytes(Connection source) {
-        boolean responseComplete = false;
+        if (listener == null || source.bytesWritten() < requestEndOffset) {
+            loop.onUnsolicitedInput(server);
+            fail(Failure.NOT_SENT);
+            return;
+        }
         try {
-            while (source.readEnd() > source.readStart() && connection == source) {
-                if (responseComplete) {
-                    loop.onUnsolicitedInput(server);
-                    responseComplete = false;
-                }
-                if (listener == null) {
-                    // These bytes are unsolicited: a later response could not be told apart from them.
-                    close();
-                    return;
-                }
+            while (source.readEnd() > source.readStart()) {
                 source.consume(parser.feed(source.bytes(), source.readStart(), source.readEnd()));
                 if (!parser.isComplete()) {
                     return;
@@ -174,7 +177,7 @@
                 HttpMessage message = parser.take();
                 if (message.status() >= 200) {
                     complete(message);
-                    responseComplete = true;
+                    return;
                 }
             }
         } catch (HttpException e) {
@@ -182,18 +185,27 @@
         }
     }
 
+    /** Ends the request in progress with its response; the listener may send the next request at once. */
     private void complete(HttpMessage message) {
         responseTimeout.cancel();
         ResponseListener completed = listener;
         listener = null;
         requestNumber++;
-        if (!message.keepAlive() && connection != null) {
+        if (connection != null && !isReusableAfter(message)) {
             connection.close();
             connection = null;
         }
         completed.onResponse(message);
     }
 
+    private boolean isReusableAfter(HttpMessage message) {
+        boolean inputLeft = connection.readEnd() > connection.readStart();
+        if (inputLeft) {
+            loop.onUnsolicitedInput(server);
+        }
+        return message.keepAlive() && !inputLeft;
+    }
+
     @Override
     public void onClosed(Connection source) {
         if (connection != source) {
