Read workers' answers strictly, and count a request as answered once its response exists

Cause: workers' JSON was read by Gson's lenient reader, which takes 0.q for a text, so the answer passed as good; the score was read as a number only when the answers were merged, in SearchFront's onAnswer, after the core had ended the query and cancelled its deadline guard. Evidence: the NumberFormatException of Hit.score in the gatherer's log, once for each search without an answer.

Change: StrictJson (RFC 8259, UTF-8, no repeated names) reads the bodies of workers as those of clients; Hit.parse checks all that the merge reads, so what passes can be merged; the order of hits is total where workers mix numbers and text. Pages of scrolls, which do not pass the core, are answered whatever fails in them. A response that can't be built no longer counts as sent.

--- a/src/main/java/pepperdock/opensearch/ApiResponses.java
+++ b/src/main/java/pepperdock/opensearch/ApiResponses.java
@@ -1,10 +1,11 @@
 package pepperdock.opensearch;
 
 import com.google.gson.JsonArray;
-import com.google.gson.JsonNull;
 import com.google.gson.JsonObject;
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Objects;
 import pepperdock.transport.HttpResponseSender;
 
 /** Builds and sends the API's JSON responses for answers and errors. */
@@ -81,20 +82,18 @@
         // Shards that did not answer may hold more: the count is exact only when all did.
         count.addProperty("relation", missing.isEmpty() ? "eq" : "gte");
         JsonArray list = new JsonArray();
-        double best = Double.NEGATIVE_INFINITY;
         for (Hit hit : hits) {
             list.add(hit.json());
-            if (hit.json().has("_score") && hit.json().get("_score").isJsonPrimitive()) {
-                best = Math.max(best, hit.json().get("_score").getAsDouble());
-            }
         }
         JsonObject outer = new JsonObject();
         outer.add("total", count);
-        if (best == Double.NEGATIVE_INFINITY) {
-            outer.add("max_score", JsonNull.INSTANCE);
-        } else {
-            outer.addProperty("max_score", best);
-        }
+        outer.addProperty(
+                "max_score",
+                hits.stream()
+                        .map(Hit::score)
+                        .filter(Objects::nonNull)
+                        .max(Comparator.naturalOrder())
+                        .orElse(null));
         outer.add("hits", list);
         body.add("hits", outer);
         return body;
--- a/src/main/java/pepperdock/opensearch/AttemptAnswer.java
+++ b/src/main/java/pepperdock/opensearch/AttemptAnswer.java
@@ -1,8 +1,6 @@
 package pepperdock.opensearch;
 
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-import java.nio.charset.StandardCharsets;
 import pepperdock.codec.http.HttpMessage;
 import pepperdock.core.Attempt;
 import pepperdock.scheduler.AttemptOutcome;
@@ -47,8 +45,7 @@
      * about another document.
      */
     private static void checkUpdateSucceeded(String docId, byte[] body) {
-        JsonObject answer =
-                JsonParser.parseString(new String(body, StandardCharsets.UTF_8)).getAsJsonObject();
+        JsonObject answer = StrictJson.parseObject(body);
         if (answer.has("_id") && !answer.get("_id").getAsString().equals(docId)) {
             throw new IllegalArgumentException("the answer is about another document");
         }
--- a/src/main/java/pepperdock/opensearch/RequestReader.java
+++ b/src/main/java/pepperdock/opensearch/RequestReader.java
@@ -1,17 +1,10 @@
 package pepperdock.opensearch;
 
-import com.google.gson.Gson;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import com.google.gson.Strictness;
-import com.google.gson.TypeAdapter;
-import com.google.gson.stream.JsonReader;
-import com.google.gson.stream.JsonToken;
-import java.io.IOException;
-import java.io.StringReader;
+import com.google.gson.JsonParseException;
 import java.net.URLDecoder;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -29,7 +22,6 @@
 /** Parses searches and updates of clients into query requests for the core. */
 final class RequestReader {
 
-    private static final TypeAdapter<JsonElement> JSON_ADAPTER = new Gson().getAdapter(JsonElement.class);
     private static final Pattern TIME_VALUE = Pattern.compile("([0-9]{1,9})(ms|s|m|h)");
     private static final Pattern UPDATE_PATH = Pattern.compile("/([^/]+)/_update/([^/]+)");
     private static final int MAX_RESULT_WINDOW = 10_000;
@@ -183,29 +175,12 @@
 
     private static JsonObject parseBody(HttpMessage message) throws ApiException {
         try {
-            return message.body().length == 0 ? new JsonObject() : parseStrictly(message.body());
-        } catch (IOException | RuntimeException e) {
+            return message.body().length == 0 ? new JsonObject() : StrictJson.parseObject(message.body());
+        } catch (JsonParseException e) {
             throw new ApiException(400, "parsing_exception", "the body is not a JSON object");
         }
     }
 
-    /**
-     * Parses a body strictly: one that is repaired in parsing would be searched as if its client had asked for that.
-     */
-    private static JsonObject parseStrictly(byte[] body) throws IOException {
-        try (JsonReader in = new JsonReader(new StringReader(StandardCharsets.UTF_8
-                .newDecoder()
-                .decode(ByteBuffer.wrap(body))
-                .toString()))) {
-            in.setStrictness(Strictness.STRICT);
-            JsonObject read = JSON_ADAPTER.read(in).getAsJsonObject();
-            if (in.peek() != JsonToken.END_DOCUMENT) {
-                throw new IOException("more than one object");
-            }
-            return read;
-        }
-    }
-
     private static int nonNegativeInteger(HttpMessage message, JsonObject body, String name, int defaultValue)
             throws ApiException {
         String text = message.parameter(name) != null
--- a/src/main/java/pepperdock/opensearch/ScrollHandler.java
+++ b/src/main/java/pepperdock/opensearch/ScrollHandler.java
@@ -18,6 +18,8 @@
     /** How far the sum of a complete answer's weights may be from 1, as each weight is rounded. */
     private static final double COVERAGE_TOLERANCE = 1e-4;
 
+    private static final System.Logger LOG = System.getLogger("pepperdock.opensearch");
+
     private final ScrollRegistry scrolls;
     private final SearchBackend backend;
     private final Clock clock;
@@ -82,16 +84,27 @@
             requestPage(scroll, shard, reply, page -> {
                 onShardPage(scroll, shard, page, startedAt);
                 if (--pendingShards[0] == 0) {
-                    sendPage(scroll, startedAt, reply);
+                    answerPage(scroll, startedAt, reply);
                 }
             });
         }
         if (shards.isEmpty()) {
-            sendPage(scroll, startedAt, reply);
+            answerPage(scroll, startedAt, reply);
         }
         return () -> scrolls.close(scroll);
     }
 
+    /** Answers with the next page, or with an error if that fails: nothing else would answer the client any more. */
+    private void answerPage(ScrollRegistry.Scroll scroll, double startedAt, HttpResponseSender reply) {
+        try {
+            sendPage(scroll, startedAt, reply);
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "building a page of a scroll failed", e);
+            scrolls.close(scroll);
+            QueryErrors.sendFailed(reply, false);
+        }
+    }
+
     /** Returns the scroll that a request names; throws if it is not open, or if another page of it is being read. */
     private ScrollRegistry.Scroll findScroll(JsonObject body) throws ApiException {
         JsonElement id = body.get("scroll_id");
--- a/src/main/java/pepperdock/opensearch/SearchFront.java
+++ b/src/main/java/pepperdock/opensearch/SearchFront.java
@@ -143,6 +143,8 @@
         private final double startedAt;
         private final boolean partialAllowed;
         private boolean ended;
+        /** The scroll that the answer opens; null if there is none. */
+        private ScrollRegistry.Scroll scroll;
 
         SearchListener(HttpResponseSender reply, SearchRequest request, double startedAt, boolean partialAllowed) {
             this.reply = reply;
@@ -194,7 +196,7 @@
                         "");
                 return;
             }
-            ScrollRegistry.Scroll scroll = openScroll(query, shards, failures, total);
+            scroll = openScroll(query, shards, failures, total);
             List<Hit> page = scroll != null ? scroll.takePage() : mergedHits(shards);
             JsonObject body = ApiResponses.searchBody(
                     request.index(),
@@ -243,6 +245,8 @@
 
         @Override
         public void onFailed(Query query, boolean overdue) {
+            // Also called if the answer could not be given, when its scroll is open already.
+            scrolls.close(scroll);
             endWithoutScroll(query);
             QueryErrors.sendFailed(reply, overdue);
         }
--- a/src/main/java/pepperdock/opensearch/ShardAnswer.java
+++ b/src/main/java/pepperdock/opensearch/ShardAnswer.java
@@ -3,7 +3,6 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,12 +11,12 @@
 record ShardAnswer(List<Hit> hits, long total, String scrollId) {
 
     /**
-     * Parses a worker's answer. Throws if it is not the complete answer of the shard: a response with a success status
-     * may still report shard failures or a time-out in its body, and missing hits must not pass for hits that don't
-     * exist.
+     * Parses a worker's answer, including every field that is read when answers are merged, so that merging can't fail.
+     * Throws if it is not the complete answer of the shard: a response with a success status may still report shard
+     * failures or a time-out in its body, and missing hits must not pass for hits that don't exist.
      */
     static ShardAnswer parseStrictly(int shard, byte[] body) {
-        JsonObject answer = parse(body);
+        JsonObject answer = StrictJson.parseObject(body);
         JsonObject shards = answer.getAsJsonObject("_shards");
         if (flag(answer, "timed_out")
                 || flag(answer, "terminated_early")
@@ -33,7 +32,7 @@
     /** Parses a part's value; a worker of another protocol returns bare text, which becomes one hit. */
     static ShardAnswer parseLeniently(int shard, String index, byte[] value) {
         try {
-            JsonObject answer = parse(value);
+            JsonObject answer = StrictJson.parseObject(value);
             if (answer.has("hits")) {
                 return read(shard, answer);
             }
@@ -48,11 +47,7 @@
         hit.addProperty("_id", Integer.toString(shard));
         hit.addProperty("_score", 1.0);
         hit.add("_source", source);
-        return new ShardAnswer(List.of(new Hit(shard, hit)), 1, null);
-    }
-
-    private static JsonObject parse(byte[] body) {
-        return JsonParser.parseString(new String(body, StandardCharsets.UTF_8)).getAsJsonObject();
+        return new ShardAnswer(List.of(Hit.parse(shard, hit)), 1, null);
     }
 
     private static ShardAnswer read(int shard, JsonObject answer) {
@@ -60,7 +55,7 @@
         JsonArray inner = outer.getAsJsonArray("hits");
         List<Hit> hits = new ArrayList<>();
         for (JsonElement hit : inner) {
-            hits.add(new Hit(shard, hit.getAsJsonObject()));
+            hits.add(Hit.parse(shard, hit.getAsJsonObject()));
         }
         JsonElement total = outer.get("total");
         long count = total == null || total.isJsonNull()
--- a/src/main/java/pepperdock/opensearch/UpdateListener.java
+++ b/src/main/java/pepperdock/opensearch/UpdateListener.java
@@ -1,6 +1,7 @@
 package pepperdock.opensearch;
 
 import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
 import java.nio.charset.StandardCharsets;
 import pepperdock.core.Query;
 import pepperdock.core.QueryListener;
@@ -12,8 +13,7 @@
     @Override
     public void onAnswer(Query query, boolean complete) {
         byte[] value = query.parts().get(0).value();
-        String text = new String(value, StandardCharsets.UTF_8);
-        if (text.startsWith("{")) {
+        if (isJsonObject(value)) {
             ApiResponses.sendRaw(reply, value);
             return;
         }
@@ -22,10 +22,19 @@
         body.addProperty("_index", request.index());
         body.addProperty("_id", request.docId());
         body.addProperty("result", "updated");
-        body.addProperty("blob", text);
+        body.addProperty("blob", new String(value, StandardCharsets.UTF_8));
         ApiResponses.sendOk(reply, body);
     }
 
+    private static boolean isJsonObject(byte[] value) {
+        try {
+            StrictJson.parseObject(value);
+            return true;
+        } catch (JsonParseException e) {
+            return false;
+        }
+    }
+
     @Override
     public void onRejected(Query query, double retryAfterS) {
         QueryErrors.sendRejected(reply, retryAfterS);
--- a/src/main/java/pepperdock/transport/ServerConnection.java
+++ b/src/main/java/pepperdock/transport/ServerConnection.java
@@ -207,10 +207,11 @@
         if (number != requestNumber || disconnectHandler == null || connection.isClosed()) {
             return;
         }
-        disconnectHandler = null;
         // Discarded requests can't be answered: closing shows the client that this response is the last.
         boolean keep = keepAlive && !server.isDraining() && !connection.hasDiscardedInput();
         byte[] response = HttpWriter.response(status, contentType, extraHeaders, body, keep);
+        // From here on the request counts as answered.
+        disconnectHandler = null;
         // A HEAD is answered without the body: the client would take its bytes for the next response.
         connection.write(isHeadRequest ? Arrays.copyOf(response, response.length - body.length) : response);
         if (!keep) {
--- a/src/test/java/pepperdock/opensearch/FakeSearchWorker.java
+++ b/src/test/java/pepperdock/opensearch/FakeSearchWorker.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import pepperdock.platform.FakeWorkerBehaviour;
@@ -35,6 +36,9 @@
     /** Pages after the first wait for this latch, so that a test can disconnect meanwhile. */
     volatile CountDownLatch holdPages = new CountDownLatch(0);
 
+    /** Changes the body of each successful answer, as a defective worker would. */
+    volatile UnaryOperator<String> bodyChange = body -> body;
+
     final CountDownLatch pageRequested = new CountDownLatch(1);
     private final CountDownLatch closing = new CountDownLatch(1);
     private final FakeWorkerBehaviour behaviour;
@@ -174,8 +178,8 @@
         return answer;
     }
 
-    private static void answer(HttpExchange exchange, int status, String body) throws IOException {
-        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    private void answer(HttpExchange exchange, int status, String body) throws IOException {
+        byte[] bytes = (status == 200 ? bodyChange.apply(body) : body).getBytes(StandardCharsets.ISO_8859_1);
         exchange.getResponseHeaders().set("Content-Type", "application/json");
         exchange.sendResponseHeaders(status, bytes.length);
         exchange.getResponseBody().write(bytes);
--- a/src/test/java/pepperdock/opensearch/FrontFixture.java
+++ b/src/test/java/pepperdock/opensearch/FrontFixture.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -49,6 +50,9 @@
     final FakeWorkerBehaviour behaviour = new FakeWorkerBehaviour();
     final List<FakeSearchWorker> searchWorkers = new ArrayList<>();
     final SearchFront searchFront;
+    /** A request without an answer fails its test: longer than the deadline of any class here. */
+    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(40);
+
     private final List<Closeable> workers = new ArrayList<>();
     private final EventLoop loop = new EventLoop(500, 4 << 20);
     private final Gatherer gatherer;
@@ -121,6 +125,7 @@
 
     HttpResponse<String> send(String method, String path, String body, String... headers) throws Exception {
         HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port() + path))
+                .timeout(ANSWER_TIMEOUT)
                 .method(method, HttpRequest.BodyPublishers.ofString(body));
         if (headers.length > 0) {
             request.headers(headers);
--- a/src/test/java/pepperdock/opensearch/SearchFrontTest.java
+++ b/src/test/java/pepperdock/opensearch/SearchFrontTest.java
@@ -12,10 +12,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 class SearchFrontTest {
 
@@ -201,6 +205,82 @@
         assertEquals(429, FrontFixture.json(response).get("status").getAsInt());
     }
 
+    /** Ways in which an answer can be damaged: what is replaced, and by what. */
+    static Stream<Arguments> damage() {
+        return Stream.of(
+                Arguments.of("\"_score\":100", "\"_score\":0.q"),
+                Arguments.of("\"_score\":100", "\"_score\":\"high\""),
+                Arguments.of("\"_score\":100", "\"_score\":true"),
+                Arguments.of("\"_score\":100", "\"_score\":1e999"),
+                Arguments.of("\"_score\":100", "\"_score\":100,\"sort\":7"),
+                Arguments.of("\"_score\":100", "\"_score\":100,\"sort\":[{}]"),
+                Arguments.of("\"_score\":100", "\"_score\":100,\"_score\":1"),
+                Arguments.of("\"value\":1,", "\"value\":q,"),
+                Arguments.of("\"blob\":\"", "\"blob\":\"\u00ff"),
+                Arguments.of("\"blob\":\"", "\"blob\":\"\n"),
+                Arguments.of("\"timed_out\":false", "timed_out:false"),
+                Arguments.of("}}]}}", "}}]}}}"),
+                Arguments.of("}}]}}", "}}]}"));
+    }
+
+    /** Guards against a search that is never answered because one worker's answer was damaged. */
+    @ParameterizedTest
+    @MethodSource("damage")
+    void damagedAnswerOfOneWorkerIsReplacedByAnotherWorkers(String good, String damaged) throws Exception {
+        fixture.searchWorkers.get(1).bodyChange = body -> body.replace(good, damaged);
+        for (int i = 0; i < 4; i++) {
+            HttpResponse<String> response =
+                    fixture.send("POST", "/payouts/_search?preference=_shards:0,1", QUERY.formatted("t" + i));
+            assertEquals(200, response.statusCode(), response.body());
+            assertEquals(2, ids(FrontFixture.json(response)).size(), response.body());
+        }
+        assertTrue(
+                IntStream.range(0, 4)
+                        .anyMatch(i -> fixture.behaviour.calls("t" + i, 0) + fixture.behaviour.calls("t" + i, 1) > 2),
+                "no damaged answer was replaced");
+    }
+
+    /** Guards against the same where no worker's answer can be read. */
+    @ParameterizedTest
+    @MethodSource("damage")
+    void searchIsAnsweredWithAnErrorIfAllAnswersAreDamaged(String good, String damaged) throws Exception {
+        fixture.searchWorkers.forEach(worker -> worker.bodyChange = body -> body.replace(good, damaged));
+        HttpResponse<String> response =
+                fixture.send("POST", "/payouts/_search?preference=_shards:0,1", QUERY.formatted("t"));
+        assertEquals(429, response.statusCode(), response.body());
+    }
+
+    /** Guards against damaged bytes of a worker, or the answer to another update, that a client gets as its own. */
+    @ParameterizedTest
+    @CsvSource(
+            quoteCharacter = '`',
+            value = {"`\"_id\":\"1\"`,`\"_id\":1q`", "`\"_id\":\"1\"`,`\"_id\":\"2\"`", "`\"failed\":0`,`\"failed\":0q`"
+            })
+    void damagedAnswerToAnUpdateIsNotPassedOn(String good, String damaged) throws Exception {
+        fixture.searchWorkers.forEach(worker -> worker.bodyChange = body -> body.replace(good, damaged));
+        HttpResponse<String> response =
+                fixture.send("POST", "/wallets/_update/1?routing=0", "{\"script\":{\"source\":\"u\"}}");
+        assertEquals(500, response.statusCode(), response.body());
+        assertEquals(1, fixture.behaviour.calls("u", 0), "an update that may have run is not sent again");
+    }
+
+    /** Guards against a page of a scroll that is never answered because a worker's page was damaged. */
+    @ParameterizedTest
+    @CsvSource(
+            quoteCharacter = '`',
+            value = {"`\"_score\":9`,`\"_score\":q`", "`\"_score\":9`,`\"sort\":7,\"_score\":9`"})
+    void damagedPageOfAScrollIsAnswered(String good, String damaged) throws Exception {
+        String id = openScroll("s").get("_scroll_id").getAsString();
+        fixture.searchWorkers.forEach(worker -> worker.bodyChange = body -> body.replace(good, damaged));
+        List<Integer> statuses = new ArrayList<>();
+        for (int page = 0; page < 6 && !statuses.contains(500); page++) {
+            statuses.add(
+                    fixture.send("POST", "/_search/scroll", nextPageBody(id)).statusCode());
+        }
+        assertEquals(500, statuses.get(statuses.size() - 1), statuses.toString());
+        FrontFixture.await(() -> fixture.searchFront.openScrolls() == 0);
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
@@ -210,6 +290,7 @@
                 "POST|/history/_search|[1]|400|parsing_exception",
                 "POST|/history/_search|{size:1}|400|parsing_exception",
                 "POST|/history/_search|{}{}|400|parsing_exception",
+                "POST|/history/_search|{\"size\":1,\"size\":2}|400|parsing_exception",
                 "POST|/history/_search|{\"ext\":{\"pepperdock\":{\"ranges\":[{\"range\":1,\"portion\":0.4}]}}}|400|illegal_argument_exception",
                 "POST|/history/_search|{\"ext\":7}|400|parsing_exception",
                 "POST|/history/_search|{\"aggs\":{}}|400|illegal_argument_exception",
--- a/src/test/java/pepperdock/transport/HttpServerTest.java
+++ b/src/test/java/pepperdock/transport/HttpServerTest.java
@@ -35,7 +35,8 @@
             loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1024, () -> 1, new HttpRequestHandler() {
                 @Override
                 public Runnable serve(HttpMessage request, HttpResponseSender reply) {
-                    reply.send(200, "text/plain", "", new byte[request.path().equals("/big") ? LARGE_BODY_BYTES : 0]);
+                    byte[] body = new byte[request.path().equals("/big") ? LARGE_BODY_BYTES : 0];
+                    reply.send(200, "text/plain", "", request.path().equals("/broken") ? null : body);
                     return () -> {};
                 }
 
@@ -100,6 +101,15 @@
         void run() throws IOException;
     }
 
+    /** Guards against a request that counts as answered, and never is, because its response could not be built. */
+    @Test
+    void requestWhoseResponseCannotBeBuiltIsAnsweredWithAnError() throws Exception {
+        try (Socket client = connect()) {
+            client.getOutputStream().write("GET /broken HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertEquals("HTTP/1.1 500 Internal Server Error", readStatusLine(client));
+        }
+    }
+
     @Test
     void unreadRequestOnAnIdleConnectionIsAnswered() throws Exception {
         try (Socket client = connect()) {
