Let a process that has yielded its name acknowledge no probe of itself

The one that has not joined yet yields to the other, which has the lower generation and yields in turn. Each then probed the other, got an acknowledgement, took it for the holder, and both stayed out.

Change: who has yielded answers a probe of itself as one of another addressee, as it does not hold the name. Both then claim it in the next incarnation, and the higher generation keeps it.

MembershipTest.twoProcessesThatHaveYieldedTheNameToEachOtherSettle plays that order by hand: on the sources before, neither held the name 30 s later; now one does.

--- a/src/main/java/pepperdock/membership/Membership.java
+++ b/src/main/java/pepperdock/membership/Membership.java
@@ -211,8 +211,13 @@
         }
     }
 
+    /**
+     * Acknowledges a ping for this process. One that has yielded its name is not the member of that name: if it
+     * acknowledged, two processes that have yielded to each other would each take the other one for the holder.
+     */
     private void onPing(Ping ping) {
-        if (ping.target().equals(local.name()) && ping.generation() == local.generation()) {
+        boolean forThisProcess = ping.target().equals(local.name()) && ping.generation() == local.generation();
+        if (forThisProcess && !local.hasNameConflict()) {
             outbox.acknowledge(ping);
         } else {
             outbox.send(
--- a/src/test/java/pepperdock/membership/MembershipTest.java
+++ b/src/test/java/pepperdock/membership/MembershipTest.java
@@ -117,6 +117,39 @@
         assertEquals("h3:1", memberSeenBy(a, "b").address());
     }
 
+    /**
+     * Guards against two processes of one name that both stay out for good. Both have claimed the name in the same
+     * incarnation: one has not joined yet and yields to the other, which has the lower generation and yields in turn.
+     */
+    @Test
+    void twoProcessesThatHaveYieldedTheNameToEachOtherSettle() {
+        Membership a = add("a", "h1:1", 1);
+        Membership first = add("b", "h2:1", 10);
+        advance(3);
+        gossip(first, new MemberRecord("b", 10, 0, RecordStatus.FAULTY, "h2:1", "z", "h2:1"));
+        Membership second = add("b", "h3:1", 20);
+        gossip(second, new MemberRecord("b", 3, 0, RecordStatus.ALIVE, "h3:1", "z", "h3:1"));
+        assertEquals(1, first.self().incarnation());
+        assertEquals(1, second.self().incarnation());
+        MemberRecord claimOfSecond = second.self();
+        gossip(second, first.self());
+        gossip(first, claimOfSecond);
+        assertEquals("h2:1", second.view().nameConflictAddress());
+        assertEquals("h3:1", first.view().nameConflictAddress());
+        advance(30);
+        boolean firstHolds = first.view().nameConflictAddress().isEmpty();
+        boolean secondHolds = second.view().nameConflictAddress().isEmpty();
+        assertTrue(firstHolds != secondHolds, "held by the first: " + firstHolds + ", by the second: " + secondHolds);
+        assertEquals(firstHolds ? "h2:1" : "h3:1", memberSeenBy(a, "b").address());
+        assertEquals(MemberState.ALIVE, memberSeenBy(a, "b").state());
+    }
+
+    /** Passes a record to a member as gossip of member a, and carries out nothing that follows. */
+    private void gossip(Membership receiver, MemberRecord memberRecord) {
+        Message.Header header = new Message.Header("fleet", "a", 1, 0, "h1:1", 0);
+        receiver.onDatagram(new Message.Ping(header, "a", 1, 1, List.of(memberRecord)), now);
+    }
+
     /**
      * A member of another fleet has the address by mistake, and the network repeats datagrams and delivers old ones
      * late. The table does not change.
