--- a/src/main/java/pepperdock/opensearch/StrictJson.java
+++ b/src/main/java/pepperdock/opensearch/StrictJson.java
@@ -45,27 +45,17 @@
     }
 
     private static JsonElement readValue(JsonReader in) throws IOException {
-        switch (in.peek()) {
-            case BEGIN_OBJECT -> {
-                return readObject(in);
-            }
-            case BEGIN_ARRAY -> {
-                return readArray(in);
-            }
-            case STRING -> {
-                return new JsonPrimitive(in.nextString());
-            }
-            case NUMBER -> {
-                return new JsonPrimitive(ToNumberPolicy.LAZILY_PARSED_NUMBER.readNumber(in));
-            }
-            case BOOLEAN -> {
-                return new JsonPrimitive(in.nextBoolean());
-            }
+        return switch (in.peek()) {
+            case BEGIN_OBJECT -> readObject(in);
+            case BEGIN_ARRAY -> readArray(in);
+            case STRING -> new JsonPrimitive(in.nextString());
+            case NUMBER -> new JsonPrimitive(ToNumberPolicy.LAZILY_PARSED_NUMBER.readNumber(in));
+            case BOOLEAN -> new JsonPrimitive(in.nextBoolean());
             default -> {
                 in.nextNull();
-                return JsonNull.INSTANCE;
+                yield JsonNull.INSTANCE;
             }
-        }
+        };
     }
 
     /** Reads an object. Rejects repeated names: some parsers use the first value of a name, others the last. */
