Log and count what each process knows of the endpoint list

Change: a line for each list with news, each failed or overdue poll (duration, failures in a row, version in use), each worker that stops or resumes accepting work, and the version at ready; metrics turned_away, list_version, list_failures.

--- a/src/main/java/pepperdock/core/AttemptLifecycle.java
+++ b/src/main/java/pepperdock/core/AttemptLifecycle.java
@@ -9,12 +9,14 @@
 final class AttemptLifecycle {
 
     private final Clock clock;
+    private final Metrics metrics;
     private final Backend backend;
     private final EventBatcher batcher;
     private final InternalFailures failures;
     private ObjDoubleConsumer<Attempt> servedListener = (attempt, elapsedS) -> {};
 
-    AttemptLifecycle(Clock clock, Backend backend, EventBatcher batcher, InternalFailures failures) {
+    AttemptLifecycle(Clock clock, Metrics metrics, Backend backend, EventBatcher batcher, InternalFailures failures) {
+        this.metrics = metrics;
         this.failures = failures;
         this.clock = clock;
         this.backend = backend;
@@ -45,6 +47,9 @@
         if (attempt.timeout != null) {
             attempt.timeout.cancel();
         }
+        if (outcome == AttemptOutcome.OVERLOADED) {
+            metrics.recordTurnedAwayAttempt();
+        }
         double elapsedS = clock.now() - attempt.decidedAt;
         if (outcome == AttemptOutcome.OK) {
             failures.run("a listener recorded a served attempt", () -> servedListener.accept(attempt, elapsedS));
--- a/src/main/java/pepperdock/core/Gatherer.java
+++ b/src/main/java/pepperdock/core/Gatherer.java
@@ -43,7 +43,7 @@
         InternalFailures failures = new InternalFailures(clock, metrics);
         batcher = new EventBatcher(clock, this.settings, failures);
         endpoints = new KnownEndpoints(clock, backend, batcher, failures);
-        attempts = new AttemptLifecycle(clock, backend, batcher, failures);
+        attempts = new AttemptLifecycle(clock, metrics, backend, batcher, failures);
         dispatcher = new CallDispatcher(clock, backend, this.settings, endpoints, attempts, failures);
         queries = new QueryLifecycle(clock, this.settings, metrics, batcher, attempts, registry, failures);
         scheduler = Scheduler.create(
--- a/src/main/java/pepperdock/core/KnownEndpoints.java
+++ b/src/main/java/pepperdock/core/KnownEndpoints.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -31,10 +32,13 @@
     /** Maximum number of departed ids kept; needed because workers may get a new id at each start. */
     private static final int MAX_DEPARTED = 4096;
 
+    private static final System.Logger LOG = System.getLogger("pepperdock.core");
+
     private final Clock clock;
     private final Backend backend;
     private final EventBatcher batcher;
     private final InternalFailures failures;
+    private final LogRateLimiter stateLog;
     private final Map<String, WorkerEndpoint> listedEndpoints = new LinkedHashMap<>();
     private final Set<String> bannedEndpoints = new LinkedHashSet<>();
     /** Times at which ids left the list, in seconds on the clock, earliest first. */
@@ -47,6 +51,7 @@
         this.clock = clock;
         this.backend = backend;
         this.batcher = batcher;
+        stateLog = new LogRateLimiter(LOG, clock, "workers that stopped or resumed accepting work");
     }
 
     void addListener(Consumer<Collection<WorkerEndpoint>> added) {
@@ -55,6 +60,7 @@
 
     /** Applies an endpoint list, changes to it, or a failed request for one. */
     void onEndpointList(EndpointListKind kind, List<WorkerEndpoint> entries) {
+        Map<String, EndpointState> statesBefore = statesBefore(kind, entries);
         if (kind == EndpointListKind.CACHED || kind == EndpointListKind.COMPLETE) {
             listedEndpoints.keySet().forEach(this::rememberDeparted);
             listedEndpoints.clear();
@@ -62,6 +68,7 @@
         entries.forEach(this::apply);
         forgetDeparted();
         if (kind != EndpointListKind.FAILED) {
+            logStateChanges(statesBefore);
             // The scheduler has to receive the list whatever happens to the others that do.
             failures.run("the backend applied an endpoint list", this::updateBackend);
             if (kind != EndpointListKind.CACHED) {
@@ -73,6 +80,35 @@
         batcher.enqueueEvent(scheduler -> scheduler.onEndpointList(kind, endpoints));
     }
 
+    /** Returns the states of the listed endpoints that a list may change. */
+    private Map<String, EndpointState> statesBefore(EndpointListKind kind, List<WorkerEndpoint> entries) {
+        Map<String, EndpointState> states = new HashMap<>();
+        if (kind == EndpointListKind.CACHED || kind == EndpointListKind.COMPLETE) {
+            listedEndpoints.forEach((id, entry) -> states.put(id, entry.state()));
+        }
+        for (WorkerEndpoint entry : entries) {
+            WorkerEndpoint listed = listedEndpoints.get(entry.id());
+            if (listed != null) {
+                states.put(entry.id(), listed.state());
+            }
+        }
+        return states;
+    }
+
+    /** Logs the workers that were listed before and stop or resume accepting work with the new list. */
+    private void logStateChanges(Map<String, EndpointState> statesBefore) {
+        statesBefore.forEach((id, before) -> {
+            WorkerEndpoint entry = listedEndpoints.get(id);
+            EndpointState now = entry == null ? EndpointState.REMOVED : entry.state();
+            if (now != before) {
+                stateLog.log(
+                        System.Logger.Level.INFO,
+                        () -> "worker " + id + " is now " + now.name().toLowerCase(Locale.ROOT) + ", before "
+                                + before.name().toLowerCase(Locale.ROOT));
+            }
+        });
+    }
+
     private void apply(WorkerEndpoint entry) {
         if (entry.state() != EndpointState.REMOVED) {
             listedEndpoints.put(entry.id(), entry);
--- a/src/main/java/pepperdock/core/Metrics.java
+++ b/src/main/java/pepperdock/core/Metrics.java
@@ -46,6 +46,9 @@
     private long submitted;
     private long attempts;
     private long internalFailures;
+    private long turnedAwayAttempts;
+    private long endpointListFailures;
+    private long endpointListVersion;
 
     /** Adds a class of the current settings; a new class is counted from 0. The classes added last are kept longest. */
     void addClass(String className) {
@@ -103,4 +106,33 @@
     public long attempts() {
         return attempts;
     }
+
+    void recordTurnedAwayAttempt() {
+        turnedAwayAttempts++;
+    }
+
+    /** Returns the number of attempts that a worker turned away, because it was full, draining or had stopped. */
+    public long turnedAwayAttempts() {
+        return turnedAwayAttempts;
+    }
+
+    /** Counts a request for the endpoint list that failed or was given up. */
+    public void recordEndpointListFailure() {
+        endpointListFailures++;
+    }
+
+    /** Returns the number of requests for the endpoint list that failed or were given up. */
+    public long endpointListFailures() {
+        return endpointListFailures;
+    }
+
+    /** Sets the version of the endpoint list in use. */
+    public void setEndpointListVersion(long version) {
+        endpointListVersion = version;
+    }
+
+    /** Returns the version of the endpoint list in use; 0 if the source of the list has no versions. */
+    public long endpointListVersion() {
+        return endpointListVersion;
+    }
 }
--- a/src/main/java/pepperdock/operator/MetricsText.java
+++ b/src/main/java/pepperdock/operator/MetricsText.java
@@ -33,6 +33,9 @@
         line(text, "skipped_workers", core.avoidedEndpointCount());
         line(text, "unsolicited_inputs", unsolicitedInputs);
         line(text, "internal_failures", metrics.internalFailures());
+        line(text, "turned_away", metrics.turnedAwayAttempts());
+        line(text, "list_version", metrics.endpointListVersion());
+        line(text, "list_failures", metrics.endpointListFailures());
         line(text, "loads", reloads);
         line(text, "load_errors", rejectedReloads);
         return text.toString();
--- a/src/main/java/pepperdock/platform/EndpointWatch.java
+++ b/src/main/java/pepperdock/platform/EndpointWatch.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Locale;
 import java.util.SplittableRandom;
 import pepperdock.codec.http.HttpMessage;
 import pepperdock.codec.http.HttpWriter;
@@ -103,6 +104,10 @@
     private boolean addressChanged;
 
     private double agentBackoffS = MIN_AGENT_BACKOFF_S;
+    /** When the current poll was sent, by the loop's clock. */
+    private double pollSentAtS;
+    /** Polls that have failed since the last answer. */
+    private int consecutiveFailures;
 
     /** Creates a watch; {@code knownVersion} is the version of the list with which the gatherer starts. */
     public EndpointWatch(EventLoop loop, InetSocketAddress address, DeploymentSettings settings, long knownVersion) {
@@ -138,6 +143,7 @@
      */
     public void start(Gatherer gatherer) {
         core = gatherer;
+        core.metrics().setEndpointListVersion(version);
         if (!settings.scheduler().pollsEndpointList()) {
             loop.execute(this::watch);
         }
@@ -161,6 +167,7 @@
                 addressChanged ? DiscoveryProtocol.listTarget() : DiscoveryProtocol.watchTarget(version, waitMs);
         double timeoutS = addressChanged ? ADDRESS_CHANGE_TIMEOUT_S : pollTimeoutS(waitMs);
         HttpClient sender = client;
+        pollSentAtS = loop.now();
         overdueTimer = loop.after(timeoutS, this::retryOverdue);
         byte[] request = HttpWriter.request("GET", target, authority, "", new byte[0]);
         sender.send(request, timeoutS + OVERDUE_TIMEOUT_S, new HttpClient.ResponseListener() {
@@ -195,7 +202,11 @@
 
     /** Retries the overdue poll on a new connection; the overdue poll stays open alongside. */
     private void retryOverdue() {
-        LOG.log(System.Logger.Level.WARNING, "endpoint list poll is overdue, retrying on a new connection");
+        LOG.log(
+                System.Logger.Level.WARNING,
+                "endpoint list poll is overdue, retrying on a new connection: after {0} s, version {1} stays in use",
+                secondsSincePoll(),
+                Long.toString(version));
         if (overdueClient != null) {
             overdueClient.close();
         }
@@ -248,7 +259,10 @@
     }
 
     private void onList(EndpointListJson list) {
+        logList(list);
+        consecutiveFailures = 0;
         version = list.seq();
+        core.metrics().setEndpointListVersion(version);
         firstPoll = false;
         addressChanged = false;
         agentBackoffS = MIN_AGENT_BACKOFF_S;
@@ -259,7 +273,15 @@
     }
 
     private void onFailure(String reason) {
-        LOG.log(System.Logger.Level.WARNING, "endpoint list watch failed: {0}", reason);
+        consecutiveFailures++;
+        core.metrics().recordEndpointListFailure();
+        LOG.log(
+                System.Logger.Level.WARNING,
+                "endpoint list watch failed: {0} after {1} s, {2} failures in a row, version {3} stays in use",
+                reason,
+                secondsSincePoll(),
+                consecutiveFailures,
+                Long.toString(version));
         firstPoll = true;
         closeAll();
         useNewClient(address, CONNECT_TIMEOUT_S);
@@ -271,4 +293,24 @@
             agentBackoffS = Math.min(MAX_AGENT_BACKOFF_S, 2 * agentBackoffS);
         }
     }
+
+    /** Logs a list that brings a new version or ends a series of failures; a poll without news is not logged. */
+    private void logList(EndpointListJson list) {
+        if (list.seq() == version && !firstPoll && list.hosts().isEmpty()) {
+            return;
+        }
+        LOG.log(
+                System.Logger.Level.INFO,
+                "endpoint list version {0} from {1}, {2} entries{3}, answered after {4} s, replaces version {5}",
+                Long.toString(list.seq()),
+                authority,
+                list.hosts().size(),
+                list.whole() ? " (complete)" : "",
+                secondsSincePoll(),
+                Long.toString(version));
+    }
+
+    private String secondsSincePoll() {
+        return String.format(Locale.ROOT, "%.3f", loop.now() - pollSentAtS);
+    }
 }
--- a/src/main/java/pepperdock/service/EndpointListWaiter.java
+++ b/src/main/java/pepperdock/service/EndpointListWaiter.java
@@ -13,7 +13,10 @@
     /** Starts listening. A list that is received before {@link #runWithin} counts too. */
     EndpointListWaiter(Gatherer core, Clock clock) {
         this.clock = clock;
-        core.addEndpointListListener(hosts -> runTask());
+        core.addEndpointListListener(hosts -> {
+            received = true;
+            runTask();
+        });
     }
 
     /**
@@ -28,8 +31,12 @@
         }
     }
 
+    /** Returns whether a list has been received since the start. */
+    boolean hasReceived() {
+        return received;
+    }
+
     private void runTask() {
-        received = true;
         Runnable task = waitingTask;
         waitingTask = null;
         if (task != null) {
--- a/src/main/java/pepperdock/service/GathererService.java
+++ b/src/main/java/pepperdock/service/GathererService.java
@@ -226,6 +226,12 @@
         clients.servers()
                 .forEach(server ->
                         LOG.log(System.Logger.Level.INFO, "{0} serves on {1}", config.name(), server.address()));
+        LOG.log(
+                System.Logger.Level.INFO,
+                "ready with endpoint list version {0}, {1} workers, {2}",
+                Long.toString(core.metrics().endpointListVersion()),
+                core.listedEndpointCount(),
+                listWaiter.hasReceived() ? "as received" : "as configured, none received yet");
         warmup.runRemainingQueries(loop, () -> core.inFlightQueries() == 0);
     }
 }
