--- a/src/main/java/pepperdock/cli/LabCommand.java
+++ b/src/main/java/pepperdock/cli/LabCommand.java
@@ -2,17 +2,14 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.URISyntaxException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
 import java.time.ZoneOffset;
 import java.time.format.DateTimeFormatter;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
-import pepperdock.config.ConfigException;
 import pepperdock.faultinjection.FaultInjectionRun;
 import pepperdock.faultinjection.Outcome;
 import pepperdock.faultinjection.Report;
@@ -35,16 +32,14 @@
             LabCommand.SimCommand.class,
             LabCommand.CheckCommand.class,
             ExploreCommand.class,
-            ScaleCommand.class
+            ScaleCommand.class,
+            UpgradeCommand.class
         })
 final class LabCommand extends CommandGroup {
 
     /** Exit status of a run that does not count, as the machine was late, not the program. */
     static final int NOT_COUNTED = 4;
 
-    private static final List<String> GATHERER_JVM_FLAGS =
-            List.of("-Xmx56m", "-Xss512k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
-
     private static int printOutcome(PrintWriter out, Outcome outcome, Path history) throws IOException {
         Report.text(history, outcome).forEach(out::println);
         out.println(outcome.verdict());
@@ -90,33 +85,11 @@
                                             .format(Instant.now()));
             PrintWriter out = spec.commandLine().getOut();
             out.println("playing the script in " + runFolder);
-            Outcome outcome = FaultInjectionRun.run(file, seed, runFolder, gathererCommand());
+            Outcome outcome = FaultInjectionRun.run(file, seed, runFolder, GathererCommand.ofThisJar());
             Path history = runFolder.resolve(FaultInjectionRun.HISTORY);
             Files.writeString(runFolder.resolve("report.html"), Report.html(history, outcome));
             return printOutcome(out, outcome, history);
         }
-
-        /** Returns the command that runs this jar as a gatherer, with the class archive beside it if there is one. */
-        private static List<String> gathererCommand() {
-            try {
-                Path jar = Path.of(FaultInjectionRun.class
-                        .getProtectionDomain()
-                        .getCodeSource()
-                        .getLocation()
-                        .toURI());
-                List<String> arguments = new ArrayList<>(List.of(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString()));
-                arguments.addAll(GATHERER_JVM_FLAGS);
-                Path archive = jar.resolveSibling(jar.getFileName().toString().replace(".jar", ".jsa"));
-                if (Files.isReadable(archive)) {
-                    arguments.addAll(List.of("-XX:SharedArchiveFile=" + archive, "-Xlog:disable"));
-                }
-                arguments.addAll(List.of("-jar", jar.toString(), "serve"));
-                return arguments;
-            } catch (URISyntaxException e) {
-                throw new ConfigException("lab", "can't determine the path of the program's jar");
-            }
-        }
     }
 
     /** Plays the membership of a script in simulated time. */
--- a/src/main/java/pepperdock/faultinjection/ChildProcessGuard.java
+++ b/src/main/java/pepperdock/faultinjection/ChildProcessGuard.java
@@ -13,7 +13,7 @@
  * in any way, which closes the standard input of the shell. Java can kill a process, but cannot send SIGSTOP, and
  * cannot run code of its own when it is killed.
  */
-final class ChildProcessGuard implements AutoCloseable {
+public final class ChildProcessGuard implements AutoCloseable {
 
     private static final String SHELL = """
             trap '' INT TERM HUP
@@ -33,7 +33,8 @@
     private final Writer in;
     private final BufferedReader out;
 
-    ChildProcessGuard() throws IOException {
+    /** Starts the guard. */
+    public ChildProcessGuard() throws IOException {
         shell = new ProcessBuilder("sh", "-c", SHELL)
                 .redirectError(ProcessBuilder.Redirect.DISCARD)
                 .start();
@@ -42,17 +43,17 @@
     }
 
     /** Registers a process that is killed when the rig ends. */
-    void add(long pid) throws IOException {
+    public void add(long pid) throws IOException {
         say("add " + pid);
     }
 
     /** Removes a process that has ended and been reaped: its id may be reused by another process. */
-    void gone(long pid) throws IOException {
+    public void gone(long pid) throws IOException {
         say("del " + pid);
     }
 
     /** Sends a signal to all these processes at once; returns when it is sent. */
-    void signal(String signal, List<Long> pids) throws IOException {
+    public void signal(String signal, List<Long> pids) throws IOException {
         if (!pids.isEmpty()) {
             say(signal + ' ' + pids.stream().map(String::valueOf).collect(Collectors.joining(" ")));
         }
--- a/src/main/java/pepperdock/faultinjection/ChildProcesses.java
+++ b/src/main/java/pepperdock/faultinjection/ChildProcesses.java
@@ -11,7 +11,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -149,11 +148,7 @@
         Files.writeString(memberFolder.resolve("config.json"), config.toString());
         List<String> commandLine = new ArrayList<>(command);
         if (injectDiskFaults) {
-            commandLine.addAll(
-                    1,
-                    List.of(
-                            "-Djava.nio.file.spi.DefaultFileSystemProvider=" + FaultyDisk.class.getName(),
-                            "-D" + FaultyDisk.FOLDER_PROPERTY + '=' + memberFolder));
+            commandLine.addAll(1, FaultyDisk.jvmOptions(memberFolder));
         }
         ProcessBuilder builder = new ProcessBuilder(commandLine);
         builder.environment().keySet().removeIf(k -> k.startsWith("EDGE_"));
@@ -208,12 +203,7 @@
     void setDiskFault(List<String> names, String diskFault) throws IOException {
         history.addRigEvent("disk", "members", String.join(",", names), "is", diskFault);
         for (String name : names) {
-            Path memberFolder = Files.createDirectories(folder.resolve(name));
-            Files.writeString(memberFolder.resolve("disk.new"), diskFault);
-            Files.move(
-                    memberFolder.resolve("disk.new"),
-                    memberFolder.resolve(FaultyDisk.FAULT_FILE),
-                    StandardCopyOption.ATOMIC_MOVE);
+            FaultyDisk.setFault(Files.createDirectories(folder.resolve(name)), diskFault);
         }
     }
 
--- a/src/main/java/pepperdock/faultinjection/FaultyDisk.java
+++ b/src/main/java/pepperdock/faultinjection/FaultyDisk.java
@@ -14,16 +14,19 @@
 import java.nio.file.DirectoryStream;
 import java.nio.file.FileStore;
 import java.nio.file.FileSystem;
+import java.nio.file.Files;
 import java.nio.file.LinkOption;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.OpenOption;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.nio.file.attribute.BasicFileAttributes;
 import java.nio.file.attribute.FileAttribute;
 import java.nio.file.attribute.FileAttributeView;
 import java.nio.file.spi.FileSystemProvider;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -41,13 +44,28 @@
     static final String FOLDER_PROPERTY = "pepperdock.lab.disk";
 
     static final String FAULT_FILE = "disk";
-    static final String STATE_FOLDER = "state";
+    /** The name of the folder that is affected, inside the member's folder. */
+    public static final String STATE_FOLDER = "state";
 
     private final FileSystemProvider delegate;
     private final FaultyFileSystem fileSystem;
     private final Path faultFile;
     private final Path stateFolder;
 
+    /** Returns the options of a JVM whose member's folder this is. */
+    public static List<String> jvmOptions(Path memberFolder) {
+        return List.of(
+                "-Djava.nio.file.spi.DefaultFileSystemProvider=" + FaultyDisk.class.getName(),
+                "-D" + FOLDER_PROPERTY + '=' + memberFolder);
+    }
+
+    /** Sets the fault of the disk of a member; empty for none. A reader sees the old fault or the new one. */
+    public static void setFault(Path memberFolder, String fault) throws IOException {
+        Path newFile = memberFolder.resolve(FAULT_FILE + ".new");
+        Files.writeString(newFile, fault);
+        Files.move(newFile, memberFolder.resolve(FAULT_FILE), StandardCopyOption.ATOMIC_MOVE);
+    }
+
     /** Called by the JDK when it starts. */
     public FaultyDisk(FileSystemProvider delegate) {
         this(delegate, System.getProperty(FOLDER_PROPERTY));
