Pass each endpoint list on to the other process of an upgrade

Cause: what discovery tells one process was known to that process alone. The new process began with the list of its file; when its own polls failed, it was ready after 3 s all the same, and the scheduler's pauses after failed calls (0.4 to 2.5 s) went past the 2 s in which news counts as told. Change: each list received is written to endpoints.json in the state folder, with source and version; a process starts with it, and adopts a newer one within 0.1 s (EndpointListExchange, EndpointWatch.adopt). A process that replaces another retries its first poll after 0.05 to 0.4 s, with a second beside it after 1.2 s, and waits 4 s for a list in place of 3; if the old process ends meanwhile, it takes over at once. A folder that can't be used at the start no longer ends the process. Why it works: the new process knows at its ready what the old one was told, whatever discovery does then, and the old one what the new one is told.

--- a/src/main/java/pepperdock/config/EndpointListJson.java
+++ b/src/main/java/pepperdock/config/EndpointListJson.java
@@ -82,8 +82,24 @@
         return read(new ConfigReader("known", new JsonObject()), null);
     }
 
-    /** Returns a complete list in the same format, for the store; {@link #parse} reads it. */
+    /** Returns a complete list in the same format without a version, for the store; {@link #parse} reads it. */
     public static String write(Collection<WorkerEndpoint> hosts, DeploymentSettings site) {
+        JsonObject list = new JsonObject();
+        list.addProperty(COMPLETE, true);
+        list.add(ENTRIES, entries(hosts, site));
+        return list.toString();
+    }
+
+    /** Returns a complete list of this version as the JSON object that {@link #read} reads. */
+    public static JsonObject toJson(long seq, Collection<WorkerEndpoint> hosts, DeploymentSettings site) {
+        JsonObject list = new JsonObject();
+        list.addProperty(SEQ, seq);
+        list.addProperty(COMPLETE, true);
+        list.add(ENTRIES, entries(hosts, site));
+        return list;
+    }
+
+    private static JsonArray entries(Collection<WorkerEndpoint> hosts, DeploymentSettings site) {
         JsonArray entries = new JsonArray();
         for (WorkerEndpoint host : hosts) {
             JsonObject entry = new JsonObject();
@@ -97,10 +113,7 @@
             entry.addProperty(STARTED_AT_MS, Math.round(host.startedAtS() * MS_PER_S));
             entries.add(entry);
         }
-        JsonObject list = new JsonObject();
-        list.addProperty(COMPLETE, true);
-        list.add(ENTRIES, entries);
-        return list.toString();
+        return entries;
     }
 
     private static String name(EndpointState state) {
--- /dev/null
+++ b/src/main/java/pepperdock/operator/BanService.java
@@ -0,0 +1,108 @@
+package pepperdock.operator;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import pepperdock.core.Gatherer;
+import pepperdock.transport.EventLoop;
+
+/**
+ * Puts bans of workers into force and on disk, where the other process of an upgrade and a later one read them. A
+ * change that can't be written is in force all the same. State belongs to the
+ * loop's thread, but for what is marked as the disk thread's.
+ */
+final class BanService {
+
+    private static final System.Logger LOG = System.getLogger("pepperdock.operator");
+    /** Maximum number of ban changes that wait for a disk that does not respond. */
+    private static final int MAX_PENDING_BANS = 100;
+
+    private final EventLoop loop;
+    private final Gatherer core;
+    private final Bans bans = new Bans();
+    /** Null if there is no folder for the state; so is {@link #diskThread}. */
+    private final BanFile file;
+
+    private final Executor diskThread;
+    /** The content last read or written; belongs to the disk thread. */
+    private Set<String> lastSeen = Set.of();
+
+    /** Creates a service without bans; {@code folder} and {@code diskThread} are null if no state is kept. */
+    BanService(Path folder, EventLoop loop, Gatherer core, Executor diskThread) {
+        this.loop = loop;
+        this.core = core;
+        this.diskThread = diskThread;
+        file = folder == null ? null : new BanFile(folder);
+    }
+
+    /** Reads the bans at the start; returns how many there are. Called before the disk thread is used. */
+    int readSaved() throws IOException {
+        lastSeen = file.read();
+        bans.onRead(lastSeen);
+        return lastSeen.size();
+    }
+
+    /** Puts the bans into force that are known at the start. */
+    void apply() {
+        core.setBannedEndpoints(bans.inForce());
+    }
+
+    /** Reads the file and reports a change to the loop. Called on the disk thread. */
+    void refresh() throws IOException {
+        Set<String> state = file.read();
+        if (!state.equals(lastSeen)) {
+            lastSeen = state;
+            loop.execute(() -> {
+                bans.onRead(state);
+                apply();
+            });
+        }
+    }
+
+    /**
+     * Applies the change at once, and acknowledges it once it is written, so that a process that starts after the
+     * acknowledgement reads it. {@code then} receives the reason if it is not done or not written, otherwise null.
+     */
+    void setBanned(String worker, boolean banned, Consumer<String> then) {
+        if (banned && !bans.inForce().contains(worker) && bans.inForce().size() >= Bans.MAX_BANS
+                || bans.pendingCount() >= MAX_PENDING_BANS) {
+            then.accept("not done: " + bans.inForce().size() + " workers are disabled, " + bans.pendingCount()
+                    + " calls wait for the disk");
+            return;
+        }
+        long changeNumber = bans.request(worker, banned);
+        apply();
+        LOG.log(System.Logger.Level.INFO, "worker {0} {1} by an operator", worker, banned ? "disabled" : "enabled");
+        if (diskThread == null) {
+            bans.onWritten(changeNumber, null);
+            then.accept(null);
+            return;
+        }
+        diskThread.execute(() -> {
+            Set<String> state = null;
+            String failure = null;
+            try {
+                state = write(worker, banned);
+            } catch (IOException | RuntimeException e) {
+                failure = "in force, but not written down, so lost with this process: " + e;
+                LOG.log(System.Logger.Level.ERROR, "cannot write the ban file: {0}", String.valueOf(e));
+            }
+            Set<String> newState = state;
+            String reason = failure;
+            loop.execute(() -> {
+                bans.onWritten(changeNumber, newState);
+                apply();
+                then.accept(reason);
+            });
+        });
+    }
+
+    /** Changes the file; called on the disk thread. */
+    private Set<String> write(String worker, boolean banned) throws IOException {
+        Set<String> state = file.change(worker, banned);
+        lastSeen = state;
+        return state;
+    }
+}
--- a/src/main/java/pepperdock/operator/OperatorService.java
+++ b/src/main/java/pepperdock/operator/OperatorService.java
@@ -5,12 +5,13 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import pepperdock.config.DeploymentSettings;
+import pepperdock.core.EndpointListSnapshot;
 import pepperdock.core.Gatherer;
 import pepperdock.transport.EventLoop;
 import pepperdock.transport.HttpServer;
@@ -29,22 +30,24 @@
     private static final double REQUEST_TIMEOUT_S = 4;
 
     private static final int MAX_BODY_BYTES = 4096;
-    /** Maximum number of ban changes that wait for a disk that does not respond. */
-    private static final int MAX_PENDING_BANS = 100;
     /** Interval of checking the files for another process and its bans. Draining allows five times as long for that. */
     private static final long REFRESH_MS = 100;
 
     private final EventLoop loop;
     private final Gatherer core;
     private final BooleanSupplier ready;
-    private final Bans bans = new Bans();
     private final List<Consumer<Boolean>> otherProcessListeners = new ArrayList<>();
     private final List<Consumer<Boolean>> otherServingListeners = new ArrayList<>();
+    private final BanService bans;
     /** Null if there is no folder for the state; so are {@link #locks} and {@link #diskThread}. */
-    private final BanFile file;
+    private final EndpointListExchange lists;
 
     private final ProcessLocks locks;
     private final ScheduledExecutorService diskThread;
+    private Consumer<EndpointListSnapshot> listListener = list -> {};
+    /** The list that was saved when this process started, until the listener has it; null if there is none. */
+    private EndpointListSnapshot savedList;
+
     private boolean otherProcessAlive;
     private boolean otherProcessServing;
     private boolean handedOver;
@@ -54,51 +57,83 @@
     private boolean lastSeenOtherAlive;
 
     private boolean lastSeenServing;
-    private Set<String> lastSeenBans;
     private boolean refreshFailing;
 
     /**
-     * Reads the saved state and takes the locks that other processes check.
+     * Reads the saved state and takes the locks that other processes check. If the folder can't be used now, the
+     * process starts as if it were alone, and tries again.
      *
      * @param folder the folder for the saved state; null if no state is kept after this process
      * @param ready whether this process accepts queries
      */
-    public OperatorService(Path folder, EventLoop loop, Gatherer core, BooleanSupplier ready) throws IOException {
+    public OperatorService(
+            Path folder, DeploymentSettings settings, EventLoop loop, Gatherer core, BooleanSupplier ready) {
         this.loop = loop;
         this.core = core;
         this.ready = ready;
-        file = folder == null ? null : new BanFile(folder);
+        diskThread = folder == null ? null : Executors.newSingleThreadScheduledExecutor(OperatorService::newDiskThread);
+        bans = new BanService(folder, loop, core, diskThread);
         locks = folder == null ? null : new ProcessLocks(folder);
+        lists = folder == null ? null : new EndpointListExchange(folder, settings, diskThread);
         if (folder == null) {
             LOG.log(
                     System.Logger.Level.WARNING,
                     "TMPDIR is not set: bans are lost when this process ends, upgrades are not detected");
-            diskThread = null;
-            return;
+        } else {
+            readSavedState();
         }
-        lastSeenOtherAlive = locks.otherProcessIsAlive();
-        if (!lastSeenOtherAlive) {
-            locks.acquireServingLock();
+    }
+
+    private static Thread newDiskThread(Runnable task) {
+        Thread thread = new Thread(task, "operator");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private void readSavedState() {
+        int banned = 0;
+        try {
+            banned = bans.readSaved();
+            locks.acquireLivenessLock();
+            lastSeenOtherAlive = locks.otherProcessIsAlive();
+            if (!lastSeenOtherAlive) {
+                locks.acquireServingLock();
+            }
+            lastSeenServing = locks.otherProcessServes();
+            savedList = lists.readIfChanged();
+        } catch (IOException e) {
+            logRefreshFailure(e);
         }
-        lastSeenServing = locks.otherProcessServes();
-        otherProcessServing = lastSeenServing;
-        lastSeenBans = file.read();
         otherProcessAlive = lastSeenOtherAlive;
-        bans.onRead(lastSeenBans);
-        if (otherProcessAlive || !lastSeenBans.isEmpty()) {
+        otherProcessServing = lastSeenServing;
+        if (otherProcessAlive || banned > 0) {
             LOG.log(
                     System.Logger.Level.INFO,
                     "{0}, {1} workers disabled",
                     otherProcessAlive
                             ? "another process of this gatherer is alive"
                             : "no other process of this gatherer",
-                    lastSeenBans.size());
+                    banned);
+        }
+    }
+
+    /**
+     * Sets the listener for endpoint lists that other processes of this gatherer have received, on the loop's thread. It
+     * is told at once of the list that was saved at the start, if there was one.
+     */
+    public void whenListReceivedByOther(Consumer<EndpointListSnapshot> listener) {
+        listListener = listener;
+        if (savedList != null) {
+            listener.accept(savedList);
+            savedList = null;
+        }
+    }
+
+    /** Passes a list that this process has received on to the other processes of this gatherer. */
+    public void publish(EndpointListSnapshot list) {
+        if (lists != null) {
+            lists.publish(list);
         }
-        diskThread = Executors.newSingleThreadScheduledExecutor(task -> {
-            Thread thread = new Thread(task, "operator");
-            thread.setDaemon(true);
-            return thread;
-        });
     }
 
     /**
@@ -106,7 +141,7 @@
      * list.
      */
     public void start(InetSocketAddress address) throws IOException {
-        core.setBannedEndpoints(bans.inForce());
+        bans.apply();
         if (otherProcessAlive) {
             otherProcessListeners.forEach(then -> then.accept(true));
         }
@@ -205,34 +240,56 @@
         }
     }
 
+    /** Each step runs whatever the others do: a file that can't be read must not keep another process undetected. */
     private void refresh() {
-        try {
-            boolean otherAlive = locks.otherProcessIsAlive();
-            boolean otherProcessServes = locks.otherProcessServes();
-            Set<String> state = file.read();
-            if (otherAlive != lastSeenOtherAlive
-                    || otherProcessServes != lastSeenServing
-                    || !state.equals(lastSeenBans)) {
-                lastSeenOtherAlive = otherAlive;
-                lastSeenServing = otherProcessServes;
-                lastSeenBans = state;
-                loop.execute(() -> otherStateChanged(otherAlive, otherProcessServes, state));
-            }
+        boolean succeeded = refreshed(() -> lists.writeUnwritten())
+                & refreshed(bans::refresh)
+                & refreshed(this::refreshList)
+                & refreshed(locks::retry)
+                & refreshed(this::refreshOtherProcess);
+        if (succeeded) {
             refreshFailing = false;
+        }
+    }
+
+    private boolean refreshed(DiskTask step) {
+        try {
+            step.run();
+            return true;
         } catch (IOException | RuntimeException e) {
-            if (!refreshFailing) {
-                refreshFailing = true;
-                LOG.log(
-                        System.Logger.Level.ERROR,
-                        "cannot read the ban file and the lock files: {0}",
-                        String.valueOf(e));
-            }
+            logRefreshFailure(e);
+            return false;
+        }
+    }
+
+    private void refreshOtherProcess() throws IOException {
+        boolean otherAlive = locks.otherProcessIsAlive();
+        boolean otherServes = locks.otherProcessServes();
+        if (otherAlive != lastSeenOtherAlive || otherServes != lastSeenServing) {
+            lastSeenOtherAlive = otherAlive;
+            lastSeenServing = otherServes;
+            loop.execute(() -> otherProcessChanged(otherAlive, otherServes));
+        }
+    }
+
+    private void logRefreshFailure(Exception cause) {
+        if (!refreshFailing) {
+            refreshFailing = true;
+            LOG.log(
+                    System.Logger.Level.ERROR,
+                    "cannot read the ban file and the lock files: {0}",
+                    String.valueOf(cause));
         }
     }
 
-    private void otherStateChanged(boolean otherAlive, boolean otherProcessServes, Set<String> state) {
-        bans.onRead(state);
-        core.setBannedEndpoints(bans.inForce());
+    private void refreshList() throws IOException {
+        EndpointListSnapshot list = lists.readIfChanged();
+        if (list != null) {
+            loop.execute(() -> listListener.accept(list));
+        }
+    }
+
+    private void otherProcessChanged(boolean otherAlive, boolean otherServes) {
         if (otherProcessAlive != otherAlive) {
             otherProcessAlive = otherAlive;
             LOG.log(
@@ -242,10 +299,10 @@
                             : "the other process of this gatherer has ended");
             otherProcessListeners.forEach(then -> then.accept(otherAlive));
         }
-        if (otherProcessServing != otherProcessServes) {
-            otherProcessServing = otherProcessServes;
+        if (otherProcessServing != otherServes) {
+            otherProcessServing = otherServes;
             if (!handedOver) {
-                otherServingListeners.forEach(then -> then.accept(otherProcessServes));
+                otherServingListeners.forEach(then -> then.accept(otherServes));
             }
         }
     }
@@ -267,43 +324,8 @@
         return core.isKnownEndpoint(worker);
     }
 
-    /**
-     * Applies the change at once, and acknowledges it once it is written, so that a process that starts after the
-     * acknowledgement reads it.
-     */
     @Override
     public void setBanned(String worker, boolean banned, Consumer<String> then) {
-        if (banned && !bans.inForce().contains(worker) && bans.inForce().size() >= Bans.MAX_BANS
-                || bans.pendingCount() >= MAX_PENDING_BANS) {
-            then.accept("not done: " + bans.inForce().size() + " workers are disabled, " + bans.pendingCount()
-                    + " calls wait for the disk");
-            return;
-        }
-        long changeNumber = bans.request(worker, banned);
-        core.setBannedEndpoints(bans.inForce());
-        LOG.log(System.Logger.Level.INFO, "worker {0} {1} by an operator", worker, banned ? "disabled" : "enabled");
-        if (diskThread == null) {
-            bans.onWritten(changeNumber, null);
-            then.accept(null);
-            return;
-        }
-        diskThread.execute(() -> {
-            Set<String> state = null;
-            String failure = null;
-            try {
-                state = file.change(worker, banned);
-                lastSeenBans = state;
-            } catch (IOException | RuntimeException e) {
-                failure = "in force, but not written down, so lost with this process: " + e;
-                LOG.log(System.Logger.Level.ERROR, "cannot write the ban file: {0}", String.valueOf(e));
-            }
-            Set<String> newState = state;
-            String reason = failure;
-            loop.execute(() -> {
-                bans.onWritten(changeNumber, newState);
-                core.setBannedEndpoints(bans.inForce());
-                then.accept(reason);
-            });
-        });
+        bans.setBanned(worker, banned, then);
     }
 }
--- a/src/main/java/pepperdock/operator/ProcessLocks.java
+++ b/src/main/java/pepperdock/operator/ProcessLocks.java
@@ -11,7 +11,8 @@
  * Detects whether another process of this gatherer is alive and whether it serves queries. Each process holds a lock on
  * a file of its own while it is alive, and on a second one while it accepts queries; the operating system releases both
  * however the process ends. A POSIX lock belongs to the process and is released when any descriptor of the file is
- * closed, so a process never opens its own file again. Used on one thread at a time.
+ * closed, so a process never opens its own file again. A lock that can't be taken is tried again by {@link #retry}. Used
+ * on one thread at a time.
  */
 final class ProcessLocks implements AutoCloseable {
 
@@ -26,10 +27,17 @@
     private int slot = NO_SLOT;
     private FileChannel livenessLock;
     private FileChannel servingLock;
+    private boolean servingLockWanted;
 
-    /** Takes the first free slot. If there is none, other processes do not detect this one. */
-    ProcessLocks(Path folder) throws IOException {
+    /** Uses the lock files in a folder, which must exist; takes no lock yet. */
+    ProcessLocks(Path folder) {
         this.folder = folder;
+    }
+
+    /**
+     * Takes the first free slot, unless this process has one. If there is none, other processes do not detect this one.
+     */
+    void acquireLivenessLock() throws IOException {
         for (int i = 0; i < SLOTS && slot < 0; i++) {
             livenessLock = tryAcquire(LIFE_PREFIX, i);
             if (livenessLock != null) {
@@ -42,8 +50,13 @@
     private FileChannel tryAcquire(String prefix, int index) throws IOException {
         FileChannel channel =
                 FileChannel.open(folder.resolve(prefix + index), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-        if (channel.tryLock() != null) {
-            return channel;
+        try {
+            if (channel.tryLock() != null) {
+                return channel;
+            }
+        } catch (IOException e) {
+            channel.close();
+            throw e;
         }
         channel.close();
         return null;
@@ -51,13 +64,26 @@
 
     /** Marks that this process accepts queries from now on. */
     void acquireServingLock() throws IOException {
-        servingLock = slot < 0 ? null : tryAcquire(SERVING_PREFIX, slot);
+        servingLockWanted = true;
+        if (slot >= 0 && servingLock == null) {
+            servingLock = tryAcquire(SERVING_PREFIX, slot);
+        }
+    }
+
+    /** Takes the locks that this process should hold and could not take before. */
+    void retry() throws IOException {
+        acquireLivenessLock();
+        if (servingLockWanted) {
+            acquireServingLock();
+        }
     }
 
     /** Marks that this process accepts no new queries from now on. */
     void releaseServingLock() throws IOException {
+        servingLockWanted = false;
         if (servingLock != null) {
             servingLock.close();
+            servingLock = null;
         }
     }
 
--- a/src/main/java/pepperdock/platform/EndpointWatch.java
+++ b/src/main/java/pepperdock/platform/EndpointWatch.java
@@ -1,17 +1,22 @@
 package pepperdock.platform;
 
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
 import pepperdock.codec.http.HttpMessage;
 import pepperdock.codec.http.HttpWriter;
+import pepperdock.config.Config;
 import pepperdock.config.ConfigException;
 import pepperdock.config.DeploymentSettings;
 import pepperdock.config.EndpointListJson;
 import pepperdock.core.Clock;
 import pepperdock.core.EndpointDiscovery;
+import pepperdock.core.EndpointListSharing;
+import pepperdock.core.EndpointListSnapshot;
 import pepperdock.core.Gatherer;
+import pepperdock.core.WorkerEndpoint;
 import pepperdock.scheduler.EndpointListKind;
 import pepperdock.transport.EventLoop;
 import pepperdock.transport.HttpClient;
@@ -27,7 +32,7 @@
  * <p>Constructed with the event loop that owns it, and started with the gatherer that receives the lists. Everything
  * else runs on the loop's thread.
  */
-public final class EndpointWatch implements EndpointDiscovery {
+public final class EndpointWatch implements EndpointDiscovery, EndpointListSharing {
 
     private static final System.Logger LOG = System.getLogger("pepperdock.platform");
     /**
@@ -69,16 +74,23 @@
      */
     private static final double RETRY_CONNECT_TIMEOUT_S = 0.5;
     /**
-     * Seconds from a failed poll of a local agent to the next poll, doubled after each failure. Events that the agent
-     * holds count as delivered at once, so the next poll and its answer must fit into the 0.5 s allowed after a drain
-     * event.
+     * Seconds from a failed poll to the next one, doubled after each failure, if the watch retries by itself. Events
+     * that a local agent holds count as delivered at once, so the next poll and its answer must fit into the 0.5 s
+     * allowed after a drain event.
      */
-    private static final double MIN_AGENT_BACKOFF_S = 0.1;
+    private static final double MIN_BACKOFF_S = 0.1;
 
-    static final double MAX_AGENT_BACKOFF_S = 0.25;
+    static final double MAX_BACKOFF_S = 0.25;
+    /**
+     * Seconds until a poll of a process that replaces another is overdue. Half of what discovery lets a poll wait, so
+     * that a second poll fits into the 2 s after which news counts as delivered, while the first keeps its turn.
+     */
+    private static final double REPLACEMENT_POLL_TIMEOUT_S = 1.2;
     /** Twice the size of the complete list of a large fleet. */
     private static final int MAX_LIST_BYTES = 1 << 20;
 
+    private static final long UNKNOWN_VERSION = -1;
+
     private final EventLoop loop;
     private final DeploymentSettings settings;
     private final SplittableRandom random = new SplittableRandom();
@@ -103,7 +115,10 @@
     /** Whether the address has changed and no list has arrived from the new one yet. */
     private boolean addressChanged;
 
-    private double agentBackoffS = MIN_AGENT_BACKOFF_S;
+    /** Backoff of polls that the watch retries by itself. */
+    private double backoffS = MIN_BACKOFF_S;
+    /** Until when a process that replaces another retries failed polls by itself; 0 once it has a list. */
+    private double promptRetriesUntilS;
     /** When the current poll was sent, by the loop's clock. */
     private double pollSentAtS;
     /** Polls that have failed since the last answer. */
@@ -149,6 +164,53 @@
         }
     }
 
+    /**
+     * {@inheritDoc}
+     *
+     * <p>For a process that replaces another: what discovery tells counts as delivered 2 s after the replacement, and
+     * the scheduler's backoff may be longer than that.
+     */
+    @Override
+    public void retryPromptly(double seconds) {
+        promptRetriesUntilS = loop.now() + seconds;
+    }
+
+    @Override
+    public EndpointListSnapshot snapshot(Collection<WorkerEndpoint> endpoints) {
+        return new EndpointListSnapshot(Config.formatAddress(address), version, List.copyOf(endpoints));
+    }
+
+    /**
+     * {@inheritDoc}
+     *
+     * <p>Versions of different addresses are not comparable. A list from another address is used only if the other
+     * process is alive: it received the list just now, or is being replaced by this one.
+     */
+    @Override
+    public void adopt(EndpointListSnapshot list, boolean otherProcessAlive) {
+        boolean sameAddress = list.source().equals(Config.formatAddress(address));
+        boolean usable = sameAddress ? addressChanged || list.version() > version : otherProcessAlive;
+        if (!usable) {
+            return;
+        }
+        LOG.log(
+                System.Logger.Level.INFO,
+                "endpoint list version {0} from {1}, {2} entries, received by another process, replaces version {3}",
+                Long.toString(list.version()),
+                list.source(),
+                list.endpoints().size(),
+                Long.toString(version));
+        if (sameAddress) {
+            version = list.version();
+            addressChanged = false;
+            core.metrics().setEndpointListVersion(version);
+        } else if (firstPoll) {
+            // Changes since the configured version may be based on another list than the adopted one.
+            addressChanged = true;
+        }
+        core.onEndpointList(EndpointListKind.CACHED, list.endpoints());
+    }
+
     @Override
     public void watch() {
         if (!client.isBusy()) {
@@ -165,7 +227,14 @@
     private void poll(int waitMs) {
         String target =
                 addressChanged ? DiscoveryProtocol.listTarget() : DiscoveryProtocol.watchTarget(version, waitMs);
-        double timeoutS = addressChanged ? ADDRESS_CHANGE_TIMEOUT_S : pollTimeoutS(waitMs);
+        double timeoutS = pollTimeoutS(waitMs);
+        if (retriesPromptly()) {
+            timeoutS = REPLACEMENT_POLL_TIMEOUT_S;
+        } else if (addressChanged) {
+            timeoutS = ADDRESS_CHANGE_TIMEOUT_S;
+        }
+        // No version of the list at a new address is known.
+        long requestedVersion = addressChanged ? UNKNOWN_VERSION : version;
         HttpClient sender = client;
         pollSentAtS = loop.now();
         overdueTimer = loop.after(timeoutS, this::retryOverdue);
@@ -174,7 +243,7 @@
             @Override
             public void onResponse(HttpMessage response) {
                 if (sender == client || sender == overdueClient) {
-                    onPollAnswered(sender, response);
+                    onPollAnswered(sender, response, requestedVersion);
                 }
             }
 
@@ -232,11 +301,11 @@
         }
     }
 
-    private void onPollAnswered(HttpClient sender, HttpMessage response) {
+    private void onPollAnswered(HttpClient sender, HttpMessage response, long requestedVersion) {
         try {
             EndpointListJson list = DiscoveryProtocol.parseList(response, settings);
             keepOnly(sender);
-            onList(list);
+            onList(list, requestedVersion);
         } catch (ConfigException e) {
             if (sender == overdueClient) {
                 overdueClient.close();
@@ -258,14 +327,20 @@
         overdueClient = null;
     }
 
-    private void onList(EndpointListJson list) {
+    private void onList(EndpointListJson list, long requestedVersion) {
         logList(list);
         consecutiveFailures = 0;
+        backoffS = MIN_BACKOFF_S;
+        promptRetriesUntilS = 0;
+        if (!addressChanged && requestedVersion < version && list.seq() < version) {
+            // A newer list was adopted from another process while this answer was on its way.
+            poll(FIRST_POLL_WAIT_MS);
+            return;
+        }
         version = list.seq();
         core.metrics().setEndpointListVersion(version);
         firstPoll = false;
         addressChanged = false;
-        agentBackoffS = MIN_AGENT_BACKOFF_S;
         // Poll before the list is applied: a poll that arrives late would begin a new watch.
         poll(LONG_POLL_WAIT_MS);
         EndpointListKind kind = list.whole() ? EndpointListKind.COMPLETE : EndpointListKind.CHANGES;
@@ -285,15 +360,19 @@
         firstPoll = true;
         closeAll();
         useNewClient(address, CONNECT_TIMEOUT_S);
-        if (settings.scheduler().pollsEndpointList()) {
+        if (settings.scheduler().pollsEndpointList() && !retriesPromptly()) {
             core.onEndpointList(EndpointListKind.FAILED, List.of());
         } else {
             double jitter = 0.5 + random.nextDouble();
-            loop.after(agentBackoffS * jitter, this::watch);
-            agentBackoffS = Math.min(MAX_AGENT_BACKOFF_S, 2 * agentBackoffS);
+            loop.after(backoffS * jitter, this::watch);
+            backoffS = Math.min(MAX_BACKOFF_S, 2 * backoffS);
         }
     }
 
+    private boolean retriesPromptly() {
+        return loop.now() < promptRetriesUntilS;
+    }
+
     /** Logs a list that brings a new version or ends a series of failures; a poll without news is not logged. */
     private void logList(EndpointListJson list) {
         if (list.seq() == version && !firstPoll && list.hosts().isEmpty()) {
--- a/src/main/java/pepperdock/service/EndpointListWaiter.java
+++ b/src/main/java/pepperdock/service/EndpointListWaiter.java
@@ -31,6 +31,11 @@
         }
     }
 
+    /** Runs the task now if it still waits: there is a reason not to wait any longer. */
+    void stopWaiting() {
+        runTask();
+    }
+
     /** Returns whether a list has been received since the start. */
     boolean hasReceived() {
         return received;
--- a/src/main/java/pepperdock/service/GathererService.java
+++ b/src/main/java/pepperdock/service/GathererService.java
@@ -11,6 +11,7 @@
 import pepperdock.config.ConfigReader;
 import pepperdock.config.DeploymentSettings;
 import pepperdock.config.EndpointListJson;
+import pepperdock.core.EndpointListSharing;
 import pepperdock.core.Gatherer;
 import pepperdock.core.PooledBackend;
 import pepperdock.core.WorkerEndpoint;
@@ -34,9 +35,17 @@
     private static final System.Logger LOG = System.getLogger("pepperdock");
     /**
      * Maximum time that a process waits for its first endpoint list before it takes over from another process of the
-     * same gatherer.
+     * same gatherer, which serves meanwhile. With the start before it and the announcement after it, this fits into the
+     * 6 s in which a new process has to be ready.
      */
-    private static final double LIST_TIMEOUT_S = 3;
+    private static final double LIST_TIMEOUT_S = 4;
+    /**
+     * Time for which a process that replaces another retries failed requests for the list on its own pace: until what
+     * discovery has counts as delivered in any case.
+     */
+    private static final double PROMPT_RETRIES_S = LIST_TIMEOUT_S + 6;
+    /** Maximum time that a process which is ready to serve waits for the disk to announce it to the other process. */
+    private static final double ANNOUNCE_TIMEOUT_S = 0.5;
     /**
      * Maximum time that a process waits for its first endpoint list if an agent pushes lists. The process is expected
      * to know the agent's list from the start, so it is ready once the list is received. An agent that sends nothing in
@@ -83,11 +92,11 @@
         listWaiter = new EndpointListWaiter(core, loop);
         storeEndpointLists();
         startPlanner();
-        loop.execute(this::startDiscovery);
         operator = config.operator() == null
                 ? null
-                : new OperatorService(stateFolder(context.env()), loop, core, this::acceptsQueries);
+                : new OperatorService(stateFolder(context.env()), settings, loop, core, this::acceptsQueries);
         clients = new ClientServers(config, core, loop, search, () -> ready);
+        loop.execute(this::startDiscovery);
     }
 
     /**
@@ -146,11 +155,22 @@
 
     /**
      * Applies the file's list before starting discovery: a pushed list may arrive at once and must not be replaced by
-     * it.
+     * it. What another process of this gatherer was told goes before the file's list.
      */
     private void startDiscovery() {
         core.onEndpointList(EndpointListKind.CACHED, config.known().hosts());
         endpointSource.start().accept(core);
+        if (operator != null && endpointSource.sharing() != null) {
+            shareEndpointLists(endpointSource.sharing());
+        }
+    }
+
+    private void shareEndpointLists(EndpointListSharing sharing) {
+        if (operator.otherProcessIsAlive()) {
+            sharing.retryPromptly(PROMPT_RETRIES_S);
+        }
+        operator.whenListReceivedByOther(list -> sharing.adopt(list, operator.otherProcessIsAlive()));
+        core.addEndpointListListener(endpoints -> operator.publish(sharing.snapshot(endpoints)));
     }
 
     private void startPlanner() {
@@ -192,6 +212,11 @@
             startOperator();
         }
         if (otherProcessExists()) {
+            operator.whenOtherProcessChanges(alive -> {
+                if (!alive) {
+                    listWaiter.stopWaiting();
+                }
+            });
             listWaiter.runWithin(LIST_TIMEOUT_S, this::takeOver);
         } else if (endpointSource.pushed()) {
             listWaiter.runWithin(PUSHED_LIST_TIMEOUT_S, this::serve);
@@ -214,10 +239,15 @@
 
     /** Starts to take over from another process: both processes serve from then on. */
     private void takeOver() {
-        operator.startServing(() -> {
+        operator.startServing(this::listenAndServe);
+        loop.after(ANNOUNCE_TIMEOUT_S, this::listenAndServe);
+    }
+
+    private void listenAndServe() {
+        if (!ready) {
             clients.listen();
             serve();
-        });
+        }
     }
 
     private void serve() {
@@ -231,7 +261,7 @@
                 "ready with endpoint list version {0}, {1} workers, {2}",
                 Long.toString(core.metrics().endpointListVersion()),
                 core.listedEndpointCount(),
-                listWaiter.hasReceived() ? "as received" : "as configured, none received yet");
+                listWaiter.hasReceived() ? "received from its source" : "none received from its source yet");
         warmup.runRemainingQueries(loop, () -> core.inFlightQueries() == 0);
     }
 }
--- a/src/test/java/pepperdock/operator/BansTest.java
+++ b/src/test/java/pepperdock/operator/BansTest.java
@@ -95,6 +95,7 @@
     void leftoverLockFileIsNotAnotherProcess() throws Exception {
         Files.writeString(folder.resolve("life.1"), "");
         try (ProcessLocks locks = new ProcessLocks(folder)) {
+            locks.acquireLivenessLock();
             assertFalse(locks.otherProcessIsAlive());
         }
     }
--- a/src/test/java/pepperdock/platform/EndpointWatchTest.java
+++ b/src/test/java/pepperdock/platform/EndpointWatchTest.java
@@ -319,7 +319,7 @@
      */
     @Test
     void theNextPollOfAnAgentFitsIntoTheDrainGrace() {
-        double longestPauseS = 1.5 * EndpointWatch.MAX_AGENT_BACKOFF_S;
+        double longestPauseS = 1.5 * EndpointWatch.MAX_BACKOFF_S;
         assertTrue(
                 longestPauseS < settings.scheduler().rules().drainGraceS() - 0.1,
                 "longest pause with jitter leaves no time for an answer");
