Write bans again that the disk refused

Cause: a change whose write failed was kept in memory alone and never written again. Change: BanService writes it again every 0.2 s until the disk takes it.

--- a/src/main/java/pepperdock/operator/BanService.java
+++ b/src/main/java/pepperdock/operator/BanService.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
@@ -10,7 +11,7 @@
 
 /**
  * Puts bans of workers into force and on disk, where the other process of an upgrade and a later one read them. A
- * change that can't be written is in force all the same. State belongs to the
+ * change that can't be written is in force all the same, and is written as soon as the disk allows. State belongs to the
  * loop's thread, but for what is marked as the disk thread's.
  */
 final class BanService {
@@ -19,6 +20,8 @@
     /** Maximum number of ban changes that wait for a disk that does not respond. */
     private static final int MAX_PENDING_BANS = 100;
 
+    private static final double REWRITE_INTERVAL_S = 0.2;
+
     private final EventLoop loop;
     private final Gatherer core;
     private final Bans bans = new Bans();
@@ -26,6 +29,7 @@
     private final BanFile file;
 
     private final Executor diskThread;
+    private boolean rewriteScheduled;
     /** The content last read or written; belongs to the disk thread. */
     private Set<String> lastSeen = Set.of();
 
@@ -86,14 +90,15 @@
             try {
                 state = write(worker, banned);
             } catch (IOException | RuntimeException e) {
-                failure = "in force, but not written down, so lost with this process: " + e;
-                LOG.log(System.Logger.Level.ERROR, "cannot write the ban file: {0}", String.valueOf(e));
+                failure = "in force, but not written down yet, so lost if this process ends before it is: " + e;
+                LOG.log(System.Logger.Level.ERROR, "cannot write the ban file, retrying: {0}", String.valueOf(e));
             }
             Set<String> newState = state;
             String reason = failure;
             loop.execute(() -> {
                 bans.onWritten(changeNumber, newState);
                 apply();
+                scheduleRewrite();
                 then.accept(reason);
             });
         });
@@ -105,4 +110,38 @@
         lastSeen = state;
         return state;
     }
+
+    /** Schedules another write of what could not be written. */
+    private void scheduleRewrite() {
+        if (!rewriteScheduled && !bans.unwritten().isEmpty()) {
+            rewriteScheduled = true;
+            loop.after(REWRITE_INTERVAL_S, () -> {
+                List<Bans.Change> unwritten = bans.unwritten();
+                diskThread.execute(() -> rewrite(unwritten));
+            });
+        }
+    }
+
+    /** Writes changes again, up to the first that fails; called on the disk thread. */
+    private void rewrite(List<Bans.Change> unwritten) {
+        try {
+            for (Bans.Change change : unwritten) {
+                Set<String> state = write(change.worker(), change.banned());
+                loop.execute(() -> {
+                    bans.onRewritten(change, state);
+                    apply();
+                });
+            }
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "ban file written, {0} changes that could not be written before",
+                    unwritten.size());
+        } catch (IOException | RuntimeException e) {
+            LOG.log(System.Logger.Level.DEBUG, "cannot write the ban file, retrying", e);
+        }
+        loop.execute(() -> {
+            rewriteScheduled = false;
+            scheduleRewrite();
+        });
+    }
 }
--- a/src/main/java/pepperdock/operator/Bans.java
+++ b/src/main/java/pepperdock/operator/Bans.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -17,13 +18,13 @@
     static final int MAX_BANS = 1000;
 
     /** A request to ban a worker or to lift its ban. */
-    private record Change(String worker, boolean banned) {}
+    record Change(String worker, boolean banned) {}
 
     /** The banned workers as last read or written. */
     private final Set<String> saved = new LinkedHashSet<>();
     /**
-     * Changes that could not be written, by worker. Each overrides the saved state in this process until the next
-     * change of the same worker ends.
+     * Changes that could not be written yet, by worker. Each overrides the saved state in this process until it is
+     * written or the next change of the same worker ends.
      */
     private final Map<String, Change> unwritten = new LinkedHashMap<>();
 
@@ -51,6 +52,20 @@
         }
     }
 
+    /** Returns the changes that could not be written and are to be written again. */
+    List<Change> unwritten() {
+        return List.copyOf(unwritten.values());
+    }
+
+    /**
+     * Ends a change that was written after all. {@code state} is the content of the file after it. A later change of
+     * the same worker stays in force.
+     */
+    void onRewritten(Change change, Collection<String> state) {
+        unwritten.remove(change.worker(), change);
+        onRead(state);
+    }
+
     /** Adopts the state of the file, which another process may have changed. */
     void onRead(Collection<String> state) {
         saved.clear();
