Tell workers no later deadline than the client's for a request that has waited

Cause: the client's time counted from when its request was parsed, not from when it can have arrived. Change: a late timer of the loop tells how long input may have been unread (StallDetector); a connection notes since when its unparsed bytes are there; the front takes both off the client's time.

--- a/src/main/java/pepperdock/platform/PlatformFront.java
+++ b/src/main/java/pepperdock/platform/PlatformFront.java
@@ -27,6 +27,9 @@
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
 
+    /** The timeout of a query whose client does not wait any longer. */
+    private static final double MIN_TIMEOUT_S = 0.001;
+
     private DeploymentSettings settings;
     private final Gatherer core;
     private final BooleanSupplier ready;
@@ -48,7 +51,7 @@
         switch (message.path()) {
             case ClientProtocol.QUERY_PATH -> {
                 requireMethod(message, "POST");
-                Query query = core.submit(parseQuery(message), new ClientReply(reply));
+                Query query = core.submit(parseQuery(message, reply.waitedS()), new ClientReply(reply));
                 return () -> core.onClientGone(query);
             }
             case ClientProtocol.READY_PATH -> {
@@ -77,7 +80,8 @@
         }
     }
 
-    private QueryRequest parseQuery(HttpMessage message) throws HttpException {
+    /** Returns the query; its client waits for {@code waitedS} less than it says, since it said so when it sent it. */
+    private QueryRequest parseQuery(HttpMessage message, double waitedS) throws HttpException {
         ClientProtocol.QueryHeaders headers = ClientProtocol.parseQueryHeaders(message, settings);
         if (core.isQueryIdInUse(headers.id())) {
             // The ids of its parts would be in use on the workers' connections already, and results could be mixed up.
@@ -89,7 +93,7 @@
                 headers.id(),
                 headers.queryClass(),
                 headers.idempotencyKey(),
-                headers.timeoutS(),
+                Math.max(MIN_TIMEOUT_S, headers.timeoutS() - waitedS),
                 body.parts(),
                 body.text(),
                 null);
--- a/src/main/java/pepperdock/transport/EventLoop.java
+++ b/src/main/java/pepperdock/transport/EventLoop.java
@@ -47,6 +47,7 @@
     private final LogRateLimiter rejectedClientLog = new LogRateLimiter(LOG, this, "clients rejected");
     private final LogRateLimiter unsolicitedInputLog =
             new LogRateLimiter(LOG, this, "connections closed for unsolicited input");
+    private final StallDetector stalls = new StallDetector(this);
     private int connectingCount;
     private long unsolicitedInputs;
 
@@ -134,6 +135,16 @@
         socketCap = Math.min(unsharedSocketCap, sharedCap);
     }
 
+    /** Starts to measure stalls, for a server whose requests have time limits. */
+    void detectStalls() {
+        execute(stalls::start);
+    }
+
+    /** Returns for how many seconds what is read now may have been unread in the kernel, because the loop stalled. */
+    double unreadForS() {
+        return stalls.unreadForS();
+    }
+
     /** Returns the buffer for input that is discarded, which all connections share. */
     ByteBuffer discardBuffer() {
         return discardBuffer.clear();
--- a/src/main/java/pepperdock/transport/HttpServer.java
+++ b/src/main/java/pepperdock/transport/HttpServer.java
@@ -82,6 +82,9 @@
             connection.readNow();
         });
         loop.after(TIMEOUT_SWEEP_INTERVAL_S, this::enforceTimeouts);
+        if (scope != EventLoop.SocketScope.OUTSIDE_CAP) {
+            loop.detectStalls();
+        }
     }
     /** Returns the address that the server listens on. */
     public InetSocketAddress address() {
--- a/src/main/java/pepperdock/transport/ServerConnection.java
+++ b/src/main/java/pepperdock/transport/ServerConnection.java
@@ -32,6 +32,8 @@
     private double stateSince;
     private long bytesWritten;
     private double lastWriteAt;
+    /** When the first byte that is not parsed yet may have arrived; NaN if all are parsed. */
+    private double unparsedSinceS = Double.NaN;
 
     ServerConnection(HttpServer server, Connection connection, int maxBodyBytes) {
         this.server = server;
@@ -115,6 +117,9 @@
      */
     @Override
     public void onBytes(Connection connection) {
+        if (Double.isNaN(unparsedSinceS)) {
+            unparsedSinceS = server.loop().now() - server.loop().unreadForS();
+        }
         if (readingRequests) {
             return;
         }
@@ -132,10 +137,15 @@
                     state = ConnectionState.READING;
                 }
                 connection.consume(parser.feed(connection.bytes(), connection.readStart(), connection.readEnd()));
+                boolean allParsed = connection.readEnd() == connection.readStart();
+                double arrivedAtS = unparsedSinceS;
+                if (allParsed) {
+                    unparsedSinceS = Double.NaN;
+                }
                 if (!parser.isComplete()) {
                     return;
                 }
-                serve(parser.take());
+                serve(parser.take(), arrivedAtS);
             }
         } catch (HttpException e) {
             respondWithError(e);
@@ -163,12 +173,13 @@
                                 respond(number, false, status, contentType, extraHeaders, body));
     }
 
-    private void serve(HttpMessage message) {
+    private void serve(HttpMessage message, double arrivedAtS) {
         long number = ++requestNumber;
         disconnectHandler = () -> {};
         enter(ConnectionState.SERVING);
         isHeadRequest = message.method().equals("HEAD");
-        HttpResponseSender reply = responseSender(number, message.keepAlive());
+        HttpResponseSender reply =
+                responseSender(number, message.keepAlive(), server.loop().now() - arrivedAtS);
         try {
             Runnable onDisconnect = server.handler().serve(message, reply);
             if (number == requestNumber && disconnectHandler != null) {
@@ -186,8 +197,13 @@
         }
     }
 
-    private HttpResponseSender responseSender(long number, boolean keepAlive) {
+    private HttpResponseSender responseSender(long number, boolean keepAlive, double waitedS) {
         return new HttpResponseSender() {
+            @Override
+            public double waitedS() {
+                return waitedS;
+            }
+
             @Override
             public void send(int status, String contentType, String extraHeaders, byte[] body) {
                 respond(number, keepAlive, status, contentType, extraHeaders, body);
