Hold SIGHUP until the configuration can be reloaded

What callers saw: a process that got SIGHUP in the first 0.2 to 0.3 s of its start ended with status 129; in a series of signals a restart or an upgrade then has no new process. Cause: the handler stood only at the end of the start, the JVM's default ends the process until then. Change: Startup holds the signal first, and the reloader handles what has arrived when it takes over. Result: SignalsIT.sighupDuringStartDoesNotEndTheProcess failed before (process gone at once) and passes; the first 0.05 s, before main, stay open.

--- a/src/main/java/pepperdock/service/SignalHandlers.java
+++ b/src/main/java/pepperdock/service/SignalHandlers.java
@@ -1,20 +1,37 @@
 package pepperdock.service;
 
 import java.lang.reflect.Proxy;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Handles signals of the operating system in place of the JVM's default, which is to exit. It uses reflection because
  * the compiler warns of the JDK's unsupported module with the signal API, and has no option to suppress that.
- * Stateless.
+ * Thread-safe.
  */
 final class SignalHandlers {
 
     private static final System.Logger LOG = System.getLogger("pepperdock");
 
+    /** Names of signals that have arrived while they were held. */
+    private static final Set<String> ARRIVED_WHILE_HELD = ConcurrentHashMap.newKeySet();
+
     private SignalHandlers() {}
 
-    /** Runs a task on a thread of the JVM whenever the signal arrives. */
+    /** Holds a signal until {@link #on} is called for it: it is handled then, and does not end the process before. */
+    static void hold(String name) {
+        install(name, () -> ARRIVED_WHILE_HELD.add(name));
+    }
+
+    /** Runs a task on a thread of the JVM whenever the signal arrives, and at once if it arrived while it was held. */
     static void on(String name, Runnable task) {
+        install(name, task);
+        if (ARRIVED_WHILE_HELD.remove(name)) {
+            task.run();
+        }
+    }
+
+    private static void install(String name, Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
--- a/src/main/java/pepperdock/service/Startup.java
+++ b/src/main/java/pepperdock/service/Startup.java
@@ -53,6 +53,8 @@
      * @throws pepperdock.config.ConfigException if the file can't be used
      */
     public static void open(Map<String, String> env) throws IOException {
+        // The JVM's default would end a process that can't reload its configuration yet.
+        SignalHandlers.hold("HUP");
         ConfigReader file = Config.readFile(env);
         StoreConfig storeConfig = Config.store(file);
         if (file.has("settings")) {
--- a/src/test/java/pepperdock/SignalsIT.java
+++ b/src/test/java/pepperdock/SignalsIT.java
@@ -190,4 +190,18 @@
             assertTrue(jar.log().contains("drained, no queries in flight"), jar::log);
         }
     }
+
+    /** SIGHUP during the start ended the process: the JVM's default, until the configuration could be reloaded. */
+    @Test
+    void sighupDuringStartDoesNotEndTheProcess() throws Exception {
+        try (ServerSocket discovery = openServer();
+                JarProcess jar = start(discovery)) {
+            jar.awaitLogLine("XNIO version");
+            while (!jar.log().contains(" serves on ") && jar.process.isAlive()) {
+                signal("HUP", jar.process);
+            }
+            jar.awaitLogLine(" serves on ");
+            jar.awaitLogLine("configuration reloaded");
+        }
+    }
 }
