--- a/src/main/java/pepperdock/faultinjection/upgrade/DiscoveryStub.java
+++ b/src/main/java/pepperdock/faultinjection/upgrade/DiscoveryStub.java
@@ -6,11 +6,14 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Discovery of the platform, with faults. A fault applies to calls that begin while it is set; long polls that wait
@@ -28,7 +31,11 @@
         /** Calls end with status 503 after {@link #ERROR_DELAY_MS}. */
         ERROR,
         /** Calls are answered after {@link #SLOW_DELAY_MS}. */
-        SLOW
+        SLOW,
+        /** Half of the answer is written, and nothing after it. */
+        HALF,
+        /** Connections that are open when it is set are never answered again; new ones are sound. */
+        SILENT_WATCHES
     }
 
     /** A new version of the list; {@code writtenAtS} is when an answer with it was first written, or NaN. */
@@ -47,6 +54,7 @@
 
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final List<Change> changes = new ArrayList<>();
+    private final Set<Socket> silentConnections = new HashSet<>();
     private Fault fault = Fault.NONE;
     private long version = 1;
 
@@ -78,6 +86,9 @@
     /** Sets how calls are treated that begin from now on. */
     public synchronized void setFault(Fault fault) {
         this.fault = fault;
+        if (fault == Fault.SILENT_WATCHES) {
+            silentConnections.addAll(connections());
+        }
     }
 
     /** Returns all changes so far. */
@@ -122,7 +133,7 @@
                 return true;
             }
             case SLOW -> Thread.sleep(SLOW_DELAY_MS);
-            case NONE -> {}
+            case NONE, HALF, SILENT_WATCHES -> {}
         }
         long since = parameter(requestLine, "since");
         long waitMs = parameter(requestLine, "timeout_ms");
@@ -131,6 +142,16 @@
         }
         long[] answered = new long[1];
         String body = listSince(since, answered);
+        if (currentFault() == Fault.HALF) {
+            writeHalf(connection, body);
+            return connection.getInputStream().read() >= 0;
+        }
+        if (isSilent(connection)) {
+            return connection.getInputStream().read() >= 0;
+        }
+        if (!isOpen(connection)) {
+            return false;
+        }
         write(connection, "200 OK", body);
         recordWritten(answered[0]);
         return true;
@@ -140,6 +161,22 @@
         return fault;
     }
 
+    private synchronized boolean isSilent(Socket connection) {
+        return silentConnections.contains(connection);
+    }
+
+    /** Returns whether the gatherer's side is open: what is written to a process that has died tells it nothing. */
+    private static boolean isOpen(Socket connection) throws IOException {
+        connection.setSoTimeout(1);
+        try {
+            return connection.getInputStream().read() >= 0;
+        } catch (SocketTimeoutException e) {
+            return true;
+        } finally {
+            connection.setSoTimeout(0);
+        }
+    }
+
     private static long parameter(String requestLine, String name) {
         String[] parts = requestLine.split("[?&= ]");
         for (int i = 0; i + 1 < parts.length; i++) {
@@ -187,8 +224,17 @@
     }
 
     private static void write(Socket connection, String status, String body) throws IOException {
+        connection.getOutputStream().write(response(status, body));
+    }
+
+    private static void writeHalf(Socket connection, String body) throws IOException {
+        byte[] response = response("200 OK", body);
+        connection.getOutputStream().write(response, 0, response.length / 2);
+    }
+
+    private static byte[] response(String status, String body) {
         String response = "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
-        connection.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+        return response.getBytes(StandardCharsets.US_ASCII);
     }
 
     private synchronized void recordWritten(long answeredVersion) {
--- a/src/main/java/pepperdock/faultinjection/upgrade/StubServer.java
+++ b/src/main/java/pepperdock/faultinjection/upgrade/StubServer.java
@@ -34,6 +34,11 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
+    /** Returns the connections that are open now. */
+    final Set<Socket> connections() {
+        return Set.copyOf(connections);
+    }
+
     private void accept() {
         try {
             while (true) {
