End a process only once the bans it owes are on disk, as far as time allows

What callers saw: a ban that the disk had refused was lost if the process ended before the disk was well, though there were up to 3.5 s left until SIGKILL. Cause: the shutdown waited for queries and connections alone. Change: it waits for unwritten bans and lists too, until 0.2 s before SIGKILL.

--- a/src/main/java/pepperdock/operator/BanService.java
+++ b/src/main/java/pepperdock/operator/BanService.java
@@ -53,6 +53,11 @@
         core.setBannedEndpoints(bans.inForce());
     }
 
+    /** Returns whether a change is in force that is not on disk yet. */
+    boolean hasUnwritten() {
+        return bans.pendingCount() > 0 || !bans.unwritten().isEmpty();
+    }
+
     /** Reads the file and reports a change to the loop. Called on the disk thread. */
     void refresh() throws IOException {
         Set<String> state = file.read();
--- a/src/main/java/pepperdock/operator/EndpointListExchange.java
+++ b/src/main/java/pepperdock/operator/EndpointListExchange.java
@@ -70,6 +70,11 @@
         }
     }
 
+    /** Returns whether a list is not written yet; may be called on any thread. */
+    boolean hasUnwritten() {
+        return unwritten.get() != null;
+    }
+
     /** Returns the list if another process has written one since the last call; otherwise null. */
     EndpointListSnapshot readIfChanged() throws IOException {
         return file.readIfChanged();
--- a/src/main/java/pepperdock/operator/OperatorService.java
+++ b/src/main/java/pepperdock/operator/OperatorService.java
@@ -231,6 +231,11 @@
         onDiskThread(locks::releaseServingLock, () -> {});
     }
 
+    @Override
+    public boolean hasUnwrittenState() {
+        return lists != null && (bans.hasUnwritten() || lists.hasUnwritten());
+    }
+
     /** Counts a configuration file that was put into use or rejected. */
     public void countReload(boolean applied) {
         if (applied) {
--- a/src/main/java/pepperdock/operator/UpgradePeer.java
+++ b/src/main/java/pepperdock/operator/UpgradePeer.java
@@ -17,6 +17,11 @@
 
         @Override
         public void handOver() {}
+
+        @Override
+        public boolean hasUnwrittenState() {
+            return false;
+        }
     };
 
     /** Updates {@link #otherProcessServes}, then runs the task. */
@@ -29,4 +34,7 @@
      * Stops accepting new queries in this process and passes its share of the sending capacity to the other process.
      */
     void handOver();
+
+    /** Returns whether this process holds state for the other one, or for a later one, that is not on disk yet. */
+    boolean hasUnwrittenState();
 }
--- a/src/main/java/pepperdock/service/GracefulShutdown.java
+++ b/src/main/java/pepperdock/service/GracefulShutdown.java
@@ -113,7 +113,7 @@
     }
 
     /**
-     * Exits once all answers are completely written and no connection is left, after a quiet period with listening
+     * Exits once all answers and the state for other processes are completely written and no connection is left, after a quiet period with listening
      * sockets open and another with them closed. If it exited earlier, a client that the operating system has just
      * accepted would get no answer.
      */
@@ -122,7 +122,7 @@
                 servers.stream().mapToInt(HttpServer::busyConnectionCount).sum() == 0;
         boolean connectionsDone = loop.now() > closeAt
                 || servers.stream().mapToInt(HttpServer::connectionCount).sum() == 0;
-        if (core.inFlightQueries() > 0 || !allWritten || !connectionsDone) {
+        if (core.inFlightQueries() > 0 || !allWritten || !connectionsDone || otherProcess.hasUnwrittenState()) {
             quietSince = Double.NaN;
         } else if (Double.isNaN(quietSince)) {
             quietSince = loop.now();
