--- a/src/main/java/pepperdock/operator/BanService.java
+++ b/src/main/java/pepperdock/operator/BanService.java
@@ -41,11 +41,15 @@
         file = folder == null ? null : new BanFile(folder);
     }
 
-    /** Reads the bans at the start; returns how many there are. Called before the disk thread is used. */
-    int readSaved() throws IOException {
+    /** Reads the bans at the start. Called before the disk thread is used. */
+    void readSaved() throws IOException {
         lastSeen = file.read();
         bans.onRead(lastSeen);
-        return lastSeen.size();
+    }
+
+    /** Returns how many workers are banned. */
+    int count() {
+        return bans.inForce().size();
     }
 
     /** Puts the bans into force that are known at the start. */
--- a/src/main/java/pepperdock/operator/OperatorService.java
+++ b/src/main/java/pepperdock/operator/OperatorService.java
@@ -90,20 +90,17 @@
         return thread;
     }
 
+    /** Each step runs whatever the others do, as in {@link #refresh}. */
     private void readSavedState() {
-        int banned = 0;
-        try {
-            banned = bans.readSaved();
-            locks.acquireLivenessLock();
-            lastSeenOtherAlive = locks.otherProcessIsAlive();
-            if (!lastSeenOtherAlive) {
-                locks.acquireServingLock();
-            }
-            lastSeenServing = locks.otherProcessServes();
-            savedList = lists.readIfChanged();
-        } catch (IOException e) {
-            logRefreshFailure(e);
+        succeeds(bans::readSaved);
+        succeeds(() -> savedList = lists.readIfChanged());
+        succeeds(locks::acquireLivenessLock);
+        succeeds(() -> lastSeenOtherAlive = locks.otherProcessIsAlive());
+        if (!lastSeenOtherAlive) {
+            succeeds(locks::acquireServingLock);
         }
+        succeeds(() -> lastSeenServing = locks.otherProcessServes());
+        int banned = bans.count();
         otherProcessAlive = lastSeenOtherAlive;
         otherProcessServing = lastSeenServing;
         if (otherProcessAlive || banned > 0) {
@@ -247,17 +244,18 @@
 
     /** Each step runs whatever the others do: a file that can't be read must not keep another process undetected. */
     private void refresh() {
-        boolean succeeded = refreshed(() -> lists.writeUnwritten())
-                & refreshed(bans::refresh)
-                & refreshed(this::refreshList)
-                & refreshed(locks::retry)
-                & refreshed(this::refreshOtherProcess);
+        boolean succeeded = succeeds(lists::writeUnwritten)
+                & succeeds(bans::refresh)
+                & succeeds(this::refreshList)
+                & succeeds(locks::retry)
+                & succeeds(this::refreshOtherProcess);
         if (succeeded) {
             refreshFailing = false;
         }
     }
 
-    private boolean refreshed(DiskTask step) {
+    /** Runs a step; logs its failure. */
+    private boolean succeeds(DiskTask step) {
         try {
             step.run();
             return true;
