--- a/src/main/java/pepperdock/faultinjection/ChildProcesses.java
+++ b/src/main/java/pepperdock/faultinjection/ChildProcesses.java
@@ -146,10 +146,7 @@
         config.add("reach", reach);
         config.addProperty("events", true);
         Files.writeString(memberFolder.resolve("config.json"), config.toString());
-        List<String> commandLine = new ArrayList<>(command);
-        if (injectDiskFaults) {
-            commandLine.addAll(1, FaultyDisk.jvmOptions(memberFolder));
-        }
+        List<String> commandLine = injectDiskFaults ? FaultyDisk.commandWithFaults(command, memberFolder) : command;
         ProcessBuilder builder = new ProcessBuilder(commandLine);
         builder.environment().keySet().removeIf(k -> k.startsWith("EDGE_"));
         builder.environment()
--- a/src/main/java/pepperdock/faultinjection/FaultyDisk.java
+++ b/src/main/java/pepperdock/faultinjection/FaultyDisk.java
@@ -25,6 +25,7 @@
 import java.nio.file.attribute.FileAttribute;
 import java.nio.file.attribute.FileAttributeView;
 import java.nio.file.spi.FileSystemProvider;
+import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -52,11 +53,19 @@
     private final Path faultFile;
     private final Path stateFolder;
 
-    /** Returns the options of a JVM whose member's folder this is. */
-    public static List<String> jvmOptions(Path memberFolder) {
-        return List.of(
-                "-Djava.nio.file.spi.DefaultFileSystemProvider=" + FaultyDisk.class.getName(),
-                "-D" + FOLDER_PROPERTY + '=' + memberFolder);
+    /**
+     * Returns the command of a JVM, with the options for a member whose folder this is, and without a class archive:
+     * classes of an archive are looked up as files of the platform's file system, which fails with this one.
+     */
+    public static List<String> commandWithFaults(List<String> command, Path memberFolder) {
+        List<String> changed = new ArrayList<>(command);
+        changed.removeIf(argument -> argument.startsWith("-XX:SharedArchiveFile="));
+        changed.addAll(
+                1,
+                List.of(
+                        "-Djava.nio.file.spi.DefaultFileSystemProvider=" + FaultyDisk.class.getName(),
+                        "-D" + FOLDER_PROPERTY + '=' + memberFolder));
+        return changed;
     }
 
     /** Sets the fault of the disk of a member; empty for none. A reader sees the old fault or the new one. */
--- a/src/main/java/pepperdock/faultinjection/upgrade/GathererProcess.java
+++ b/src/main/java/pepperdock/faultinjection/upgrade/GathererProcess.java
@@ -9,7 +9,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import pepperdock.faultinjection.ChildProcessGuard;
@@ -38,10 +37,7 @@
         this.guard = guard;
         operatorPort = freePort();
         log = folder.resolve(name + ".log");
-        List<String> commandLine = new ArrayList<>(command);
-        if (faultyDisk) {
-            commandLine.addAll(1, FaultyDisk.jvmOptions(folder));
-        }
+        List<String> commandLine = faultyDisk ? FaultyDisk.commandWithFaults(command, folder) : command;
         ProcessBuilder builder = new ProcessBuilder(commandLine);
         builder.environment().keySet().removeIf(key -> key.startsWith("EDGE_"));
         builder.environment().put("EDGE_CONFIG", folder.resolve("config.json").toString());
