Count a request's waiting time from its last byte, not from the client's pauses

Cause: the time since when unparsed bytes are there was set without any, and kept while a request was incomplete. Result: RequestWaitingTimeTest 2 of 2 failed before (0.69 and 0.71 s counted), 0 of 2 after; DeadlineOfWaitingRequestTest, HttpServerTest, ClientGoneTest pass.

--- a/src/main/java/pepperdock/transport/ServerConnection.java
+++ b/src/main/java/pepperdock/transport/ServerConnection.java
@@ -32,7 +32,7 @@
     private double stateSince;
     private long bytesWritten;
     private double lastWriteAt;
-    /** When the first byte that is not parsed yet may have arrived; NaN if all are parsed. */
+    /** When the first byte behind the last complete request may have arrived; NaN if none has, or not a whole request. */
     private double unparsedSinceS = Double.NaN;
 
     ServerConnection(HttpServer server, Connection connection, int maxBodyBytes) {
@@ -117,7 +117,7 @@
      */
     @Override
     public void onBytes(Connection connection) {
-        if (Double.isNaN(unparsedSinceS)) {
+        if (Double.isNaN(unparsedSinceS) && connection.readEnd() > connection.readStart()) {
             unparsedSinceS = server.loop().now() - server.loop().unreadForS();
         }
         if (readingRequests) {
@@ -137,14 +137,15 @@
                     state = ConnectionState.READING;
                 }
                 connection.consume(parser.feed(connection.bytes(), connection.readStart(), connection.readEnd()));
-                boolean allParsed = connection.readEnd() == connection.readStart();
-                double arrivedAtS = unparsedSinceS;
-                if (allParsed) {
-                    unparsedSinceS = Double.NaN;
-                }
                 if (!parser.isComplete()) {
+                    // The request counts from its last byte, which has not arrived.
+                    unparsedSinceS = Double.NaN;
                     return;
                 }
+                double arrivedAtS = unparsedSinceS;
+                if (connection.readEnd() == connection.readStart()) {
+                    unparsedSinceS = Double.NaN;
+                }
                 serve(parser.take(), arrivedAtS);
             }
         } catch (HttpException e) {
