Open the watch before the state folder is read, as before

The test is right: a slow folder must not hold up discovery. Change: the watch opens first again; the list of the other process is adopted, and lists are passed on, once the folder is read, a list that has arrived by then included; a poll in flight gets the shorter time limit.

--- a/src/main/java/pepperdock/platform/EndpointWatch.java
+++ b/src/main/java/pepperdock/platform/EndpointWatch.java
@@ -65,7 +65,6 @@
      * it.
      */
     private static final double OVERDUE_TIMEOUT_S = 3;
-
     /** Seconds until an attempt to connect times out. */
     private static final double CONNECT_TIMEOUT_S = 1;
     /**
@@ -173,6 +172,12 @@
     @Override
     public void retryPromptly(double seconds) {
         promptRetriesUntilS = loop.now() + seconds;
+        if (client.isBusy()) {
+            overdueTimer.cancel();
+            overdueTimer = loop.after(REPLACEMENT_POLL_TIMEOUT_S, this::retryOverdue);
+        } else {
+            watch();
+        }
     }
 
     @Override
--- a/src/main/java/pepperdock/service/GathererService.java
+++ b/src/main/java/pepperdock/service/GathererService.java
@@ -65,6 +65,11 @@
     private final ClientServers clients;
     private final EndpointListWaiter listWaiter;
     private DeploymentSettings settings;
+    /** The endpoints of the last list from the source; null before the first. */
+    private Collection<WorkerEndpoint> lastEndpoints;
+    /** Whether lists are passed on to the other process of an upgrade. */
+    private boolean sharesLists;
+
     private boolean ready;
 
     private GathererService(ConfigReader file, Startup.ProcessContext context) throws IOException {
@@ -90,13 +95,14 @@
         core.setClassNames(settings.classes());
         backend.start(core);
         listWaiter = new EndpointListWaiter(core, loop);
+        core.addEndpointListListener(this::onEndpointList);
         storeEndpointLists();
         startPlanner();
+        loop.execute(this::startDiscovery);
         operator = config.operator() == null
                 ? null
                 : new OperatorService(stateFolder(context.env()), settings, loop, core, this::acceptsQueries);
         clients = new ClientServers(config, core, loop, search, () -> ready);
-        loop.execute(this::startDiscovery);
     }
 
     /**
@@ -155,22 +161,34 @@
 
     /**
      * Applies the file's list before starting discovery: a pushed list may arrive at once and must not be replaced by
-     * it. What another process of this gatherer was told goes before the file's list.
+     * it.
      */
     private void startDiscovery() {
         core.onEndpointList(EndpointListKind.CACHED, config.known().hosts());
         endpointSource.start().accept(core);
-        if (operator != null && endpointSource.sharing() != null) {
-            shareEndpointLists(endpointSource.sharing());
-        }
     }
 
-    private void shareEndpointLists(EndpointListSharing sharing) {
+    /** Adopts what another process of this gatherer was told, and passes on what this one is told. */
+    private void shareEndpointLists() {
+        EndpointListSharing sharing = endpointSource.sharing();
+        if (operator == null || sharing == null) {
+            return;
+        }
+        sharesLists = true;
+        if (lastEndpoints != null) {
+            operator.publish(sharing.snapshot(lastEndpoints));
+        }
         if (operator.otherProcessIsAlive()) {
             sharing.retryPromptly(PROMPT_RETRIES_S);
         }
         operator.whenListReceivedByOther(list -> sharing.adopt(list, operator.otherProcessIsAlive()));
-        core.addEndpointListListener(endpoints -> operator.publish(sharing.snapshot(endpoints)));
+    }
+
+    private void onEndpointList(Collection<WorkerEndpoint> endpoints) {
+        lastEndpoints = endpoints;
+        if (sharesLists) {
+            operator.publish(endpointSource.sharing().snapshot(endpoints));
+        }
     }
 
     private void startPlanner() {
@@ -208,6 +226,7 @@
     }
 
     private void begin() {
+        shareEndpointLists();
         if (operator != null) {
             startOperator();
         }
