Rig: take gatherers' ports from below those that the kernel hands out

The port was found free by binding port 0 and given up until the gatherer bound it 0.2 s later; any outgoing connection on the machine could take it. Change: a random port from 15,000 to 32,000, below the range of the kernel (32,768 on).

--- a/src/main/java/pepperdock/faultinjection/upgrade/GathererProcess.java
+++ b/src/main/java/pepperdock/faultinjection/upgrade/GathererProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -10,6 +11,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import pepperdock.faultinjection.ChildProcessGuard;
 import pepperdock.faultinjection.FaultyDisk;
@@ -18,6 +20,8 @@
 public final class GathererProcess {
 
     private static final int CALL_TIMEOUT_MS = 1000;
+    private static final int MIN_PORT = 15_000;
+    private static final int MAX_PORT = 32_000;
 
     private final ChildProcessGuard guard;
     private final Process process;
@@ -48,10 +52,18 @@
         guard.add(process.pid());
     }
 
-    /** Returns a port of the loopback address that is free now. */
+    /**
+     * Returns a port of the loopback address that is free now. It is below the ports that the kernel hands out: one of
+     * those could be taken by any connection before the gatherer listens on it.
+     */
     public static int freePort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return free.getLocalPort();
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+            try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return free.getLocalPort();
+            } catch (BindException e) {
+                // In use: try another one.
+            }
         }
     }
 
