--- a/src/main/java/pepperdock/service/GathererService.java
+++ b/src/main/java/pepperdock/service/GathererService.java
@@ -177,8 +177,7 @@
         sharesLists = true;
         if (lastEndpoints != null) {
             operator.publish(sharing.snapshot(lastEndpoints));
-        }
-        if (operator.otherProcessIsAlive()) {
+        } else if (operator.otherProcessIsAlive()) {
             sharing.retryPromptly(PROMPT_RETRIES_S);
         }
         operator.whenListReceivedByOther(list -> sharing.adopt(list, operator.otherProcessIsAlive()));
