Log and count late loops, late answers, and why clients' connections are closed

New: a line and counters when a timer runs over 0.1 s late, with the clients' input of that time (requests, bytes, new connections, the longest run and its peer); a line and a counter for an answer given after its deadline; the peer and reason of malformed requests and closed connections.

--- a/src/main/java/pepperdock/core/Metrics.java
+++ b/src/main/java/pepperdock/core/Metrics.java
@@ -46,6 +46,7 @@
     private long submitted;
     private long attempts;
     private long internalFailures;
+    private long lateAnswers;
     private long turnedAwayAttempts;
     private long endpointListFailures;
     private long endpointListVersion;
@@ -93,6 +94,15 @@
                 .sum();
     }
 
+    void recordLateAnswer() {
+        lateAnswers++;
+    }
+
+    /** Returns the number of queries that were answered later than their deadline and its slack. */
+    public long lateAnswers() {
+        return lateAnswers;
+    }
+
     void recordInternalFailure() {
         internalFailures++;
     }
--- a/src/main/java/pepperdock/core/QueryLifecycle.java
+++ b/src/main/java/pepperdock/core/QueryLifecycle.java
@@ -33,6 +33,7 @@
     private final QueryRegistry registry;
     private final LogRateLimiter endingLog;
     private final LogRateLimiter rejectionLog;
+    private final LogRateLimiter lateLog;
     private final InternalFailures failures;
     private boolean shuttingDown;
 
@@ -52,6 +53,7 @@
         this.attempts = attempts;
         this.registry = registry;
         endingLog = new LogRateLimiter(LOG, clock, "queries rejected, failed or cancelled");
+        lateLog = new LogRateLimiter(LOG, clock, "queries answered late");
         rejectionLog = new LogRateLimiter(LOG, clock, "queries rejected on arrival");
     }
 
@@ -246,6 +248,7 @@
      * by now, so nothing else would answer it: an answer that can't be given is replaced by a failure.
      */
     private boolean giveAnswer(Query query, Runnable answer) {
+        recordIfLate(query);
         boolean given = failures.run("a query was answered", answer);
         if (!given) {
             failures.run("a query was answered as failed", () -> query.listener.onFailed(query, false));
@@ -268,6 +271,20 @@
         }
     }
 
+    private void recordIfLate(Query query) {
+        double lateS = clock.now() - query.deadline;
+        if (lateS > settings.current().rules().answerSlackS()) {
+            metrics.recordLateAnswer();
+            lateLog.log(
+                    System.Logger.Level.WARNING,
+                    () -> String.format(
+                            Locale.ROOT,
+                            "query %s answered %.3f s after its deadline",
+                            query.request().id(),
+                            lateS));
+        }
+    }
+
     private void abandonAttempts(Query query) {
         for (Part part : query.parts) {
             part.attempts.forEach(attempt -> attempts.abandonAttempt(attempt, AttemptOutcome.CANCELLED));
--- a/src/main/java/pepperdock/operator/MetricsText.java
+++ b/src/main/java/pepperdock/operator/MetricsText.java
@@ -1,8 +1,11 @@
 package pepperdock.operator;
 
+import java.util.Locale;
 import pepperdock.core.Gatherer;
 import pepperdock.core.Metrics;
 import pepperdock.core.Metrics.QueryOutcome;
+import pepperdock.transport.TransportMetrics;
+import pepperdock.transport.TransportMetrics.ClientCloseReason;
 
 /**
  * Formats metrics as text: one line {@code svc.NAME=VALUE} for each metric, or {@code svc.NAME.CLASS=VALUE} for each
@@ -15,11 +18,11 @@
     /**
      * Returns the current values of all metrics.
      *
-     * @param unsolicitedInputs how many connections were closed because a server sent input that no request asked for
+     * @param transport counters of the event loop and its connections
      * @param reloads how many configuration files were put into use
      * @param rejectedReloads how many were rejected
      */
-    static String of(Gatherer core, long unsolicitedInputs, long reloads, long rejectedReloads) {
+    static String of(Gatherer core, TransportMetrics transport, long reloads, long rejectedReloads) {
         Metrics metrics = core.metrics();
         StringBuilder text = new StringBuilder();
         for (String queryClass : metrics.classes()) {
@@ -31,7 +34,14 @@
         line(text, "in_progress", core.inFlightQueries());
         line(text, "known_workers", core.listedEndpointCount());
         line(text, "skipped_workers", core.avoidedEndpointCount());
-        line(text, "unsolicited_inputs", unsolicitedInputs);
+        line(text, "unsolicited_inputs", transport.unsolicitedInputs());
+        line(text, "late_answers", metrics.lateAnswers());
+        line(text, "loop_stalls", transport.stalls());
+        line(text, "loop_late_ms", transport.longestStallMs());
+        line(text, "client_input_ms", transport.inputMs());
+        for (ClientCloseReason reason : ClientCloseReason.values()) {
+            line(text, "client_closes." + reason.name().toLowerCase(Locale.ROOT), transport.clientCloses(reason));
+        }
         line(text, "internal_failures", metrics.internalFailures());
         line(text, "turned_away", metrics.turnedAwayAttempts());
         line(text, "list_version", metrics.endpointListVersion());
--- a/src/main/java/pepperdock/operator/OperatorService.java
+++ b/src/main/java/pepperdock/operator/OperatorService.java
@@ -319,7 +319,7 @@
 
     @Override
     public String metrics() {
-        return MetricsText.of(core, loop.unsolicitedInputs(), reloads, rejectedReloads);
+        return MetricsText.of(core, loop.metrics(), reloads, rejectedReloads);
     }
 
     @Override
--- a/src/main/java/pepperdock/transport/Connection.java
+++ b/src/main/java/pepperdock/transport/Connection.java
@@ -55,6 +55,8 @@
     private boolean inputOverflowReported;
     private int bytesDiscarded;
     private int maxUnconsumedBytes = Integer.MAX_VALUE;
+    private boolean countsAsClient;
+    private long bytesRead;
     private long bytesQueued;
     private long bytesWritten;
 
@@ -83,6 +85,7 @@
      */
     public void limitUnconsumedBytes(int maxBytes) {
         maxUnconsumedBytes = maxBytes;
+        countsAsClient = true;
     }
     /**
      * Returns the buffer, with input from {@link #readStart} to {@link #readEnd}. Each callback may replace the buffer.
@@ -213,6 +216,20 @@
     }
 
     private void read() throws IOException {
+        if (!countsAsClient) {
+            readSome();
+            return;
+        }
+        long startNanos = System.nanoTime();
+        long bytesBefore = bytesRead;
+        try {
+            readSome();
+        } finally {
+            loop.input().recordRun(this, bytesRead - bytesBefore, System.nanoTime() - startNanos);
+        }
+    }
+
+    private void readSome() throws IOException {
         for (int i = 0; i < MAX_READS_PER_TURN && !closed; i++) {
             if (lingering) {
                 discardAfterLastWrite();
@@ -238,6 +255,7 @@
                 end(null);
                 return;
             }
+            bytesRead += count;
             buffer.advanceRead(count);
             handler.onBytes(this);
         }
--- a/src/main/java/pepperdock/transport/EventLoop.java
+++ b/src/main/java/pepperdock/transport/EventLoop.java
@@ -47,9 +47,10 @@
     private final LogRateLimiter rejectedClientLog = new LogRateLimiter(LOG, this, "clients rejected");
     private final LogRateLimiter unsolicitedInputLog =
             new LogRateLimiter(LOG, this, "connections closed for unsolicited input");
-    private final StallDetector stalls = new StallDetector(this);
+    private final TransportMetrics metrics = new TransportMetrics();
+    private final InputAccounting input = new InputAccounting(metrics);
+    private final StallDetector stalls = new StallDetector(this, metrics, input);
     private int connectingCount;
-    private long unsolicitedInputs;
 
     /**
      * Starts a loop; {@code socketCap} bounds connections of all kinds together, {@code bufferCap} the buffer of each.
@@ -243,6 +244,7 @@
     private void onAccepted(
             StreamConnection accepted, SocketScope scope, BooleanSupplier makeRoom, Consumer<Connection> opened) {
         if (!makeRoom.getAsBoolean() || scope != SocketScope.OUTSIDE_CAP && spareSockets() <= 0) {
+            metrics.recordClientClose(TransportMetrics.ClientCloseReason.REJECTED);
             rejectedClientLog.log(
                     System.Logger.Level.WARNING, () -> "client rejected: no socket is free for its connection");
             IoUtils.safeClose(accepted);
@@ -329,15 +331,20 @@
 
     /** Called when a connection is closed because its server sent input that no request asked for. */
     void onUnsolicitedInput(InetSocketAddress server) {
-        unsolicitedInputs++;
+        metrics.recordUnsolicitedInput();
         unsolicitedInputLog.log(
                 System.Logger.Level.WARNING,
                 () -> "closing the connection to " + server + ": it sent input that no request asked for");
     }
 
-    /** Returns the number of connections closed because their server sent input that no request asked for. */
-    public long unsolicitedInputs() {
-        return unsolicitedInputs;
+    /** Returns the counters of this loop and its connections. */
+    public TransportMetrics metrics() {
+        return metrics;
+    }
+
+    /** Returns the account of the input that clients' connections have been served for. */
+    InputAccounting input() {
+        return input;
     }
 
     /** Called when a connection has been closed: it no longer counts under the cap. */
--- a/src/main/java/pepperdock/transport/HttpServer.java
+++ b/src/main/java/pepperdock/transport/HttpServer.java
@@ -8,6 +8,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import pepperdock.core.LogRateLimiter;
+import pepperdock.transport.TransportMetrics.ClientCloseReason;
 
 /**
  * Serves HTTP/1.1 on one address, one request at a time per connection, for any front. The states of a connection have
@@ -39,6 +40,7 @@
     private boolean draining;
     private boolean stopped;
     private final LogRateLimiter rejectedRequestLog;
+    private final LogRateLimiter closedClientLog;
 
     /** Creates a server of at most {@code maxConnections} connections, for bodies of at most {@code maxBodyBytes}. */
     public HttpServer(
@@ -69,10 +71,12 @@
         this.scope = scope;
         this.requestTimeoutS = requestTimeoutS;
         draining = scope == EventLoop.SocketScope.OUTSIDE_CAP;
+        closedClientLog = new LogRateLimiter(LOG, loop, "connections of clients closed");
         rejectedRequestLog = new LogRateLimiter(LOG, loop, "malformed or rejected requests");
         this.handler = handler;
         this.maxConnections = maxConnections;
         listening = loop.listen(address, scope, this::makeRoom, connection -> {
+            loop.input().recordAccepted();
             ServerConnection client = new ServerConnection(this, connection, maxBodyBytes);
             connections.add(client);
             connection.limitUnconsumedBytes(MAX_UNCONSUMED_BYTES);
@@ -163,7 +167,7 @@
         for (ServerConnection client : connections.stream().filter(evictable).toList()) {
             client.connection().readNow();
             if (evictable.test(client) || client.connection().isClosed()) {
-                client.connection().close();
+                client.close(ClientCloseReason.EVICTED, "evicted to make room for another");
                 connections.remove(client);
                 return true;
             }
@@ -193,6 +197,10 @@
         return rejectedRequestLog;
     }
 
+    LogRateLimiter closedClientLog() {
+        return closedClientLog;
+    }
+
     /** Returns the seconds in which a request must arrive, from its first byte or from connecting. */
     double requestTimeoutS() {
         return requestTimeoutS;
--- a/src/main/java/pepperdock/transport/ServerConnection.java
+++ b/src/main/java/pepperdock/transport/ServerConnection.java
@@ -5,6 +5,7 @@
 import pepperdock.codec.http.HttpMessage;
 import pepperdock.codec.http.HttpParser;
 import pepperdock.codec.http.HttpWriter;
+import pepperdock.transport.TransportMetrics.ClientCloseReason;
 
 /**
  * One client's connection to an {@link HttpServer}. It serves one request at a time, and enforces the time limits of its
@@ -71,6 +72,18 @@
         }
     }
 
+    /** Closes the connection at once and records why. */
+    void close(ClientCloseReason reason, String text) {
+        server.loop().metrics().recordClientClose(reason);
+        server.closedClientLog()
+                .log(System.Logger.Level.INFO, () -> "closing the connection of client " + peer() + ": " + text);
+        connection.close();
+    }
+
+    private String peer() {
+        return String.valueOf(connection.peer());
+    }
+
     private void enter(ConnectionState next) {
         state = next;
         stateSince = server.loop().now();
@@ -87,13 +100,17 @@
             lastWriteAt = now;
         }
         if (mustCloseAtOnce(now)) {
-            connection.close();
+            if (connection.hasUnwrittenBytes()) {
+                close(ClientCloseReason.NOT_READING, "it does not read its response");
+            } else {
+                connection.close();
+            }
             onClosed(connection);
         } else if (isTimedOut(ConnectionState.NEW, server.requestTimeoutS(), now)
                 || isTimedOut(ConnectionState.IDLE, IDLE_TIMEOUT_S, now)) {
             closeIfIdle();
         } else if (isTimedOut(ConnectionState.READING, server.requestTimeoutS(), now)) {
-            respondWithError(new HttpException(408, "request not finished in time"));
+            respondWithError(ClientCloseReason.REQUEST_TIMEOUT, new HttpException(408, "request not finished in time"));
         }
     }
 
@@ -149,7 +166,7 @@
                 serve(parser.take(), arrivedAtS);
             }
         } catch (HttpException e) {
-            respondWithError(e);
+            respondWithError(ClientCloseReason.MALFORMED, e);
         } finally {
             readingRequests = false;
         }
@@ -162,10 +179,12 @@
     }
 
     /** Answers a malformed request and reads no further, as later input can't be told apart from it. */
-    private void respondWithError(HttpException e) {
+    private void respondWithError(ClientCloseReason reason, HttpException e) {
         long number = ++requestNumber;
         disconnectHandler = () -> {};
-        server.rejectedRequestLog().log(System.Logger.Level.INFO, () -> "malformed request: " + e.getMessage());
+        server.loop().metrics().recordClientClose(reason);
+        server.rejectedRequestLog()
+                .log(System.Logger.Level.INFO, () -> "malformed request: " + e.getMessage() + ", from " + peer());
         server.handler()
                 .respondWithError(
                         e.status(),
@@ -177,6 +196,7 @@
     private void serve(HttpMessage message, double arrivedAtS) {
         long number = ++requestNumber;
         disconnectHandler = () -> {};
+        server.loop().input().recordRequest();
         enter(ConnectionState.SERVING);
         isHeadRequest = message.method().equals("HEAD");
         HttpResponseSender reply =
@@ -190,7 +210,8 @@
             server.rejectedRequestLog()
                     .log(
                             System.Logger.Level.INFO,
-                            () -> "request for " + message.path() + " rejected: " + e.status() + ' ' + e.getMessage());
+                            () -> "request for " + message.path() + " rejected: " + e.status() + ' ' + e.getMessage()
+                                    + ", from " + peer());
             server.handler().respondWithError(e.status(), e.getMessage(), reply);
         } catch (RuntimeException e) {
             LOG.log(System.Logger.Level.ERROR, "request handler failed", e);
@@ -246,7 +267,8 @@
     @Override
     public void onInputOverflow(Connection connection) {
         notifyDisconnect();
-        respondWithError(new HttpException(413, "too much sent behind a request in hand"));
+        respondWithError(
+                ClientCloseReason.INPUT_OVERFLOW, new HttpException(413, "too much sent behind a request in hand"));
     }
 
     @Override
--- a/src/test/java/pepperdock/transport/HttpClientTest.java
+++ b/src/test/java/pepperdock/transport/HttpClientTest.java
@@ -96,7 +96,7 @@
             respondTo(server, 2, "");
             assertEquals("#1", results.poll(30, TimeUnit.SECONDS));
             assertEquals("#2", results.poll(30, TimeUnit.SECONDS));
-            assertEquals(1, loop.unsolicitedInputs());
+            assertEquals(1, loop.metrics().unsolicitedInputs());
         }
     }
 
@@ -125,7 +125,7 @@
                 sent.countDown();
                 respondTo(server, 2, "");
                 assertEquals("#2", results.poll(30, TimeUnit.SECONDS));
-                assertEquals(1, loop.unsolicitedInputs());
+                assertEquals(1, loop.metrics().unsolicitedInputs());
             }
         }
     }
@@ -142,7 +142,7 @@
                 only.getOutputStream().write(response(2).getBytes(StandardCharsets.US_ASCII));
                 assertEquals("#1", results.poll(30, TimeUnit.SECONDS));
                 assertEquals("#2", results.poll(30, TimeUnit.SECONDS));
-                assertEquals(0, loop.unsolicitedInputs());
+                assertEquals(0, loop.metrics().unsolicitedInputs());
             }
         }
     }
