--- a/src/main/java/pepperdock/cli/LabCommand.java
+++ b/src/main/java/pepperdock/cli/LabCommand.java
@@ -33,7 +33,8 @@
             LabCommand.CheckCommand.class,
             ExploreCommand.class,
             ScaleCommand.class,
-            UpgradeCommand.class
+            UpgradeCommand.class,
+            OverloadCommand.class
         })
 final class LabCommand extends CommandGroup {
 
--- a/src/main/java/pepperdock/cli/UpgradeCommand.java
+++ b/src/main/java/pepperdock/cli/UpgradeCommand.java
@@ -2,12 +2,11 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.Callable;
+import pepperdock.faultinjection.upgrade.SmallDeployment;
 import pepperdock.faultinjection.upgrade.UpgradeRun;
-import pepperdock.faultinjection.upgrade.UpgradeSoak;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
@@ -23,33 +22,8 @@
         exitCodeList = {"0:no rule was broken", "1:a rule was broken", "2:faulty input or usage"})
 final class UpgradeCommand implements Callable<Integer> {
 
-    @Option(
-            names = "--seeds",
-            paramLabel = "N",
-            defaultValue = "10",
-            description = "Number of seeds. Default: ${DEFAULT-VALUE}")
-    private int seeds;
-
-    @Option(
-            names = "--from",
-            paramLabel = "N",
-            defaultValue = "1",
-            description = "The first seed. Default: ${DEFAULT-VALUE}")
-    private long from;
-
-    @Option(
-            names = "--parallel",
-            paramLabel = "N",
-            defaultValue = "3",
-            description = "Number of runs at the same time. Default: ${DEFAULT-VALUE}")
-    private int parallel;
-
-    @Option(
-            names = "--folder",
-            paramLabel = "DIR",
-            required = true,
-            description = "Folder for the logs, with a folder for each seed.")
-    private Path folder;
+    @Mixin
+    private SoakOptions soak;
 
     @Option(names = "--events", description = "Print what was done in each run.")
     private boolean events;
@@ -59,16 +33,11 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        PrintWriter out = spec.commandLine().getOut();
-        List<UpgradeRun.Result> results =
-                UpgradeSoak.play(from, seeds, parallel, folder, GathererCommand.ofThisJar(), result -> {
-                    print(out, result);
-                    out.flush();
-                });
-        long broken =
-                results.stream().filter(result -> !result.findings().isEmpty()).count();
-        out.println(results.size() + " runs, " + broken + " with a rule broken");
-        return broken == 0 ? 0 : 1;
+        return soak.play(
+                spec.commandLine().getOut(),
+                (seed, folder) -> UpgradeRun.play(seed, folder, SmallDeployment.SETTINGS, GathererCommand.ofThisJar()),
+                this::print,
+                UpgradeRun.Result::findings);
     }
 
     private void print(PrintWriter out, UpgradeRun.Result result) {
@@ -78,6 +47,5 @@
         if (events) {
             result.events().forEach(event -> out.println("  " + event));
         }
-        result.findings().forEach(finding -> out.println("  FOUND " + finding));
     }
 }
--- a/src/main/java/pepperdock/faultinjection/upgrade/ClientStub.java
+++ b/src/main/java/pepperdock/faultinjection/upgrade/ClientStub.java
@@ -14,10 +14,10 @@
  * A client that sends one request after the other and uses its connection for as long as that stays open, also after
  * SIGTERM. Runs on a thread of its own.
  */
-final class ClientStub implements Runnable {
+public final class ClientStub implements Runnable {
 
     /** How a request ended. */
-    enum Outcome {
+    public enum Outcome {
         ANSWERED,
         /** The client closed its connection before the answer. */
         LEFT,
@@ -33,7 +33,18 @@
      * @param sentAtS when its last byte was written
      * @param endedAtS when its answer was complete, its connection was closed, or its client gave up
      */
-    record Request(String id, double sentAtS, double timeoutS, double endedAtS, Outcome outcome, String detail) {}
+    public record Request(
+            String id, double sentAtS, double timeoutS, double endedAtS, Outcome outcome, String detail) {}
+
+    /**
+     * How a client behaves.
+     *
+     * @param leaves whether it sometimes closes its connection before the answer
+     * @param minTimeoutMs the shortest time that it waits for an answer
+     * @param maxTimeoutMs the longest time that it waits for an answer
+     * @param maxPauseMs the longest pause between two requests
+     */
+    public record Behaviour(boolean leaves, int minTimeoutMs, int maxTimeoutMs, int maxPauseMs) {}
 
     /** A request that has waited for this long on an open connection of an idle process has been read. */
     private static final double READ_WITHIN_S = 0.02;
@@ -41,9 +52,6 @@
     private static final double LATE_ANSWER_S = 0.5;
 
     private static final int RECONNECT_MS = 20;
-    private static final int MAX_PAUSE_MS = 40;
-    private static final int MIN_TIMEOUT_MS = 300;
-    private static final int MAX_TIMEOUT_MS = 2000;
     private static final int MAX_STAY_MS = 12;
     private static final double LEAVE_PROBABILITY = 0.15;
     private static final String CLASS = "payout-report";
@@ -53,19 +61,21 @@
 
     private final int port;
     private final SplittableRandom random;
-    private final boolean leaves;
+    private final Behaviour behaviour;
     private final Consumer<Request> listener;
     private Socket socket;
     private volatile boolean stopped;
 
-    ClientStub(int port, SplittableRandom random, boolean leaves, Consumer<Request> listener) {
+    /** Creates a client; {@code listener} is called on its thread. */
+    public ClientStub(int port, SplittableRandom random, Behaviour behaviour, Consumer<Request> listener) {
         this.port = port;
         this.random = random;
-        this.leaves = leaves;
+        this.behaviour = behaviour;
         this.listener = listener;
     }
 
-    void stop() {
+    /** Makes the client end after its present request. */
+    public void stop() {
         stopped = true;
     }
 
@@ -77,7 +87,7 @@
                     Thread.sleep(RECONNECT_MS);
                 } else {
                     request();
-                    Thread.sleep(random.nextInt(MAX_PAUSE_MS));
+                    Thread.sleep(random.nextInt(behaviour.maxPauseMs()));
                 }
             }
             disconnect();
@@ -109,14 +119,14 @@
 
     private void request() throws InterruptedException {
         String id = String.format(Locale.ROOT, "%016x", random.nextLong());
-        int timeoutMs = random.nextInt(MIN_TIMEOUT_MS, MAX_TIMEOUT_MS);
+        int timeoutMs = random.nextInt(behaviour.minTimeoutMs(), behaviour.maxTimeoutMs());
         double sentAtS = MonotonicClock.now();
         try {
             socket.setSoTimeout((int) (timeoutMs + LATE_ANSWER_S * 1e3));
             String request = "POST /api HTTP/1.1\r\nRequest-Id: " + id + "\r\nRequest-Class: " + CLASS
                     + "\r\nRequest-Timeout-Ms: " + timeoutMs + "\r\nContent-Length: " + BODY.length() + HEAD_END + BODY;
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-            if (leaves && random.nextDouble() < LEAVE_PROBABILITY) {
+            if (behaviour.leaves() && random.nextDouble() < LEAVE_PROBABILITY) {
                 Thread.sleep(random.nextInt(MAX_STAY_MS));
                 disconnect();
                 report(id, sentAtS, timeoutMs, Outcome.LEFT, "");
--- a/src/main/java/pepperdock/faultinjection/upgrade/GathererProcess.java
+++ b/src/main/java/pepperdock/faultinjection/upgrade/GathererProcess.java
@@ -67,6 +67,11 @@
         }
     }
 
+    /** Returns the process id. */
+    public long pid() {
+        return process.pid();
+    }
+
     double startedAtS() {
         return startedAtS;
     }
--- a/src/main/java/pepperdock/faultinjection/upgrade/UpgradeChecker.java
+++ b/src/main/java/pepperdock/faultinjection/upgrade/UpgradeChecker.java
@@ -1,9 +1,7 @@
 package pepperdock.faultinjection.upgrade;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 
 /** Holds the history of a run against the rules of the protocol page and of the page for daily service. */
 final class UpgradeChecker {
@@ -16,12 +14,6 @@
     static final double TOLD_AFTER_READY_S = 2;
 
     private static final double READY_WITHIN_S = 6;
-    /** An attempt that begins later than this after its client has left is a break. */
-    private static final double CLIENT_GONE_GRACE_S = 0.1;
-
-    private static final double DEADLINE_SLACK_S = 0.15;
-    /** A process that is killed resets its connections; the client sees that within this time. */
-    private static final double KILL_EXCUSE_S = 0.3;
 
     private static final String DRAINING = "terminating";
 
@@ -36,8 +28,7 @@
     static List<String> check(UpgradeHistory history) {
         UpgradeChecker checker = new UpgradeChecker(history);
         checker.checkDrains();
-        checker.checkRequests();
-        checker.checkSends();
+        checker.findings.addAll(RequestChecker.check(history.requests, history.sends, history.kills, history::time));
         checker.checkStarts();
         return checker.findings;
     }
@@ -82,38 +73,6 @@
         return toldAtS;
     }
 
-    private void checkRequests() {
-        for (ClientStub.Request request : List.copyOf(history.requests)) {
-            boolean killed = history.kills.stream()
-                    .anyMatch(killAtS -> killAtS >= request.sentAtS() - KILL_EXCUSE_S
-                            && killAtS <= request.endedAtS() + KILL_EXCUSE_S);
-            if (request.outcome() == ClientStub.Outcome.LOST && !killed) {
-                findings.add("lost: query " + request.id() + " sent at " + history.time(request.sentAtS()) + ", "
-                        + request.detail() + " at " + history.time(request.endedAtS()));
-            }
-        }
-    }
-
-    private void checkSends() {
-        Map<String, ClientStub.Request> requests = new HashMap<>();
-        List.copyOf(history.requests).forEach(request -> requests.put(request.id(), request));
-        for (WorkerStub.Send send : List.copyOf(history.sends)) {
-            ClientStub.Request request = requests.get(send.queryId());
-            if (request == null) {
-                continue;
-            }
-            if (request.outcome() == ClientStub.Outcome.LEFT && send.atS() > request.endedAtS() + CLIENT_GONE_GRACE_S) {
-                findings.add("gone: query " + send.queryId() + " sent at " + history.time(send.atS())
-                        + ", its client left at " + history.time(request.endedAtS()));
-            }
-            double leftS = request.sentAtS() + request.timeoutS() - send.atS();
-            if (send.deadlineMs() / 1e3 > leftS + DEADLINE_SLACK_S) {
-                findings.add("deadline: query " + send.queryId() + " sent at " + history.time(send.atS()) + " with "
-                        + send.deadlineMs() + " ms, its client waits " + leftS + " s");
-            }
-        }
-    }
-
     private void checkStarts() {
         for (UpgradeHistory.Start start : List.copyOf(history.starts)) {
             double tookS = start.readyAtS() - start.startedAtS();
--- a/src/main/java/pepperdock/faultinjection/upgrade/UpgradeRun.java
+++ b/src/main/java/pepperdock/faultinjection/upgrade/UpgradeRun.java
@@ -32,6 +32,9 @@
     private static final int WORKERS = 4;
     private static final int CLIENTS = 6;
     private static final int CROWD = 60;
+    private static final int MIN_TIMEOUT_MS = 300;
+    private static final int MAX_TIMEOUT_MS = 2000;
+    private static final int MAX_PAUSE_MS = 40;
     /** Time before the start of a new process in which faults may begin. */
     private static final double LEAD_S = 1.2;
 
@@ -249,7 +252,11 @@
         SplittableRandom random = new SplittableRandom(plan.seed() + 1);
         for (int i = 0; i < CLIENTS; i++) {
             boolean leaves = plan.clientsLeave() && i % 2 == 0;
-            ClientStub client = new ClientStub(port, random.split(), leaves, history.requests::add);
+            ClientStub client = new ClientStub(
+                    port,
+                    random.split(),
+                    new ClientStub.Behaviour(leaves, MIN_TIMEOUT_MS, MAX_TIMEOUT_MS, MAX_PAUSE_MS),
+                    history.requests::add);
             clients.add(client);
             Thread thread = new Thread(client, "client " + i);
             thread.setDaemon(true);
--- a/src/test/java/pepperdock/faultinjection/UpgradeSoakIT.java
+++ b/src/test/java/pepperdock/faultinjection/UpgradeSoakIT.java
@@ -8,8 +8,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import pepperdock.faultinjection.upgrade.SmallDeployment;
 import pepperdock.faultinjection.upgrade.UpgradeRun;
-import pepperdock.faultinjection.upgrade.UpgradeSoak;
 
 /** Upgrades under drawn faults keep the rules on drains, answers, attempts, deadlines and starts. */
 class UpgradeSoakIT {
@@ -29,7 +29,13 @@
                 "-jar",
                 "target/pepperdock.jar",
                 "serve");
-        List<UpgradeRun.Result> results = UpgradeSoak.play(FIRST_SEED, SEEDS, PARALLEL, folder, command, result -> {});
+        List<UpgradeRun.Result> results = SeedSoak.play(
+                FIRST_SEED,
+                SEEDS,
+                PARALLEL,
+                folder,
+                (seed, runFolder) -> UpgradeRun.play(seed, runFolder, SmallDeployment.SETTINGS, command),
+                result -> {});
         for (UpgradeRun.Result result : results) {
             assertEquals(List.of(), result.findings(), () -> "seed " + result.seed() + ": " + result.events());
             assertTrue(result.requests() > 500, "seed " + result.seed() + ": " + result.requests() + " requests");
