Limit what a head and the lines between chunks can cost to parse

What callers saw: beside clients that sent heads of very many short fields, no answer in time, or none at all any more. Cause: 16 KiB of head hold 4,000 fields, each a map entry and a pattern match; fields of one name were joined anew each time. A line in pieces was scanned from its begin for each piece. Lines between chunks were unlimited, yet counted as head at the trailers, so that a sound body in more than 3,200 small chunks was refused with 431. Change: at most 100 fields (431); lines between chunks have a limit of their own (413); a line is scanned once. heldBytes estimates what an unfinished message holds.

--- a/src/main/java/pepperdock/codec/http/HttpParser.java
+++ b/src/main/java/pepperdock/codec/http/HttpParser.java
@@ -14,7 +14,15 @@
 public final class HttpParser {
 
     private static final int MAX_LINE_BYTES = 8192;
+    private static final int LINE_END_BYTES = 2;
     private static final int MAX_HEAD_BYTES = 16384;
+    /** Maximum number of header fields: each costs far more time and memory than its bytes. */
+    private static final int MAX_FIELDS = 100;
+    /** Maximum size of the lines between the chunks of a body: a body in chunks of one byte has about as much. */
+    private static final int MAX_CHUNK_OVERHEAD_BYTES = 1 << 19;
+    /** Estimate of the memory that a header field needs beside its text, in bytes. */
+    private static final int FIELD_OVERHEAD_BYTES = 160;
+
     /**
      * Maximum number of empty lines accepted before a message. Clients do not normally send more, and without a limit a
      * peer could send empty lines forever without beginning a message.
@@ -49,6 +57,11 @@
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private int bodyBytesLeft;
     private int headBytes;
+    private int fields;
+    private int chunkOverheadBytes;
+    /** Bytes of an incomplete line that hold no line end. */
+    private int scannedBytes;
+
     private int emptyLines;
 
     private HttpParser(boolean parsingResponses, int maxBodyBytes) {
@@ -95,7 +108,7 @@
 
     /** Consumes one line with its line end and returns its size; returns 0 if the line is not complete yet. */
     private int feedLine(byte[] bytes, int from, int to) throws HttpException {
-        int end = from;
+        int end = from + scannedBytes;
         while (end < to && bytes[end] != '\n') {
             end++;
         }
@@ -103,8 +116,10 @@
             throw new HttpException(state == State.START ? 414 : 431, "line too long");
         }
         if (end == to) {
+            scannedBytes = end - from;
             return 0;
         }
+        scannedBytes = 0;
         int lineEnd = end - 1;
         if (lineEnd < from || bytes[lineEnd] != '\r') {
             throw new HttpException(400, "line end without CR");
@@ -140,9 +155,16 @@
         headers = new HashMap<>();
         body = new ByteArrayOutputStream(0);
         headBytes = 0;
+        fields = 0;
+        chunkOverheadBytes = 0;
         return message;
     }
 
+    /** Returns an estimate of the memory held for a message that is not complete, in bytes. */
+    public int heldBytes() {
+        return headBytes + fields * FIELD_OVERHEAD_BYTES + 2 * body.size();
+    }
+
     /**
      * Decodes a line. Rejects control characters, including a bare CR: some parsers take them for the end of a line,
      * others do not.
@@ -157,10 +179,7 @@
     }
 
     private void parseLine(String text) throws HttpException {
-        headBytes += text.length() + 2;
-        if (headBytes > MAX_HEAD_BYTES && (state == State.HEADERS || state == State.TRAILERS)) {
-            throw new HttpException(431, "head too large");
-        }
+        checkOverhead(text.length() + LINE_END_BYTES);
         switch (state) {
             case START -> parseStartLine(text);
             case HEADERS -> {
@@ -188,6 +207,25 @@
         }
     }
 
+    /** Counts a line of the head, the trailers or between chunks, and rejects a message with too much of them. */
+    private void checkOverhead(int lineBytes) throws HttpException {
+        if (state == State.CHUNK_SIZE || state == State.CHUNK_END) {
+            chunkOverheadBytes += lineBytes;
+            if (chunkOverheadBytes > MAX_CHUNK_OVERHEAD_BYTES) {
+                throw new HttpException(413, "too much between chunks");
+            }
+            return;
+        }
+        headBytes += lineBytes;
+        boolean isField = state == State.HEADERS || state == State.TRAILERS;
+        if (isField && headBytes > MAX_HEAD_BYTES) {
+            throw new HttpException(431, "head too large");
+        }
+        if (isField && lineBytes > LINE_END_BYTES && ++fields > MAX_FIELDS) {
+            throw new HttpException(431, "too many header fields");
+        }
+    }
+
     private void parseStartLine(String text) throws HttpException {
         if (text.isEmpty()) {
             headBytes = 0;
--- a/src/test/java/pepperdock/codec/http/HttpParserTest.java
+++ b/src/test/java/pepperdock/codec/http/HttpParserTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import pepperdock.codec.frame.RandomChunks;
@@ -108,4 +109,52 @@
                 HttpException.class, () -> HttpParser.ofRequests(100).feed(bytes, 0, bytes.length));
         assertEquals(status, e.status());
     }
+
+    /** A head of 16 KiB in short fields took milliseconds, and half a MiB of memory. */
+    @ParameterizedTest
+    @CsvSource({"100, 0", "101, 431"})
+    void theNumberOfHeaderFieldsIsLimited(int fields, int status) throws Exception {
+        StringBuilder head = new StringBuilder("GET / HTTP/1.1\r\n");
+        for (int i = 0; i < fields; i++) {
+            head.append('f').append(i).append(":\r\n");
+        }
+        byte[] bytes = head.append("\r\n").toString().getBytes(StandardCharsets.US_ASCII);
+        HttpParser parser = HttpParser.ofRequests(100);
+        if (status == 0) {
+            assertEquals(bytes.length, parser.feed(bytes, 0, bytes.length));
+            assertEquals(fields, parser.take().headers().size());
+        } else {
+            HttpException e = assertThrows(HttpException.class, () -> parser.feed(bytes, 0, bytes.length));
+            assertEquals(status, e.status());
+        }
+    }
+
+    /** The lines between chunks were counted as part of the head, so that many small chunks were refused. */
+    @Test
+    void aBodyOfTheGreatestSizeInChunksOfOneByteIsParsed() throws Exception {
+        int size = 64 << 10;
+        String text = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(size) + "0\r\n\r\n";
+        List<HttpMessage> messages = parse(HttpParser.ofRequests(size), text.getBytes(StandardCharsets.US_ASCII), 5);
+        assertEquals(size, messages.get(0).body().length);
+    }
+
+    @Test
+    void extensionsOfChunksAreLimited() {
+        String text = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + ("1;" + "e".repeat(8000) + "\r\nx\r\n").repeat(80);
+        byte[] bytes = text.getBytes(StandardCharsets.US_ASCII);
+        HttpException e = assertThrows(
+                HttpException.class, () -> HttpParser.ofRequests(1 << 16).feed(bytes, 0, bytes.length));
+        assertEquals(413, e.status());
+    }
+
+    /** A line was scanned from its begin for each piece of it. */
+    @Test
+    void whatWasScannedOfALineIsNotScannedAgain() throws Exception {
+        byte[] bytes = "GET /long-target-in-pieces".getBytes(StandardCharsets.US_ASCII);
+        HttpParser parser = HttpParser.ofRequests(100);
+        assertEquals(0, parser.feed(bytes, 0, bytes.length - 1));
+        bytes[3] = '\n';
+        assertEquals(0, parser.feed(bytes, 0, bytes.length), "the line end behind the scanned part is not looked at");
+    }
 }
