Bound the memory held for unserved input, and read a client only when it is served

What callers saw: beside hundreds of clients with unfinished requests, no answer at all; the process grew to 102 MB, which two of an upgrade together may not. Cause: each connection could hold a body of 64 KiB, twice while it grew, and 16 to 32 KiB of unread input, whatever the others held; 300 to 1,000 of them filled the heap of 56 MB, and collections took all time. An OutOfMemoryError on the loop ended neither the connection nor the step that it belonged to. Change: InputMemory counts what unfinished requests hold; beyond an eighth of the heap the oldest are answered 503, which they may repeat. A client's input is read when the scheduler serves it, so that it waits in the kernel, not in buffers. Out-of-memory and stack overflow end the connection whose step failed. Handler of Connection is a file of its own.

--- a/src/main/java/pepperdock/distribution/wire/PublisherServer.java
+++ b/src/main/java/pepperdock/distribution/wire/PublisherServer.java
@@ -12,6 +12,7 @@
 import pepperdock.distribution.SubscriberState;
 import pepperdock.distribution.VersionSource;
 import pepperdock.transport.Connection;
+import pepperdock.transport.ConnectionHandler;
 import pepperdock.transport.EventLoop;
 
 /** Serves a {@link Publisher} on a listening address. Not thread-safe: used only by the event loop's thread. */
@@ -83,7 +84,7 @@
         connection.limitUnconsumedBytes(
                 DistributionMessageCodec.LENGTH_BYTES + DistributionMessageCodec.MAX_FRAME_BYTES);
         publisher.connected(number, now());
-        connection.start(new Connection.Handler() {
+        connection.start(new ConnectionHandler() {
             @Override
             public void onBytes(Connection from) {
                 decode(number, from);
--- a/src/main/java/pepperdock/distribution/wire/SubscriberClient.java
+++ b/src/main/java/pepperdock/distribution/wire/SubscriberClient.java
@@ -14,6 +14,7 @@
 import pepperdock.distribution.SubscriberSettings;
 import pepperdock.distribution.VersionStore;
 import pepperdock.transport.Connection;
+import pepperdock.transport.ConnectionHandler;
 import pepperdock.transport.EventLoop;
 
 /**
@@ -150,7 +151,7 @@
     private void onOpened(long number, Connection opened) {
         connection = opened;
         opened.limitUnconsumedBytes(DistributionMessageCodec.LENGTH_BYTES + DistributionMessageCodec.MAX_FRAME_BYTES);
-        opened.start(new Connection.Handler() {
+        opened.start(new ConnectionHandler() {
             @Override
             public void onBytes(Connection from) {
                 if (number == attempt) {
--- a/src/main/java/pepperdock/faultinjection/overload/OverloadPlan.java
+++ b/src/main/java/pepperdock/faultinjection/overload/OverloadPlan.java
@@ -8,10 +8,11 @@
  * What other clients do while ordinary ones are served.
  *
  * @param cpuShare the share of processor time that the gatherer gets, above 0 and at most 1
+ * @param sockets the limit of descriptors that the gatherer is configured with
  * @param clientsLeave whether some ordinary clients close their connection before the answer
  * @param phases what other clients do, one phase after the other
  */
-public record OverloadPlan(long seed, double cpuShare, boolean clientsLeave, List<Phase> phases) {
+public record OverloadPlan(long seed, double cpuShare, int sockets, boolean clientsLeave, List<Phase> phases) {
 
     /**
      * One phase.
@@ -30,6 +31,9 @@
             int slowClients,
             double durationS) {}
 
+    /** The limit of scored days, and those of smaller and larger installations. */
+    private static final int[] SOCKETS = {1024, 1024, 256, 4096};
+
     private static final int MIN_PHASES = 2;
     private static final int MAX_PHASES = 3;
     private static final int MAX_FLOODERS = 12;
@@ -37,8 +41,8 @@
     private static final double MIN_CPU_SHARE = 0.35;
 
     /** Returns a plan of a single phase. */
-    public static OverloadPlan of(double cpuShare, Phase phase) {
-        return new OverloadPlan(1, cpuShare, false, List.of(phase));
+    public static OverloadPlan of(double cpuShare, int sockets, Phase phase) {
+        return new OverloadPlan(1, cpuShare, sockets, false, List.of(phase));
     }
 
     /** Draws a plan. */
@@ -49,7 +53,9 @@
         for (int i = 0; i < count; i++) {
             phases.add(drawPhase(random));
         }
-        return new OverloadPlan(seed, random.nextDouble(MIN_CPU_SHARE, 1), random.nextBoolean(), phases);
+        double cpuShare = random.nextDouble(MIN_CPU_SHARE, 1);
+        boolean clientsLeave = random.nextBoolean();
+        return new OverloadPlan(seed, cpuShare, SOCKETS[random.nextInt(SOCKETS.length)], clientsLeave, phases);
     }
 
     private static Phase drawPhase(SplittableRandom random) {
--- a/src/main/java/pepperdock/faultinjection/overload/OverloadRun.java
+++ b/src/main/java/pepperdock/faultinjection/overload/OverloadRun.java
@@ -47,10 +47,9 @@
     private static final ClientStub.Behaviour ORDINARY = new ClientStub.Behaviour(false, 160, 600, 80);
 
     private static final ClientStub.Behaviour LEAVING = new ClientStub.Behaviour(true, 160, 600, 80);
-    /** Limits of the platform on scored days. */
+    /** Limit of the platform on scored days. */
     private static final int MEMORY_LIMIT_MB = 192;
 
-    private static final int SOCKET_LIMIT = 1024;
     private static final double READY_TIMEOUT_S = 15;
     private static final long READY_INTERVAL_MS = 20;
     private static final double QUIET_S = 1;
@@ -86,7 +85,7 @@
         Files.writeString(
                 folder.resolve("config.json"),
                 "{\"name\":\"n\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery.address()
-                        + "\",\"limits\":{\"memory_mb\":" + MEMORY_LIMIT_MB + ",\"sockets\":" + SOCKET_LIMIT
+                        + "\",\"limits\":{\"memory_mb\":" + MEMORY_LIMIT_MB + ",\"sockets\":" + plan.sockets()
                         + "},\"known\":" + discovery.completeList() + ",\"settings\":" + settings + "}");
         process = new GathererProcess(guard, command, folder, "gatherer", false);
     }
--- a/src/main/java/pepperdock/membership/transport/MembershipService.java
+++ b/src/main/java/pepperdock/membership/transport/MembershipService.java
@@ -23,6 +23,7 @@
 import pepperdock.membership.Message;
 import pepperdock.membership.RecordStatus;
 import pepperdock.transport.Connection;
+import pepperdock.transport.ConnectionHandler;
 import pepperdock.transport.DatagramSocket;
 import pepperdock.transport.EventLoop;
 import pepperdock.transport.HttpServer;
@@ -214,7 +215,7 @@
      * One side of an anti-entropy exchange on a stream. The sides send messages in turns, and the stream is closed at
      * the end or after a timeout.
      */
-    private final class Exchange implements Connection.Handler {
+    private final class Exchange implements ConnectionHandler {
         private final Connection connection;
         private final FrameParser parser = new FrameParser(MAX_FRAME_BYTES, "" + FRAME_TYPE);
         private final Clock.Timer timeout = loop.after(STREAM_TIMEOUT_S, this::finish);
--- a/src/main/java/pepperdock/platform/WorkerConnection.java
+++ b/src/main/java/pepperdock/platform/WorkerConnection.java
@@ -14,6 +14,7 @@
 import pepperdock.scheduler.AttemptOutcome;
 import pepperdock.scheduler.LoadReport;
 import pepperdock.transport.Connection;
+import pepperdock.transport.ConnectionHandler;
 
 /**
  * A connection to a worker. Calls are pipelined on it: many may be in flight, and results arrive in any order.
@@ -23,7 +24,7 @@
  * violates the protocol, the connection is closed, because nothing that follows can be trusted; the attempts in flight
  * may have run.
  */
-final class WorkerConnection implements Connection.Handler {
+final class WorkerConnection implements ConnectionHandler {
 
     /**
      * The connection is closed after this share of the worker's own idle limit, so that no call is sent while the
--- a/src/main/java/pepperdock/store/StorePeerHandler.java
+++ b/src/main/java/pepperdock/store/StorePeerHandler.java
@@ -5,6 +5,7 @@
 import pepperdock.codec.frame.FrameException;
 import pepperdock.codec.frame.FrameParser;
 import pepperdock.transport.Connection;
+import pepperdock.transport.ConnectionHandler;
 
 /**
  * Parses the frames of a connection between two members. A malformed or unexpected frame closes that connection only.
@@ -13,7 +14,7 @@
  * <p>A follower first sends {@link #HELLO}. The leader sends it a {@link #SNAPSHOT} or the missing {@link #ENTRIES},
  * then each new entry, and the follower answers each of these frames with {@link #HELD}.
  */
-abstract class StorePeerHandler implements Connection.Handler {
+abstract class StorePeerHandler implements ConnectionHandler {
 
     /** A follower's first frame: its name, its log's id and its last sequence number, as text separated by spaces. */
     static final char HELLO = 'h';
--- a/src/main/java/pepperdock/transport/Connection.java
+++ b/src/main/java/pepperdock/transport/Connection.java
@@ -13,54 +13,24 @@
 
     private static final System.Logger LOG = System.getLogger("pepperdock.transport");
 
-    /** Receives the events of a connection. */
-    public interface Handler {
-        /**
-         * Called when input has arrived: it is in {@link #bytes} from {@link #readStart} to {@link #readEnd}. The
-         * handler must {@link #consume} the bytes that it has used.
-         */
-        void onBytes(Connection connection);
-
-        /** Called when the peer or an error has ended the connection; not called after {@link #close}. */
-        void onClosed(Connection connection);
-
-        /** Called when the kernel has taken all bytes given to {@link #write}. */
-        default void onFlushed(Connection connection) {}
-
-        /**
-         * Returns whether input beyond the limit of {@link #limitUnconsumedBytes} is read and discarded, to notice a
-         * disconnect behind it. Otherwise reading pauses until input is consumed.
-         */
-        default boolean awaitsDisconnect() {
-            return true;
-        }
-
-        /**
-         * Called once when the peer has sent far more than {@link #limitUnconsumedBytes} allows, before further input
-         * is discarded.
-         */
-        default void onInputOverflow(Connection connection) {}
-    }
-
     /** Bounds the reads in one turn of the loop, so that a peer that sends at full speed does not starve the others. */
     private static final int MAX_READS_PER_TURN = 16;
+    /** More than the longest line that a parser accepts. */
+    private static final int MIN_UNCONSUMED_LIMIT = 9 << 10;
 
     private final EventLoop loop;
     private final StreamConnection channel;
     private final ConduitStreamSourceChannel source;
     private final ConduitStreamSinkChannel sink;
     private final ConnectionBuffer buffer;
+    private final UnreadInput unread;
     private final DiscardedInput discarded;
-    private Handler handler;
+    private ConnectionHandler handler;
     private boolean closed;
     private boolean endedByError;
     private boolean lingering;
+    private long heldBytes;
     private int maxUnconsumedBytes = Integer.MAX_VALUE;
-    /** Whether reading has stopped although the kernel may hold more input. */
-    private boolean inputLeftInKernel;
-    /** When the kernel held no input last, as far as this is known; see {@link #inputArrivedAfter}. */
-    private double kernelEmptyAt;
-
     private long bytesQueued;
     private long bytesWritten;
 
@@ -70,13 +40,14 @@
         buffer = new ConnectionBuffer(maxBufferBytes);
         source = channel.getSourceChannel();
         sink = channel.getSinkChannel();
+        unread = new UnreadInput(loop);
         discarded = new DiscardedInput(source);
     }
 
     /** Starts reading; from now on the handler is called. */
-    public void start(Handler handler) {
+    public void start(ConnectionHandler handler) {
         this.handler = handler;
-        source.setReadListener(s -> guarded(this::read));
+        source.setReadListener(s -> guarded(this::onReadable));
         sink.setWriteListener(s -> guarded(this::flush));
         source.resumeReads();
     }
@@ -84,8 +55,8 @@
     /**
      * Limits the input that is kept until the handler consumes it to about {@code maxBytes}: the input held for all
      * clients together must fit the smallest memory given. Beyond the limit reading pauses, unless the handler {@link
-     * Handler#awaitsDisconnect awaits a disconnect}: a request would otherwise be served although its client has sent
-     * more than this and left. Input is then discarded, and {@link #hasDiscardedInput} becomes true.
+     * ConnectionHandler#readsAtOnce reads at once}: a request would otherwise be served although its client has sent more than
+     * this and left. Input is then discarded, and {@link #hasDiscardedInput} becomes true.
      */
     public void limitUnconsumedBytes(int maxBytes) {
         maxUnconsumedBytes = maxBytes;
@@ -107,7 +78,7 @@
     /** Consumes the first {@code count} bytes of the input. */
     public void consume(int count) {
         buffer.consume(count);
-        if (!closed) {
+        if (!closed && handler.readsAtOnce()) {
             source.resumeReads();
         }
     }
@@ -117,6 +88,22 @@
         consume(buffer.readEnd() - buffer.readStart());
     }
 
+    /** Records how much memory is held for input that is not served, in bytes, until the connection closes. */
+    void setHeldBytes(long bytes) {
+        loop.inputMemory().add(bytes - heldBytes);
+        heldBytes = bytes;
+    }
+
+    /** Returns the bytes recorded by {@link #setHeldBytes}. */
+    long heldBytes() {
+        return heldBytes;
+    }
+
+    /** Returns by how many bytes the buffer has grown beyond its initial size. */
+    int grownBufferBytes() {
+        return buffer.bytes().length - ConnectionBuffer.MIN_CAPACITY;
+    }
+
     /** Returns whether input was discarded: later input may then begin in the middle of a message. */
     public boolean hasDiscardedInput() {
         return discarded.any();
@@ -154,16 +141,10 @@
      */
     public void readNow() {
         if (!closed && handler != null) {
-            guarded(this::read);
+            guarded(() -> readAtMost(MAX_READS_PER_TURN));
         }
     }
 
-    /** Sets a time before which no input can have arrived, for a connection that may have waited to be accepted. */
-    void setInputArrivedAfter(double atS) {
-        kernelEmptyAt = atS;
-        inputLeftInKernel = true;
-    }
-
     /** Returns the address of the peer. */
     public InetSocketAddress peer() {
         return channel.getPeerAddress(InetSocketAddress.class);
@@ -224,21 +205,50 @@
     /** Closes the connection at once. Bytes that are not written yet are lost, and the handler is not called. */
     public void close() {
         if (!closed) {
-            closed = true;
+            markClosed();
             IoUtils.safeClose(channel);
-            loop.onClosed(this);
         }
     }
 
-    private void read() throws IOException {
-        readAtMost(MAX_READS_PER_TURN);
+    private void markClosed() {
+        closed = true;
+        setHeldBytes(0);
+        loop.onClosed(this);
     }
 
-    private void readAtMost(int maxReads) throws IOException {
-        if (!inputLeftInKernel) {
-            kernelEmptyAt = loop.now() - loop.unreadForS();
+    private void onReadable() throws IOException {
+        if (lingering) {
+            readOnce();
+        } else if (handler.readsAtOnce()) {
+            readAtMost(MAX_READS_PER_TURN);
+        } else {
+            unread.onReadable();
+            source.suspendReads();
+            handler.onReadable(this);
         }
-        inputLeftInKernel = true;
+    }
+
+    /** Reads once, for a handler that does not read at once; returns whether there was input. */
+    boolean readMore() {
+        int unconsumed = buffer.readEnd() - buffer.readStart();
+        runGuarded(this::readOnce);
+        return !closed && buffer.readEnd() - buffer.readStart() > unconsumed;
+    }
+
+    /** Returns what is known of the input that the kernel still holds. */
+    UnreadInput unread() {
+        return unread;
+    }
+
+    /** Lets events report input again, for a handler that does not read at once. */
+    void resumeReading() {
+        if (!closed) {
+            source.resumeReads();
+        }
+    }
+
+    private void readAtMost(int maxReads) throws IOException {
+        unread.onReadable();
         for (int i = 0; i < maxReads && !closed; i++) {
             if (!readOnce()) {
                 return;
@@ -252,8 +262,8 @@
             discardAfterLastWrite();
             return false;
         }
-        if (buffer.readEnd() - buffer.readStart() >= maxUnconsumedBytes) {
-            if (handler.awaitsDisconnect()) {
+        if (buffer.readEnd() - buffer.readStart() >= unconsumedLimit()) {
+            if (handler.readsAtOnce()) {
                 return discardUnconsumed();
             }
             source.suspendReads();
@@ -265,13 +275,14 @@
             source.suspendReads();
             return false;
         }
+        int capacity = space.remaining();
         int count = source.read(space);
         if (count < 0) {
             end(null);
             return false;
         }
+        unread.onRead(count == capacity);
         if (count == 0) {
-            inputLeftInKernel = false;
             return false;
         }
         loop.input().recordRead(count);
@@ -280,12 +291,11 @@
         return true;
     }
 
-    /**
-     * Returns a time before which none of the input read now can have arrived, in seconds on the loop's clock: the loop
-     * may have stalled, or reading may have been paused while more was in the kernel.
-     */
-    double inputArrivedAfter() {
-        return kernelEmptyAt;
+    /** While too much is held for all clients, each is read only as far as the parser may need to go on. */
+    private int unconsumedLimit() {
+        return loop.inputMemory().isExceeded()
+                ? Math.min(MIN_UNCONSUMED_LIMIT, maxUnconsumedBytes)
+                : maxUnconsumedBytes;
     }
 
     /** Discards input beyond the limit on unconsumed bytes; returns whether another read may bring more. */
@@ -338,8 +348,8 @@
     }
 
     /** Runs a step on behalf of the peer; its failure ends the connection. */
-    void runGuarded(Runnable step) {
-        guarded(step::run);
+    void runGuarded(IoTask step) {
+        guarded(step);
     }
 
     /** Runs a step and keeps its failure from reaching the loop or another connection. */
@@ -348,13 +358,14 @@
             step.run();
         } catch (IOException e) {
             end(e);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
             LOG.log(System.Logger.Level.ERROR, "connection handler failed", e);
             end(new IOException(e));
         }
     }
 
-    private interface IoTask {
+    /** A step of reading, serving or writing. */
+    interface IoTask {
         void run() throws IOException;
     }
 }
--- a/src/main/java/pepperdock/transport/EventLoop.java
+++ b/src/main/java/pepperdock/transport/EventLoop.java
@@ -46,6 +46,7 @@
             new LogRateLimiter(LOG, this, "connections closed for unsolicited input");
     private final TransportMetrics metrics = new TransportMetrics();
     private final InputAccounting input = new InputAccounting(metrics);
+    private final InputMemory inputMemory = new InputMemory();
     private final InputScheduler inputScheduler = new InputScheduler(this, input);
     private final StallDetector stalls = new StallDetector(this, metrics, input);
     private int connectingCount;
@@ -225,7 +226,7 @@
             IoUtils.safeClose(accepted);
         } else {
             Connection connection = register(accepted, scope != SocketScope.OUTSIDE_CAP);
-            connection.setInputArrivedAfter(inputArrivedAfter);
+            connection.unread().onReadableSince(inputArrivedAfter);
             opened.accept(connection);
         }
     }
@@ -319,6 +320,11 @@
         return metrics;
     }
 
+    /** Returns the account of the memory held for requests that are not complete. */
+    InputMemory inputMemory() {
+        return inputMemory;
+    }
+
     /** Returns the scheduler of the input of clients. */
     InputScheduler inputScheduler() {
         return inputScheduler;
@@ -343,7 +349,7 @@
     static void guarded(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
             LOG.log(System.Logger.Level.ERROR, "task on the I/O thread failed", e);
         }
     }
--- a/src/main/java/pepperdock/transport/HttpClient.java
+++ b/src/main/java/pepperdock/transport/HttpClient.java
@@ -14,7 +14,7 @@
  * is certain: input beyond a response, or before a request is completely written, belongs to no request, and the
  * connection is closed before another request can be sent on it.
  */
-public final class HttpClient implements Connection.Handler {
+public final class HttpClient implements ConnectionHandler {
 
     /** Why there is no response; {@link #NOT_SENT} proves that the server never received the whole request. */
     public enum Failure {
--- a/src/main/java/pepperdock/transport/HttpServer.java
+++ b/src/main/java/pepperdock/transport/HttpServer.java
@@ -2,13 +2,13 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import pepperdock.core.LogRateLimiter;
-import pepperdock.transport.TransportMetrics.ClientCloseReason;
 
 /**
  * Serves HTTP/1.1 on one address, one request at a time per connection, for any front. The states of a connection have
@@ -25,6 +25,8 @@
     private static final double TIMEOUT_SWEEP_INTERVAL_S = 0.1;
     /** Delay between the call of {@link #stopListening} and the close of the listening socket. */
     private static final double STOP_LISTENING_DELAY_S = 0.02;
+    /** Pause between two searches for requests that are not complete: each looks at all connections. */
+    private static final double MEMORY_CHECK_INTERVAL_S = 0.005;
     /** More than the longest line that the parser accepts; bodies are consumed as they arrive. */
     private static final int MAX_UNCONSUMED_BYTES = 16 << 10;
 
@@ -37,6 +39,7 @@
     /** Ordered by the time at which they entered their state, so that the longest waiting is found first. */
     private final Set<ServerConnection> connections = new LinkedHashSet<>();
 
+    private double nextMemoryCheckAt;
     private boolean draining;
     private boolean stopped;
     private final LogRateLimiter rejectedRequestLog;
@@ -161,12 +164,11 @@
 
     /** Closes the first evictable connection, once its input is read: a client that has just sent a request stays. */
     private boolean evictFirst(Predicate<ServerConnection> evictable) {
-        Predicate<ServerConnection> evictableUnread = client -> !client.hasServableInput() && evictable.test(client);
-        for (ServerConnection client :
-                connections.stream().filter(evictableUnread).toList()) {
+        Predicate<ServerConnection> idle = client -> !client.awaitsService() && evictable.test(client);
+        for (ServerConnection client : connections.stream().filter(idle).toList()) {
             client.connection().readNow();
-            if (evictableUnread.test(client) || client.connection().isClosed()) {
-                client.close(ClientCloseReason.EVICTED, "evicted to make room for another");
+            if (idle.test(client) || client.connection().isClosed()) {
+                client.evict();
                 connections.remove(client);
                 return true;
             }
@@ -174,6 +176,26 @@
         return false;
     }
 
+    /** Rejects unfinished requests, the oldest first, until the memory held for them is within its limit. */
+    void freeInputMemory() {
+        if (!loop.inputMemory().isExceeded() || loop.now() < nextMemoryCheckAt) {
+            return;
+        }
+        nextMemoryCheckAt = loop.now() + MEMORY_CHECK_INTERVAL_S;
+        long bytesToFree = loop.inputMemory().bytesToFree();
+        List<ServerConnection> rejected = new ArrayList<>();
+        for (ServerConnection client : connections) {
+            if (client.isUnfinished()) {
+                bytesToFree -= client.connection().heldBytes();
+                rejected.add(client);
+            }
+            if (bytesToFree <= 0) {
+                break;
+            }
+        }
+        rejected.forEach(ServerConnection::rejectUnfinished);
+    }
+
     private void enforceTimeouts() {
         // Set first: the time limits have to go on if something fails below.
         loop.after(TIMEOUT_SWEEP_INTERVAL_S, this::enforceTimeouts);
--- a/src/main/java/pepperdock/transport/ServerConnection.java
+++ b/src/main/java/pepperdock/transport/ServerConnection.java
@@ -11,7 +11,7 @@
  * One client's connection to an {@link HttpServer}. It serves one request at a time, and enforces the time limits of its
  * states. Owned by the I/O thread.
  */
-final class ServerConnection implements Connection.Handler, InputScheduler.Source {
+final class ServerConnection implements ConnectionHandler, InputScheduler.Source {
 
     private static final System.Logger LOG = System.getLogger("pepperdock.transport");
     /** Time limit for a client to read more of what it was sent. */
@@ -81,7 +81,14 @@
     }
 
     private boolean isIdle() {
-        return state == ConnectionState.IDLE && !isBusy() || state == ConnectionState.NEW && !hasServableInput();
+        return (state == ConnectionState.IDLE || state == ConnectionState.NEW)
+                && !connection.hasUnwrittenBytes()
+                && !awaitsService();
+    }
+
+    /** Returns whether input that has been read, or that a round of the scheduler will read, is to be served. */
+    boolean awaitsService() {
+        return canServe() && (hasNewInput || share.queued);
     }
 
     /** Reads what has arrived and serves it at once, for a short time at most: the process is about to end. */
@@ -95,15 +102,24 @@
         return state == ConnectionState.SERVING
                 || state == ConnectionState.READING
                 || connection.hasUnwrittenBytes()
-                || hasServableInput();
+                || awaitsService();
+    }
+
+    private void closeNotReading() {
+        recordClose(ClientCloseReason.NOT_READING, "it does not read its response");
+        connection.close();
     }
 
-    /** Closes the connection at once and records why. */
-    void close(ClientCloseReason reason, String text) {
+    /** Closes the connection to make room for another. */
+    void evict() {
+        recordClose(ClientCloseReason.EVICTED, "evicted to make room for another");
+        connection.close();
+    }
+
+    private void recordClose(ClientCloseReason reason, String text) {
         server.loop().metrics().recordClientClose(reason);
         server.closedClientLog()
                 .log(System.Logger.Level.INFO, () -> "closing the connection of client " + peer() + ": " + text);
-        connection.close();
     }
 
     private void enter(ConnectionState next) {
@@ -123,7 +139,7 @@
         }
         if (mustCloseAtOnce(now)) {
             if (connection.hasUnwrittenBytes()) {
-                close(ClientCloseReason.NOT_READING, "it does not read its response");
+                closeNotReading();
             } else {
                 connection.close();
             }
@@ -151,7 +167,7 @@
     @Override
     public void onBytes(Connection connection) {
         if (Double.isNaN(unparsedSinceS) && connection.readEnd() > connection.readStart()) {
-            unparsedSinceS = connection.inputArrivedAfter();
+            unparsedSinceS = connection.unread().arrivedAfterS();
         }
         hasNewInput = true;
         submitInput();
@@ -163,12 +179,17 @@
         }
     }
 
-    /** Input beyond the limit is read while a request is in progress: its client may have left. */
+    /** While a request is in progress, its client's disconnect must be noticed. */
     @Override
-    public boolean awaitsDisconnect() {
+    public boolean readsAtOnce() {
         return disconnectHandler != null;
     }
 
+    @Override
+    public void onReadable(Connection connection) {
+        submitInput();
+    }
+
     @Override
     public InputShare share() {
         return share;
@@ -183,31 +204,40 @@
      * No request is taken while a response waits to be read: further responses would fill the connection's buffer,
      * reading would pause, and the disconnect of a client whose next request is in progress would go unnoticed.
      */
-    @Override
-    public boolean hasServableInput() {
+    private boolean canServe() {
         return disconnectHandler == null
-                && connection.readEnd() > connection.readStart()
-                && hasNewInput
                 && !connection.isClosed()
                 && !connection.hasUnwrittenBytes()
                 && state != ConnectionState.CLOSING;
     }
 
+    @Override
+    public boolean hasServableInput() {
+        return canServe() && (hasNewInput || connection.unread().isPossible());
+    }
+
     @Override
     public boolean serveInput(double untilS) {
         connection.runGuarded(() -> serveUntil(untilS));
+        updateHeldBytes();
+        if (!hasServableInput()) {
+            connection.resumeReading();
+        }
         return disconnectHandler != null;
     }
 
     private void serveUntil(double untilS) {
         try {
             boolean timeLeft = true;
-            while (timeLeft && hasServableInput() && parseNext()) {
-                double arrivedAtS = unparsedSinceS;
-                if (connection.readEnd() == connection.readStart()) {
-                    unparsedSinceS = Double.NaN;
+            while (timeLeft && canServe() && (hasNewInput || connection.readMore())) {
+                if (parseNext()) {
+                    double arrivedAtS = unparsedSinceS;
+                    hasNewInput = connection.readEnd() > connection.readStart();
+                    if (!hasNewInput) {
+                        unparsedSinceS = Double.NaN;
+                    }
+                    serve(parser.take(), arrivedAtS);
                 }
-                serve(parser.take(), arrivedAtS);
                 timeLeft = server.loop().now() < untilS;
             }
         } catch (HttpException e) {
@@ -232,6 +262,27 @@
         return parser.isComplete();
     }
 
+    private void updateHeldBytes() {
+        if (connection.isClosed() || state == ConnectionState.CLOSING) {
+            connection.setHeldBytes(0);
+            return;
+        }
+        connection.setHeldBytes(parser.heldBytes() + connection.grownBufferBytes());
+        server.freeInputMemory();
+    }
+
+    /** Returns whether a request has begun that is not complete, for which memory can be freed by rejecting it. */
+    boolean isUnfinished() {
+        return state == ConnectionState.READING && disconnectHandler == null && !hasNewInput;
+    }
+
+    /** Rejects the unfinished request: too much memory is held for such requests. */
+    void rejectUnfinished() {
+        respondWithError(
+                ClientCloseReason.INPUT_MEMORY,
+                new HttpException(503, "too much is held for requests that are not complete"));
+    }
+
     /** The kernel has taken the whole response: requests that the client sent behind it are served now. */
     @Override
     public void onFlushed(Connection connection) {
@@ -244,6 +295,7 @@
         disconnectHandler = () -> {};
         parser = HttpParser.ofRequests(maxBodyBytes);
         connection.discardInput();
+        connection.setHeldBytes(0);
         server.loop().metrics().recordClientClose(reason);
         server.rejectedRequestLog()
                 .log(System.Logger.Level.INFO, () -> "malformed request: " + e.getMessage() + ", from " + peer());
--- a/src/main/java/pepperdock/transport/TransportMetrics.java
+++ b/src/main/java/pepperdock/transport/TransportMetrics.java
@@ -18,6 +18,8 @@
         REQUEST_TIMEOUT,
         /** It sent far more than one request can need behind a request in progress. */
         INPUT_OVERFLOW,
+        /** Its request was not complete, and too much was held for such requests. */
+        INPUT_MEMORY,
         /** It does not read its responses. */
         NOT_READING
     }
--- a/src/test/java/pepperdock/LateAnswersBesideFullSpeedClientsIT.java
+++ b/src/test/java/pepperdock/LateAnswersBesideFullSpeedClientsIT.java
@@ -23,6 +23,8 @@
     /** The gatherer's share of a core on the platform. */
     private static final double CPU_SHARE = 0.4;
 
+    private static final int SOCKETS = 1024;
+
     @TempDir
     private Path folder;
 
@@ -45,11 +47,14 @@
     void ordinaryClientsAreAnsweredInTime(FloodMessage message, Pace pace, int clients) throws Exception {
         OverloadRun.Result result = OverloadRun.play(
                 OverloadPlan.of(
-                        CPU_SHARE, new OverloadPlan.Phase(message, pace, clients, SlowClients.Kind.SILENT, 0, 3)),
+                        CPU_SHARE,
+                        SOCKETS,
+                        new OverloadPlan.Phase(message, pace, clients, SlowClients.Kind.SILENT, 0, 3)),
                 folder,
                 TestDeploymentSettings.SETTINGS,
                 List.of("sh", "deploy/start", "serve"));
         assertEquals(List.of(), result.findings(), result::toString);
         assertTrue(result.requests() > 100, result::toString);
+        assertTrue(2 * result.served() > result.requests(), result::toString);
     }
 }
--- a/src/test/java/pepperdock/platform/ClientGoneOnBusyLoopTest.java
+++ b/src/test/java/pepperdock/platform/ClientGoneOnBusyLoopTest.java
@@ -30,6 +30,7 @@
 import pepperdock.scheduler.EndpointListKind;
 import pepperdock.scheduler.LoadReport;
 import pepperdock.transport.Connection;
+import pepperdock.transport.ConnectionHandler;
 import pepperdock.transport.EventLoop;
 import pepperdock.transport.HttpServer;
 import pepperdock.transport.TcpTable;
@@ -156,7 +157,7 @@
     void noAttemptStartsOnANewConnectionAfterTheKernelHasSeenTheDisconnect() throws Exception {
         BlockingQueue<Connection> opened = new LinkedBlockingQueue<>();
         Socket[] client = {null};
-        Connection.Handler busyHandler = new Connection.Handler() {
+        ConnectionHandler busyHandler = new ConnectionHandler() {
             @Override
             public void onBytes(Connection connection) {
                 connection.consume(connection.readEnd() - connection.readStart());
--- a/src/test/java/pepperdock/transport/ClientGoneTest.java
+++ b/src/test/java/pepperdock/transport/ClientGoneTest.java
@@ -236,7 +236,7 @@
     @Test
     void acceptedAndOpenedConnectionsWriteWithoutDelay() throws Exception {
         BlockingQueue<Boolean> noDelay = new LinkedBlockingQueue<>();
-        Connection.Handler none = new Connection.Handler() {
+        ConnectionHandler none = new ConnectionHandler() {
             @Override
             public void onBytes(Connection connection) {}
 
--- a/src/test/java/pepperdock/transport/ConnectionTest.java
+++ b/src/test/java/pepperdock/transport/ConnectionTest.java
@@ -18,7 +18,7 @@
     @Test
     void unconsumedInputIsHeldOnlyUpToTheLimit() throws Exception {
         AtomicInteger maxHeld = new AtomicInteger();
-        Connection.Handler neverConsumes = new Connection.Handler() {
+        ConnectionHandler neverConsumes = new ConnectionHandler() {
             @Override
             public void onBytes(Connection connection) {
                 maxHeld.accumulateAndGet(connection.readEnd() - connection.readStart(), Math::max);
