Close channels for a bounded time in each turn of the loop

What callers saw: with 1,000 slow clients, answers late and deadlines told to workers too late. Evidence: lines 'event loop late by 0.154 s, 0.000 s of it for input of clients: 0 requests, 0 bytes', and stacks of the thread in WorkerThread.cancelKey, selectNow, beneath closes. Evictions close at once, as they free a descriptor.

--- a/src/main/java/pepperdock/transport/Connection.java
+++ b/src/main/java/pepperdock/transport/Connection.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.ConduitStreamSinkChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
@@ -206,7 +205,15 @@
     public void close() {
         if (!closed) {
             markClosed();
-            IoUtils.safeClose(channel);
+            loop.channelCloser().close(channel);
+        }
+    }
+
+    /** Like {@link #close}, and frees the descriptor before this method returns. */
+    void closeToMakeRoom() {
+        if (!closed) {
+            markClosed();
+            loop.channelCloser().closeNow(channel);
         }
     }
 
@@ -218,7 +225,8 @@
 
     private void onReadable() throws IOException {
         if (lingering) {
-            readOnce();
+            // Left for the next turn, if much has been closed in this one: this may find the end of the input.
+            loop.channelCloser().runIfTimeLeft(() -> guarded(this::readOnce));
         } else if (handler.readsAtOnce()) {
             readAtMost(MAX_READS_PER_TURN);
         } else {
--- a/src/main/java/pepperdock/transport/EventLoop.java
+++ b/src/main/java/pepperdock/transport/EventLoop.java
@@ -46,6 +46,7 @@
             new LogRateLimiter(LOG, this, "connections closed for unsolicited input");
     private final TransportMetrics metrics = new TransportMetrics();
     private final InputAccounting input = new InputAccounting(metrics);
+    private final ChannelCloser channelCloser = new ChannelCloser(this);
     private final InputMemory inputMemory = new InputMemory();
     private final InputScheduler inputScheduler = new InputScheduler(this, input);
     private final StallDetector stalls = new StallDetector(this, metrics, input);
@@ -152,7 +153,7 @@
 
     /** Returns the number of sockets that count under the cap now. */
     public int socketsInUse() {
-        return open.size() + connectingCount;
+        return open.size() + connectingCount + channelCloser.waitingCount();
     }
 
     /** Returns the number of sockets that are still free under the cap. */
@@ -320,6 +321,11 @@
         return metrics;
     }
 
+    /** Returns what closes the channels of connections. */
+    ChannelCloser channelCloser() {
+        return channelCloser;
+    }
+
     /** Returns the account of the memory held for requests that are not complete. */
     InputMemory inputMemory() {
         return inputMemory;
--- a/src/main/java/pepperdock/transport/ServerConnection.java
+++ b/src/main/java/pepperdock/transport/ServerConnection.java
@@ -113,7 +113,7 @@
     /** Closes the connection to make room for another. */
     void evict() {
         recordClose(ClientCloseReason.EVICTED, "evicted to make room for another");
-        connection.close();
+        connection.closeToMakeRoom();
     }
 
     private void recordClose(ClientCloseReason reason, String text) {
