Poll the sockets between two runs of deferred work

Cause: rounds of input and of closes were timers of 1 ms each, and each took longer than that: a timer that comes due while another runs is run before the sockets are polled, so that the two kept each other due. Timers ran in time, so that neither the stall detector nor the waiting time saw it. Change: DeferredWork runs such tasks together, and only after an event of a socket or a timer that was in time, which both show that the sockets were polled. InputSchedulerTest holds that deferred work runs once between two polls.

--- a/src/main/java/pepperdock/transport/ChannelCloser.java
+++ b/src/main/java/pepperdock/transport/ChannelCloser.java
@@ -14,16 +14,16 @@
 final class ChannelCloser {
 
     private static final double MAX_CLOSE_S = 0.002;
-    /** The shortest delay that a timer of XNIO takes. */
-    private static final double PAUSE_S = 0.001;
 
     private final Clock clock;
+    private final DeferredWork deferredWork;
     private final Deque<StreamConnection> waiting = new ArrayDeque<>();
     private double usedInTurnS;
     private boolean turnEndScheduled;
 
-    ChannelCloser(Clock clock) {
+    ChannelCloser(Clock clock, DeferredWork deferredWork) {
         this.clock = clock;
+        this.deferredWork = deferredWork;
     }
 
     /** Closes a channel now, or in one of the next turns if much has been closed in this one. */
@@ -55,7 +55,7 @@
         usedInTurnS += clock.now() - startS;
         if (!turnEndScheduled) {
             turnEndScheduled = true;
-            clock.after(PAUSE_S, this::endTurn);
+            deferredWork.schedule(this::endTurn);
         }
     }
 
--- a/src/main/java/pepperdock/transport/Connection.java
+++ b/src/main/java/pepperdock/transport/Connection.java
@@ -47,7 +47,7 @@
     public void start(ConnectionHandler handler) {
         this.handler = handler;
         source.setReadListener(s -> guarded(this::onReadable));
-        sink.setWriteListener(s -> guarded(this::flush));
+        sink.setWriteListener(s -> guarded(this::onWritable));
         source.resumeReads();
     }
 
@@ -144,6 +144,16 @@
         }
     }
 
+    /**
+     * Reads all input that has arrived by now, until the peer's disconnect or {@link ConnectionHandler#onInputOverflow}. Call this
+     * before work on behalf of the peer: a peer that has left must not be found out only behind what it has sent.
+     */
+    public void pollForDisconnect() {
+        if (!closed && handler != null) {
+            guarded(() -> readAtMost(Integer.MAX_VALUE));
+        }
+    }
+
     /** Returns the address of the peer. */
     public InetSocketAddress peer() {
         return channel.getPeerAddress(InetSocketAddress.class);
@@ -224,6 +234,7 @@
     }
 
     private void onReadable() throws IOException {
+        loop.onSocketEvent();
         if (lingering) {
             // Left for the next turn, if much has been closed in this one: this may find the end of the input.
             loop.channelCloser().runIfTimeLeft(() -> guarded(this::readOnce));
@@ -324,6 +335,11 @@
         }
     }
 
+    private void onWritable() throws IOException {
+        loop.onSocketEvent();
+        flush();
+    }
+
     private void flush() throws IOException {
         while (!closed && !buffer.nothingToWrite()) {
             int count = sink.write(buffer.forWrite());
--- a/src/main/java/pepperdock/transport/ConnectionAcceptor.java
+++ b/src/main/java/pepperdock/transport/ConnectionAcceptor.java
@@ -51,8 +51,7 @@
                 .set(Options.REUSE_ADDRESSES, true)
                 .set(Options.TCP_NODELAY, true)
                 .getMap();
-        server = LoopServerSocket.listen(
-                worker, address, BACKLOG, shared, options, channel -> accept(Integer.MAX_VALUE, MAX_ACCEPT_S));
+        server = LoopServerSocket.listen(worker, address, BACKLOG, shared, options, channel -> onReadable());
     }
 
     /** Starts to accept. */
@@ -60,6 +59,11 @@
         server.resumeAccepts();
     }
 
+    private void onReadable() {
+        loop.onSocketEvent();
+        accept(Integer.MAX_VALUE, MAX_ACCEPT_S);
+    }
+
     private void accept(int maxCount, double maxS) {
         double startS = loop.now();
         if (!connectionsLeft) {
--- a/src/main/java/pepperdock/transport/EventLoop.java
+++ b/src/main/java/pepperdock/transport/EventLoop.java
@@ -46,9 +46,10 @@
             new LogRateLimiter(LOG, this, "connections closed for unsolicited input");
     private final TransportMetrics metrics = new TransportMetrics();
     private final InputAccounting input = new InputAccounting(metrics);
-    private final ChannelCloser channelCloser = new ChannelCloser(this);
+    private final DeferredWork deferredWork = new DeferredWork(this);
+    private final ChannelCloser channelCloser = new ChannelCloser(this, deferredWork);
     private final InputMemory inputMemory = new InputMemory();
-    private final InputScheduler inputScheduler = new InputScheduler(this, input);
+    private final InputScheduler inputScheduler = new InputScheduler(this, deferredWork, input);
     private final StallDetector stalls = new StallDetector(this, metrics, input);
     private int connectingCount;
 
@@ -321,6 +322,11 @@
         return metrics;
     }
 
+    /** Called for each event of a socket. */
+    void onSocketEvent() {
+        deferredWork.onSocketEvent();
+    }
+
     /** Returns what closes the channels of connections. */
     ChannelCloser channelCloser() {
         return channelCloser;
--- a/src/main/java/pepperdock/transport/InputScheduler.java
+++ b/src/main/java/pepperdock/transport/InputScheduler.java
@@ -38,14 +38,13 @@
     private static final double OVERUSED_ROUND_S = 0.002;
     /** Time after which a connection gives way to the next one. */
     private static final double QUANTUM_S = 0.0005;
-    /** Pause before a round, in which the loop polls its sockets; the shortest delay that a timer of XNIO takes. */
-    private static final double ROUND_PAUSE_S = 0.001;
     /** Bound on what one run is charged: the thread may have lost its processor during the run. */
     private static final double MAX_RUN_COST_S = 0.002;
     /** What a request in progress is charged for its decisions, calls and answer. */
     private static final double REQUEST_COST_S = 0.0003;
 
     private final Clock clock;
+    private final DeferredWork deferredWork;
     private final InputAccounting accounting;
     private final Deque<Source> withCredit = new ArrayDeque<>();
     private final Deque<Source> overused = new ArrayDeque<>();
@@ -56,8 +55,9 @@
     private boolean roundScheduled;
     private double usedInTurnS;
 
-    InputScheduler(Clock clock, InputAccounting accounting) {
+    InputScheduler(Clock clock, DeferredWork deferredWork, InputAccounting accounting) {
         this.clock = clock;
+        this.deferredWork = deferredWork;
         this.accounting = accounting;
     }
 
@@ -91,15 +91,14 @@
     private void scheduleRound() {
         if (!roundScheduled) {
             roundScheduled = true;
-            clock.after(ROUND_PAUSE_S, this::runRound);
+            deferredWork.schedule(this::runRound);
         }
     }
 
     private void runRound() {
+        roundScheduled = false;
         serve(withCredit, TURN_S);
         serve(overused, OVERUSED_ROUND_S);
-        // Only now: a pause that began during the round would be over by its end, and the sockets not polled.
-        roundScheduled = false;
         if (!withCredit.isEmpty() || !overused.isEmpty()) {
             scheduleRound();
         }
--- a/src/test/java/pepperdock/transport/InputSchedulerTest.java
+++ b/src/test/java/pepperdock/transport/InputSchedulerTest.java
@@ -7,21 +7,25 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import pepperdock.core.Clock;
 
 /** Clients that sent at full speed were served without end, and the loop's timers and other clients waited (issue 53). */
+@Timeout(60)
 class InputSchedulerTest {
 
     /** The time for clients' input between two polls of the loop, and the last request of it. */
     private static final double MAX_TURN_S = 0.0075;
 
     private final LoopClock clock = new LoopClock();
-    private final InputScheduler scheduler = new InputScheduler(clock, new InputAccounting(new TransportMetrics()));
+    private final DeferredWork deferredWork = new DeferredWork(clock);
+    private final InputScheduler scheduler =
+            new InputScheduler(clock, deferredWork, new InputAccounting(new TransportMetrics()));
 
     /** A clock that moves on by the time that requests take, and runs timers as a loop does. */
-    private static final class LoopClock implements Clock {
+    private final class LoopClock implements Clock {
         private record Entry(double dueAtS, Runnable task) {}
 
         private final List<Entry> timers = new ArrayList<>();
@@ -38,13 +42,19 @@
             return () -> {};
         }
 
-        /** Runs what is due now, then waits for the next millisecond; returns the time that the timers took. */
-        private double turn() {
+        private void runDue() {
             double startS = nowS;
             List<Entry> due = new ArrayList<>(
                     timers.stream().filter(entry -> entry.dueAtS() <= startS).toList());
             timers.removeAll(due);
             due.forEach(entry -> entry.task().run());
+        }
+
+        /** Polls the sockets, runs what is due now, then waits for the next millisecond; returns the time that the timers took. */
+        private double turn() {
+            double startS = nowS;
+            deferredWork.onSocketEvent();
+            runDue();
             double tookS = nowS - startS;
             assertTrue(timers.stream().noneMatch(entry -> entry.dueAtS() <= nowS), "due again: no socket is polled");
             nowS += 0.001;
@@ -163,4 +173,28 @@
         scheduler.submit(flooder);
         assertEquals(served + 1, flooder.served);
     }
+
+    /** Two timers that took longer than their delay kept each other due, and no socket was polled. */
+    @Test
+    void deferredWorkRunsOnceBetweenTwoPolls() {
+        int[] runs = {0};
+        Runnable[] work = {null};
+        work[0] = () -> {
+            runs[0]++;
+            deferredWork.schedule(work[0]);
+        };
+        deferredWork.schedule(work[0]);
+        clock.nowS += 0.001;
+        clock.turn();
+        assertEquals(1, runs[0]);
+        for (int i = 0; i < 100; i++) {
+            // Another timer takes long: the thread has not waited in a poll, and no event of a socket has come.
+            clock.nowS += 0.005;
+            clock.runDue();
+        }
+        assertEquals(1, runs[0]);
+        clock.nowS += 0.005;
+        clock.turn();
+        assertEquals(2, runs[0]);
+    }
 }
