Read to the end of a client's input before an attempt starts for it

What callers saw: requests of a client that had closed its connection with much still unread were sent on. Cause: the poll for a disconnect before an attempt read 16 times at most, so that a disconnect behind more than about 0.6 MB was not seen.

--- a/src/main/java/pepperdock/transport/ServerConnection.java
+++ b/src/main/java/pepperdock/transport/ServerConnection.java
@@ -348,7 +348,7 @@
             @Override
             public void pollForDisconnect() {
                 if (number == requestNumber) {
-                    connection.readNow();
+                    connection.pollForDisconnect();
                 }
             }
         };
--- a/src/test/java/pepperdock/platform/ClientGoneOnBusyLoopTest.java
+++ b/src/test/java/pepperdock/platform/ClientGoneOnBusyLoopTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import pepperdock.config.DeploymentSettings;
 import pepperdock.config.TestDeploymentSettings;
 import pepperdock.core.Attempt;
@@ -88,6 +89,39 @@
         }
     }
 
+    /** A client that leaves with more unread behind its request than one turn of the loop reads was sent on. */
+    @ParameterizedTest
+    @ValueSource(ints = {10_000, 300_000, 900_000, 3_000_000})
+    void noRetryStartsForAClientThatHasLeftBehindUnreadInput(int unreadBytes) throws Exception {
+        RecordingBackend backend = new RecordingBackend();
+        serve(backend);
+        loop.execute(() -> core.onEndpointList(
+                EndpointListKind.CACHED,
+                Stream.of(0, 1, 2, 3)
+                        .map(cell -> PlatformFixtures.endpoint("w" + cell, cell, "127.0.0.1:1"))
+                        .toList()));
+        Socket client = sendQuery();
+        Attempt first = backend.sent.poll(30, TimeUnit.SECONDS);
+        BlockingQueue<Integer> inFlight = new LinkedBlockingQueue<>();
+        loop.execute(() -> {
+            try {
+                client.setSendBufferSize(2 * unreadBytes);
+                client.getOutputStream().write(new byte[unreadBytes]);
+                client.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            double due = loop.now() + 2 * settings.scheduler().tickS();
+            while (loop.now() < due) {
+                Thread.onSpinWait();
+            }
+            core.onAttemptEnded(first, AttemptOutcome.CONNECT_FAILED, LoadReport.NONE, null);
+            loop.execute(() -> inFlight.add(core.inFlightQueries()));
+        });
+        assertEquals(0, inFlight.poll(30, TimeUnit.SECONDS), "the close was not noticed in that turn");
+        assertTrue(backend.sent.isEmpty(), "a retry was sent");
+    }
+
     /** A backend that records the attempts sent and does nothing else. */
     private static final class RecordingBackend extends NoOpBackend {
         final BlockingQueue<Attempt> sent = new LinkedBlockingQueue<>();
