Run each query id once, also when it comes again after its client has left

What callers saw: a query whose client had left, or whose answer was lost, ran again when its id came again. Cause: an id was free as soon as its query had ended. The protocol gives each request, a retry included, an id of its own. Not covered: the other process of an upgrade, which keeps ids of its own.

--- a/src/main/java/pepperdock/core/CallDispatcher.java
+++ b/src/main/java/pepperdock/core/CallDispatcher.java
@@ -21,6 +21,7 @@
     private final KnownEndpoints endpoints;
     private final AttemptLifecycle attempts;
     private final InternalFailures failures;
+    private final SentQueryIds sentIds;
     /** Attempts decided on in this batch, by worker, in the order of the decisions. */
     private final Map<String, List<Attempt>> pendingAttempts = new LinkedHashMap<>();
 
@@ -30,7 +31,9 @@
             SettingsHolder settings,
             KnownEndpoints endpoints,
             AttemptLifecycle attempts,
-            InternalFailures failures) {
+            InternalFailures failures,
+            SentQueryIds sentIds) {
+        this.sentIds = sentIds;
         this.failures = failures;
         this.clock = clock;
         this.backend = backend;
@@ -98,7 +101,10 @@
         int maxPartsPerCall = settings.current().layout().maxPartsPerCall();
         for (int i = 0; i < startable.size(); i += maxPartsPerCall) {
             List<Attempt> call = startable.subList(i, Math.min(startable.size(), i + maxPartsPerCall));
-            call.forEach(attempt -> attempt.handedToBackend = true);
+            for (Attempt attempt : call) {
+                attempt.handedToBackend = true;
+                sentIds.add(attempt.part().query().request().id());
+            }
             backend.sendCall(worker, call);
         }
     }
--- a/src/main/java/pepperdock/core/Gatherer.java
+++ b/src/main/java/pepperdock/core/Gatherer.java
@@ -31,6 +31,7 @@
     private final QueryRegistry registry = new QueryRegistry();
     private final AttemptLifecycle attempts;
     private final CallDispatcher dispatcher;
+    private final SentQueryIds sentIds;
     private final QueryLifecycle queries;
 
     /**
@@ -40,11 +41,12 @@
      */
     public Gatherer(SchedulerSettings settings, long seed, Clock clock, Backend backend, EndpointDiscovery discovery) {
         this.settings = new SettingsHolder(settings, metrics);
+        sentIds = new SentQueryIds(seed);
         InternalFailures failures = new InternalFailures(clock, metrics);
         batcher = new EventBatcher(clock, this.settings, failures);
         endpoints = new KnownEndpoints(clock, backend, batcher, failures);
         attempts = new AttemptLifecycle(clock, metrics, backend, batcher, failures);
-        dispatcher = new CallDispatcher(clock, backend, this.settings, endpoints, attempts, failures);
+        dispatcher = new CallDispatcher(clock, backend, this.settings, endpoints, attempts, failures, sentIds);
         queries = new QueryLifecycle(clock, this.settings, metrics, batcher, attempts, registry, failures);
         scheduler = Scheduler.create(
                 settings,
@@ -114,6 +116,14 @@
         return registry.isRequestIdInUse(id);
     }
 
+    /**
+     * Returns whether a part of a query with this id was sent to a worker recently. The id must not be submitted again,
+     * because each id may run once; a retry comes with a new id.
+     */
+    public boolean wasQueryIdSent(String id) {
+        return sentIds.contains(id);
+    }
+
     /** Submits a query; {@code listener} receives its one final answer, never before this method returns. */
     public Query submit(QueryRequest request, QueryListener listener) {
         return queries.submit(request, listener);
--- a/src/main/java/pepperdock/platform/PlatformFront.java
+++ b/src/main/java/pepperdock/platform/PlatformFront.java
@@ -87,6 +87,9 @@
             // The ids of its parts would be in use on the workers' connections already, and results could be mixed up.
             throw new HttpException(409, "Request-Id: of a request that is still open");
         }
+        if (core.wasQueryIdSent(headers.id())) {
+            throw new HttpException(409, "Request-Id: of a request that has run");
+        }
         int shards = settings.scheduler().layout().shards();
         ClientProtocol.QueryBody body = ClientProtocol.parseQueryBody(message.body(), shards);
         return new QueryRequest(
--- a/src/test/java/pepperdock/platform/PlatformFrontTest.java
+++ b/src/test/java/pepperdock/platform/PlatformFrontTest.java
@@ -75,11 +75,11 @@
 
     /**
      * A client uses the id of a query that is still open. The parts of both queries would have the same ids at the
-     * workers, and one client could receive the answer for the other. The second query must be rejected; once the first
-     * has ended, the id is free.
+     * workers, and one client could receive the answer for the other. The second query must be rejected, also once the
+     * first has ended, as each id runs once.
      */
     @Test
-    void aRequestIdInUseIsRejectedAndFreeAgainAfterwards() throws Exception {
+    void aRequestIdInUseIsRejectedAndSoIsOneThatHasRun() throws Exception {
         try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             WorkerEndpoint worker = PlatformFixtures.endpoint("w", 0, "127.0.0.1:" + silent.getLocalPort());
             serve(List.of(worker), server -> {
@@ -93,13 +93,44 @@
                     String status = new String(first.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1);
                     assertTrue(status.matches("HTTP/1.1 50[34]"));
                     try (Socket client = client(server, second.replace("900", "90"))) {
-                        assertTrue(readToEnd(client).matches("(?s)HTTP/1.1 50[034].*"));
+                        assertTrue(readToEnd(client).startsWith("HTTP/1.1 409"));
+                    }
+                }
+            });
+        }
+    }
+
+    /** An id ran twice when it came again after its client had left. */
+    @Test
+    void aRequestIdWhoseClientHasLeftDoesNotRunAgain() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            WorkerEndpoint worker = PlatformFixtures.endpoint("w", 0, "127.0.0.1:" + silent.getLocalPort());
+            serve(List.of(worker), server -> {
+                try (Socket first = client(server, query("a"));
+                        Socket connection = silent.accept()) {
+                    connection.getInputStream().readNBytes(5);
+                    first.shutdownOutput();
+                    String again = query("a").replace("payout-report", "payout-report~Connection: close");
+                    try (Socket client = client(server, again)) {
+                        assertTrue(readToEnd(client).startsWith("HTTP/1.1 409"));
                     }
                 }
             });
         }
     }
 
+    @Test
+    void theIdOfAQueryThatWasNeverSentIsFree() throws Exception {
+        serve(List.of(), server -> {
+            for (int i = 0; i < 2; i++) {
+                String unsent = query("a").replace("payout-report", "payout-report~Connection: close");
+                try (Socket client = client(server, unsent)) {
+                    assertTrue(readToEnd(client).startsWith("HTTP/1.1 503"));
+                }
+            }
+        });
+    }
+
     /**
      * A client pipelines 2,001 requests. If each were answered within the call that answers the previous one, the stack
      * of the loop's thread would overflow.
