review: case 8, updates are applied twice after a reload whose file names another backend

The new file's backend decides whether balance-adjust may be repeated, but waits for a restart itself.

--- a/review/kit-2/Gatherer.java
+++ b/review/kit-2/Gatherer.java
@@ -65,6 +65,11 @@
         return false;
     }
 
+    /** Sends SIGHUP. */
+    void reload() throws IOException, InterruptedException {
+        new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).start().waitFor();
+    }
+
     /** Sends SIGTERM. */
     void terminate() {
         process.destroy();
--- a/review/kit-2/SearchPeer.java
+++ b/review/kit-2/SearchPeer.java
@@ -63,6 +63,11 @@
     volatile java.util.function.Consumer<Request> onRequest = request -> {};
 
     final AtomicInteger served = new AtomicInteger();
+    /** How often each document was updated. */
+    final Map<String, AtomicInteger> updates = new ConcurrentHashMap<>();
+    /** Whether the connection is reset in place of the answer to an update that has been applied. */
+    volatile java.util.function.BooleanSupplier resetsAfterUpdate = () -> false;
+
     private final Map<String, Context> contexts = new ConcurrentHashMap<>();
     private final List<Socket> open = new ArrayList<>();
 
@@ -117,6 +122,10 @@
                 onRequest.accept(request);
                 java.lang.Thread.sleep(linkMs + workMs + hitUs * hitsAsked(request) / 1000);
                 byte[] answer = answer(request);
+                if (request.target().contains("/_update/") && resetsAfterUpdate.getAsBoolean()) {
+                    socket.setSoLinger(true, 0);
+                    return;
+                }
                 java.lang.Thread.sleep(linkMs);
                 out.write(answer);
                 out.flush();
@@ -209,6 +218,15 @@
             }
             return response(request, 200, page(id, context));
         }
+        if (request.target().contains("/_update/")) {
+            String id = request.target().replaceAll(".*/_update/([^?]*).*", "$1");
+            updates.computeIfAbsent(id, first -> new AtomicInteger()).incrementAndGet();
+            return response(
+                    request,
+                    200,
+                    "{\"_index\":\"wallets\",\"_id\":\"" + id
+                            + "\",\"result\":\"updated\",\"_shards\":{\"total\":1,\"successful\":1,\"failed\":0}}");
+        }
         if (request.method().equals("GET") && request.target().equals("/")) {
             return response(request, 200, "{}");
         }
--- a/review/kit-2/SmallDeployment.java
+++ b/review/kit-2/SmallDeployment.java
@@ -70,10 +70,14 @@
 
     /** The front for OpenSearch-style queries, as in deploy/opensearch.json. */
     static String openSearch(String listen, int connectionsPerWorker) {
+        return openSearch(listen, connectionsPerWorker, "opensearch");
+    }
+
+    static String openSearch(String listen, int connectionsPerWorker, String backend) {
         return """
-            "opensearch": {"listen": "%s", "backend": "opensearch",
+            "opensearch": {"listen": "%s", "backend": "%s",
               "indices": [{"index": "history", "class": "history-search"}, {"index": "payouts", "class": "payout-report"}, {"index": "wallets", "class": "balance-adjust"}],
               "connections_per_worker": %d, "scroll_contexts": 500, "scroll_most_s": 300}"""
-                .formatted(listen, connectionsPerWorker);
+                .formatted(listen, backend, connectionsPerWorker);
     }
 }
