--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../kit-2/play-2.sh" 6 CostlySearch
+exec "$(dirname "$0")/../kit-2/play-2.sh" 6 ShortLength
