--- a/review/kit-2/Case.java
+++ b/review/kit-2/Case.java
@@ -1,3 +1,6 @@
+import java.io.IOException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
 
 /** Runs one scenario: exit status 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
@@ -39,10 +42,24 @@
             } catch (Throwable e) {
                 record.say("the case could not run: %s", e);
             }
+            if (status == 2) {
+                copyLogs(Path.of(args[2]), record);
+            }
             record.say(status == 1 ? "BROKEN" : status == 0 ? "HELD" : "COULD NOT RUN");
         } catch (Exception e) {
             System.out.println("the case could not run: " + e);
         }
         System.exit(status);
     }
+
+    /** Copies the gatherers' logs to the record: they show why a case could not run. */
+    private static void copyLogs(Path temp, Record record) throws IOException {
+        try (DirectoryStream<Path> logs = Files.newDirectoryStream(temp, "*.log")) {
+            for (Path log : logs) {
+                for (String line : Files.readAllLines(log)) {
+                    record.write("%s: %s", log.getFileName(), line);
+                }
+            }
+        }
+    }
 }
--- a/review/kit-2/CostlySearch.java
+++ b/review/kit-2/CostlySearch.java
@@ -23,7 +23,7 @@
 
     @Override
     public int run(Path root, Path temp, Record record, boolean trouble) throws Exception {
-        String listen = "127.0.0.1:" + Gatherer.freePort();
+        String listen = Gatherer.freeAddress();
         String[] hosts = new String[6];
         for (int i = 0; i < hosts.length; i++) {
             SearchPeer peer = new SearchPeer("holder-" + i);
--- a/review/kit-2/DnsPushed.java
+++ b/review/kit-2/DnsPushed.java
@@ -14,7 +14,7 @@
 
     @Override
     public int run(Path root, Path temp, Record record, boolean trouble) throws Exception {
-        String listen = "127.0.0.1:" + Gatherer.freePort();
+        String listen = Gatherer.freeAddress();
         DnsPeer dns = new DnsPeer();
         SearchPeer[] peers = new SearchPeer[4];
         String[] hosts = new String[peers.length];
--- a/review/kit-2/DnsUpgrade.java
+++ b/review/kit-2/DnsUpgrade.java
@@ -16,9 +16,9 @@
 
     @Override
     public int run(Path root, Path temp, Record record, boolean trouble) throws Exception {
-        String listen = "127.0.0.1:" + Gatherer.freePort();
-        String operatorA = "127.0.0.1:" + Gatherer.freePort();
-        String operatorB = "127.0.0.1:" + Gatherer.freePort();
+        String listen = Gatherer.freeAddress();
+        String operatorA = Gatherer.freeAddress();
+        String operatorB = Gatherer.freeAddress();
         DnsPeer dns = new DnsPeer();
         SearchPeer[] peers = new SearchPeer[4];
         String[] hosts = new String[peers.length];
--- a/review/kit-2/Gatherer.java
+++ b/review/kit-2/Gatherer.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -42,10 +43,15 @@
         STARTED.forEach(Process::destroyForcibly);
     }
 
-    /** Returns a port of the loopback address that is free now. */
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    /**
+     * Returns an address that is free now. Its host is drawn from the loopback range, so that no client of another play takes the
+     * port for its end of a connection.
+     */
+    static String freeAddress() throws IOException {
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        String host = "127." + random.nextInt(1, 250) + '.' + random.nextInt(1, 250) + '.' + random.nextInt(1, 250);
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+            return host + ':' + socket.getLocalPort();
         }
     }
 
--- a/review/kit-2/OpenIdInUpgrade.java
+++ b/review/kit-2/OpenIdInUpgrade.java
@@ -19,9 +19,9 @@
 
     @Override
     public int run(Path root, Path temp, Record record, boolean trouble) throws Exception {
-        String listen = "127.0.0.1:" + Gatherer.freePort();
-        String operatorA = "127.0.0.1:" + Gatherer.freePort();
-        String operatorB = "127.0.0.1:" + Gatherer.freePort();
+        String listen = Gatherer.freeAddress();
+        String operatorA = Gatherer.freeAddress();
+        String operatorB = Gatherer.freeAddress();
         Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
         String[] hosts = new String[3];
         for (int i = 0; i < hosts.length; i++) {
--- a/review/kit-2/ReloadedUpdates.java
+++ b/review/kit-2/ReloadedUpdates.java
@@ -15,7 +15,7 @@
 
     @Override
     public int run(Path root, Path temp, Record record, boolean trouble) throws Exception {
-        String listen = "127.0.0.1:" + Gatherer.freePort();
+        String listen = Gatherer.freeAddress();
         SearchPeer[] peers = new SearchPeer[3];
         String[] hosts = new String[peers.length];
         AtomicInteger applied = new AtomicInteger();
--- a/review/kit-2/ScrollCopies.java
+++ b/review/kit-2/ScrollCopies.java
@@ -21,7 +21,7 @@
 
     @Override
     public int run(Path root, Path temp, Record record, boolean trouble) throws Exception {
-        String listen = "127.0.0.1:" + Gatherer.freePort();
+        String listen = Gatherer.freeAddress();
         AtomicInteger copies = new AtomicInteger();
         AtomicInteger answers = new AtomicInteger();
         String[] hosts = new String[3];
--- a/review/kit-2/ShortLength.java
+++ b/review/kit-2/ShortLength.java
@@ -22,7 +22,7 @@
 
     @Override
     public int run(Path root, Path temp, Record record, boolean trouble) throws Exception {
-        String listen = "127.0.0.1:" + Gatherer.freePort();
+        String listen = Gatherer.freeAddress();
         AtomicInteger answers = new AtomicInteger();
         AtomicInteger spoilt = new AtomicInteger();
         String[] hosts = new String[3];
