--- a/src/main/java/pepperdock/store/StoreCodec.java
+++ b/src/main/java/pepperdock/store/StoreCodec.java
@@ -80,13 +80,30 @@
      * Encodes a snapshot as entries: the first holds the sequence number and the log id, and one entry per key follows.
      */
     static byte[] snapshot(Snapshot snapshot) {
+        return snapshot(snapshot, null);
+    }
+
+    /**
+     * Encodes a snapshot for another member: like {@link #snapshot(Snapshot)}, with the number of keys as the value of
+     * the first entry. The file on disk has a checksum in its place.
+     */
+    static byte[] snapshotForPeer(Snapshot snapshot) {
+        int keys = snapshot.values().size();
+        return snapshot(
+                snapshot, ByteBuffer.allocate(Integer.BYTES).putInt(keys).array());
+    }
+
+    private static byte[] snapshot(Snapshot snapshot, byte[] keyCount) {
         List<StoreEntry> entries = new ArrayList<>();
-        entries.add(new StoreEntry(snapshot.seq(), snapshot.logId(), null));
+        entries.add(new StoreEntry(snapshot.seq(), snapshot.logId(), keyCount));
         snapshot.values().forEach((key, value) -> entries.add(new StoreEntry(0, key, value)));
         return entries(entries);
     }
 
-    /** Decodes a snapshot. */
+    /**
+     * Decodes a snapshot. Rejects one that says how many keys it has, and has fewer or more: its length then ends between
+     * two entries.
+     */
     static Snapshot snapshot(byte[] bytes) {
         List<StoreEntry> entries = entries(bytes);
         if (entries.isEmpty()) {
@@ -95,6 +112,13 @@
         }
         Map<String, byte[]> values = new LinkedHashMap<>();
         entries.subList(1, entries.size()).forEach(entry -> values.put(entry.key(), entry.value()));
+        byte[] keyCount = entries.get(0).value();
+        if (keyCount != null
+                && (keyCount.length != Integer.BYTES
+                        || ByteBuffer.wrap(keyCount).getInt() != entries.size() - 1)) {
+            throw new IllegalArgumentException(
+                    "snapshot has " + (entries.size() - 1) + " keys, not as many as it says");
+        }
         return new Snapshot(entries.get(0).key(), entries.get(0).seq(), values);
     }
 
--- a/src/main/java/pepperdock/store/StoreLeader.java
+++ b/src/main/java/pepperdock/store/StoreLeader.java
@@ -125,7 +125,7 @@
             List<StoreEntry> missing = replica.after(logId, Long.parseLong(fields[2]));
             connection.write(
                     missing == null
-                            ? FrameEncoder.encode(SNAPSHOT, StoreCodec.snapshot(replica.snapshot()))
+                            ? FrameEncoder.encode(SNAPSHOT, StoreCodec.snapshotForPeer(replica.snapshot()))
                             : FrameEncoder.encode(ENTRIES, StoreCodec.entries(missing)));
         }
 
--- a/src/test/java/pepperdock/store/StoreTest.java
+++ b/src/test/java/pepperdock/store/StoreTest.java
@@ -13,6 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -92,6 +93,23 @@
         store.close();
     }
 
+    /**
+     * Guards against a snapshot from the leader whose frame ends too early, between two keys: it was installed, and the
+     * missing keys never came, because the follower then held the sequence number.
+     */
+    @Test
+    void snapshotThatEndsBetweenTwoKeysIsRejected() {
+        Map<String, byte[]> values = new LinkedHashMap<>();
+        values.put("k0", new byte[] {1});
+        values.put("k1", new byte[] {2});
+        StoreCodec.Snapshot all = new StoreCodec.Snapshot("log", 7, values);
+        byte[] encoded = StoreCodec.snapshotForPeer(all);
+        assertEquals(values.keySet(), StoreCodec.snapshot(encoded).values().keySet());
+        int lastEntry = StoreCodec.entry(new StoreEntry(0, "k1", new byte[] {2})).length;
+        byte[] cut = Arrays.copyOf(encoded, encoded.length - lastEntry);
+        assertThrows(IllegalArgumentException.class, () -> StoreCodec.snapshot(cut));
+    }
+
     @Test
     void writeIsAcknowledgedOnlyOnceMajorityHoldsIt() throws Exception {
         Store leader = open("a");
