Reject a request that is followed by bytes no request begins with

A client whose length does not fit (0 before a body, or a body cut where it is whole JSON) was served as though it had asked for that, and only the rest was answered 400. On the OpenSearch-style front a search with a length of 0 before its body was served as a search for all documents.

Cause: the parser completed a request by its length alone, although the bytes behind it were in the same input. Change: a byte behind a request that is neither a letter nor CR fails the request with 400.

Measured: HttpParserTest.requestWhoseLengthDoesNotFitIsRejected fails in 4 of 4 cases before, passes after; tests of both fronts and of transport pass. What comes in a later write can't be seen in time.

--- a/src/main/java/pepperdock/codec/http/HttpParser.java
+++ b/src/main/java/pepperdock/codec/http/HttpParser.java
@@ -92,9 +92,17 @@
                 break;
             }
         }
+        if (state == State.DONE && position < to && !parsingResponses && !mayBeginRequest(bytes[position])) {
+            throw new HttpException(400, "what follows the request is not a request: its length does not fit");
+        }
         return position - from;
     }
 
+    /** Returns whether a request, or an empty line before it, may begin with a byte. */
+    private static boolean mayBeginRequest(byte first) {
+        return first == '\r' || METHOD.matcher(String.valueOf((char) first)).matches();
+    }
+
     private int feedBody(byte[] bytes, int from, int to) throws HttpException {
         int count = state == State.BODY_UNTIL_CLOSE ? to - from : Math.min(bodyBytesLeft, to - from);
         checkBodySize(count);
--- a/src/test/java/pepperdock/codec/http/HttpParserTest.java
+++ b/src/test/java/pepperdock/codec/http/HttpParserTest.java
@@ -49,6 +49,20 @@
                 messages.get(0).keepAlive() + " " + messages.get(1).keepAlive());
     }
 
+    /**
+     * Guards against a request that is served although its length does not fit: the rest of its body, or a body after a
+     * length of 0, can't be the next request.
+     */
+    @ParameterizedTest
+    @CsvSource({"0,'{\"query\":{}}'", "3,'{}x{}'", "2,'{}\u0000'", "2,'{}{\"query\":{}}'"})
+    void requestWhoseLengthDoesNotFitIsRejected(int length, String body) {
+        byte[] bytes = ("POST /api HTTP/1.1\r\nContent-Length: " + length + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.US_ASCII);
+        HttpException e = assertThrows(
+                HttpException.class, () -> HttpParser.ofRequests(100).feed(bytes, 0, bytes.length));
+        assertEquals(400, e.status());
+    }
+
     @Property(seed = "42", tries = 200)
     void chunkedResponsesAreParsedFromChunksOfAnySize(@ForAll long seed) throws Exception {
         String text =
