Allocate a configuration's values only for as many bytes as are left

ConfigurationCodec.read allocated by a length field that it had not compared with the bytes left: a message of 50 bytes could ask for 2 GiB.

Measured: ConfigurationSnapshotTest.lengthBeyondTheBytesLeftIsRejected fails with OutOfMemoryError before, passes after.

--- a/src/main/java/pepperdock/distribution/ConfigurationCodec.java
+++ b/src/main/java/pepperdock/distribution/ConfigurationCodec.java
@@ -50,7 +50,7 @@
             for (int i = 0; i < count; i++) {
                 byte[] key = new byte[Short.toUnsignedInt(from.getShort())];
                 from.get(key);
-                byte[] value = new byte[from.getInt()];
+                byte[] value = new byte[checkedLength(from.getInt(), from)];
                 from.get(value);
                 items.add(new ConfigurationItem(new String(key, StandardCharsets.UTF_8), value));
             }
@@ -59,9 +59,17 @@
                         from.remaining() + " unexpected bytes after the end of the configuration");
             }
             return ConfigurationSnapshot.of(version, format, items);
-        } catch (BufferUnderflowException | NegativeArraySizeException e) {
+        } catch (BufferUnderflowException e) {
             throw new MalformedConfigurationException(
                     "configuration of " + bytes.length + " bytes is truncated or has a negative length field", e);
         }
     }
+
+    /** Returns a length that was read, if it is not negative and so many bytes are left: more must not be allocated. */
+    private static int checkedLength(int length, ByteBuffer from) {
+        if (length < 0 || length > from.remaining()) {
+            throw new BufferUnderflowException();
+        }
+        return length;
+    }
 }
--- a/src/test/java/pepperdock/distribution/ConfigurationSnapshotTest.java
+++ b/src/test/java/pepperdock/distribution/ConfigurationSnapshotTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -10,6 +11,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
 
 /** Tests configurations, their encoding and the changes between them. */
 class ConfigurationSnapshotTest {
@@ -35,6 +37,15 @@
         assertThrows(IllegalArgumentException.class, () -> ConfigurationCodec.read(part));
     }
 
+    /** Guards against memory that is allocated by a length alone: the value's length says 2 GiB, and no byte follows. */
+    @Test
+    void lengthBeyondTheBytesLeftIsRejected() {
+        byte[] configuration = of(3, Map.of((byte) 1, new byte[] {7})).encoded();
+        int lengthAt = configuration.length - 1 - Integer.BYTES;
+        ByteBuffer.wrap(configuration).putInt(lengthAt, Integer.MAX_VALUE);
+        assertThrows(MalformedConfigurationException.class, () -> ConfigurationCodec.read(configuration));
+    }
+
     @Property(tries = 200)
     void changesTurnOneConfigurationIntoTheOther(
             @ForAll @Size(max = 20) Map<Byte, byte[]> before, @ForAll @Size(max = 20) Map<Byte, byte[]> after) {
