Keep bodies that arrive in chunks that are never copied to make room

Change: BodyBuffer keeps the pieces; what is held is told exactly in place of an estimate of twice the size.

--- a/src/main/java/pepperdock/codec/http/HttpParser.java
+++ b/src/main/java/pepperdock/codec/http/HttpParser.java
@@ -1,6 +1,5 @@
 package pepperdock.codec.http;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Locale;
@@ -54,7 +53,7 @@
     private int status;
     private boolean isHttp10;
     private Map<String, String> headers = new HashMap<>();
-    private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private BodyBuffer body = new BodyBuffer();
     private int bodyBytesLeft;
     private int headBytes;
     private int fields;
@@ -161,7 +160,7 @@
         HttpMessage message = new HttpMessage(method, target, status, headers, body.toByteArray(), keepAlive);
         state = State.START;
         headers = new HashMap<>();
-        body = new ByteArrayOutputStream(0);
+        body = new BodyBuffer();
         headBytes = 0;
         fields = 0;
         chunkOverheadBytes = 0;
@@ -170,7 +169,7 @@
 
     /** Returns an estimate of the memory held for a message that is not complete, in bytes. */
     public int heldBytes() {
-        return headBytes + fields * FIELD_OVERHEAD_BYTES + 2 * body.size();
+        return headBytes + fields * FIELD_OVERHEAD_BYTES + body.capacity();
     }
 
     /**
