Take the effects of classes from the backend in use when a file is reloaded

Cause: Config.read took the effects of the classes from the backend that the new file names, while the backend in use waits for a restart. Servers of the OpenSearch-style API know no keys, so the class must not be repeated there.

Change: a reload reads the effects by the file that the process was started with.

--- a/src/main/java/pepperdock/config/Config.java
+++ b/src/main/java/pepperdock/config/Config.java
@@ -99,6 +99,16 @@
 
     /** Reads and checks a whole file; environment variables take precedence over its values. */
     public static Config read(ConfigReader file, Map<String, String> env) {
+        return read(file, env, file);
+    }
+
+    /**
+     * Reads and checks a file that is put into use while the program runs.
+     *
+     * @param started the file that the program was started with: its backend stays in use until a restart, and decides
+     *     whether the workers recognise repeats by a key
+     */
+    public static Config read(ConfigReader file, Map<String, String> env, ConfigReader started) {
         sockets(file);
         events(file);
         if (file.has(MEMBERS)) {
@@ -116,13 +126,17 @@
                 addressOf(env, DISCOVERY_VARIABLE, file, DISCOVERY, file.has(DISCOVERY)),
                 seed(file),
                 known,
-                openSearch != null && openSearch.backend() ? site.withoutIdempotencyKeys() : site,
+                usesOpenSearchBackend(started) ? site.withoutIdempotencyKeys() : site,
                 openSearch,
                 file.has(DNS_SD) ? DnsSdConfig.read(file.requiredObject(DNS_SD)) : null,
                 file.has(PLAN) ? PlanConfig.read(file.requiredObject(PLAN)) : null,
                 addressOf(env, OPERATOR_VARIABLE, file, OPERATOR, file.has(OPERATOR)));
     }
 
+    private static boolean usesOpenSearchBackend(ConfigReader file) {
+        return file.has(OPEN_SEARCH) && OpenSearchConfig.usesBackend(file.requiredObject(OPEN_SEARCH));
+    }
+
     /**
      * Returns the address in the environment variable if it is set, else that in the file if {@code required}, else
      * null.
--- a/src/main/java/pepperdock/config/OpenSearchConfig.java
+++ b/src/main/java/pepperdock/config/OpenSearchConfig.java
@@ -41,6 +41,11 @@
     private static final int MAX_SCROLL_MOST_S = 86_400;
     private static final int DEFAULT_SCROLL_MOST_S = 300;
 
+    /** Returns whether the workers are servers of this API, which know no idempotency keys. */
+    static boolean usesBackend(ConfigReader keys) {
+        return keys.text(BACKEND, BACKEND_OPENSEARCH).equals(BACKEND_OPENSEARCH);
+    }
+
     static OpenSearchConfig read(ConfigReader keys, DeploymentSettings site) {
         Map<String, Integer> indices = readIndices(keys, site);
         String backend = keys.text(BACKEND, BACKEND_OPENSEARCH);
@@ -50,7 +55,7 @@
         return new OpenSearchConfig(
                 Config.parseAddress(keys.key(LISTEN), keys.text(LISTEN)),
                 indices,
-                backend.equals(BACKEND_OPENSEARCH),
+                usesBackend(keys),
                 keys.integer(CONNECTIONS_PER_WORKER, 1, MAX_CONNECTIONS_PER_WORKER, DEFAULT_CONNECTIONS_PER_WORKER),
                 keys.integer(SCROLL_CONTEXTS, 1, MAX_SCROLL_CONTEXTS, DEFAULT_SCROLL_CONTEXTS),
                 keys.integer(SCROLL_MOST_S, 1, MAX_SCROLL_MOST_S, DEFAULT_SCROLL_MOST_S));
--- a/src/main/java/pepperdock/service/ConfigReloader.java
+++ b/src/main/java/pepperdock/service/ConfigReloader.java
@@ -49,8 +49,8 @@
     private final ReloadTargets targets;
     private final Consumer<Boolean> reloadListener;
     private final boolean settingsFromStore;
-    /** Settings of the file that the program was started with; some of them stay in use until a restart. */
-    private final ConfigReader startSettings;
+    /** The file that the program was started with; much of it stays in use until a restart. */
+    private final ConfigReader started;
 
     private ConfigReader current;
 
@@ -74,7 +74,7 @@
         this.env = new HashMap<>(env);
         this.env.remove("EDGE_DISCOVERY");
         this.current = current;
-        startSettings = current.optionalObject("settings");
+        started = current;
         this.loop = loop;
         this.targets = targets;
     }
@@ -96,7 +96,7 @@
             ConfigReader file =
                     newFile.has("settings") || !settingsFromStore ? newFile : newFile.with("settings", current);
             checkComplete(file);
-            Config config = Config.read(file, env);
+            Config config = Config.read(file, env, started);
             List<Runnable> changes = new ArrayList<>();
             List<String> keysForRestart = new ArrayList<>();
             collectChanges(file, config, changes, keysForRestart);
@@ -162,8 +162,8 @@
         }
         if (key.equals("known") && targets.known() != null) {
             // Zones and kinds of the new file wait for a restart, so the list is read by those in use.
-            EndpointListJson known =
-                    EndpointListJson.read(file.requiredObject("known"), DeploymentSettingsReader.read(startSettings));
+            EndpointListJson known = EndpointListJson.read(
+                    file.requiredObject("known"), DeploymentSettingsReader.read(started.optionalObject("settings")));
             return () -> targets.known().accept(known.hosts());
         }
         if (key.equals("settings") && targets.settings() != null) {
--- a/src/test/java/pepperdock/service/ConfigReloaderTest.java
+++ b/src/test/java/pepperdock/service/ConfigReloaderTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import pepperdock.config.Config;
 import pepperdock.config.TestDeploymentSettings;
+import pepperdock.scheduler.RetrySafety;
 
 class ConfigReloaderTest {
 
@@ -96,6 +97,37 @@
         assertEquals(List.of(1), zones);
     }
 
+    /**
+     * Guards against updates that are sent again to servers which know no keys: the new file names another backend, which
+     * waits for a restart, so the class must keep the effect that it has with the backend in use ({@code review/9}).
+     */
+    @Test
+    void effectsOfClassesFollowTheBackendInUse() throws Exception {
+        String file = """
+                {"name":"n","opensearch":{"listen":"127.0.0.4:8000","backend":"%s","indices":[
+                {"index":"a","class":"balance-adjust"}]},"settings":%s}""";
+        Map<String, String> env = Map.of(
+                "EDGE_CONFIG",
+                write(file.formatted("opensearch", TestDeploymentSettings.SETTINGS))
+                        .toString());
+        List<RetrySafety> effects = new ArrayList<>();
+        ConfigReloader reloader = new ConfigReloader(
+                env,
+                Config.readFile(env),
+                false,
+                Runnable::run,
+                new ConfigReloader.ReloadTargets(
+                        null,
+                        null,
+                        null,
+                        to -> to.site().scheduler().classes().forEach(each -> effects.add(each.retrySafety()))),
+                reloadResults::add);
+        write(file.formatted("frames", TestDeploymentSettings.SETTINGS.replace("0.005", "0.006")));
+        reloader.reload();
+        assertEquals(List.of(true), reloadResults);
+        assertEquals(List.of(RetrySafety.IDEMPOTENT, RetrySafety.IDEMPOTENT, RetrySafety.NOT_IDEMPOTENT), effects);
+    }
+
     /** Applies classes that were added, removed or given another effect, and a lower number of attempts. */
     @Test
     void appliesChangedClassesAndFewerAttempts() throws Exception {
