Tell pages of scrolls apart by an id, so that a copy is not served as the next page

Cause: only attempts carried an X-Opaque-Id; pages of scrolls, the release of their contexts and health checks were matched to answers by their order.

Change: each request to a worker carries an id of its own; an answer that repeats another one ends the connection, and its request counts as lost.

A worker that doesn't repeat the id can still not be told apart.

--- a/src/main/java/pepperdock/opensearch/SearchWorker.java
+++ b/src/main/java/pepperdock/opensearch/SearchWorker.java
@@ -40,6 +40,7 @@
     private final List<ConnectionSlot> slots = new ArrayList<>();
     private final ArrayDeque<QueuedRequest> queue = new ArrayDeque<>();
     private boolean acceptingCalls = true;
+    private long lastRequestNumber;
 
     SearchWorker(
             String id,
@@ -113,6 +114,7 @@
     private void send(Attempt attempt) {
         byte[] request = requests.attempt(attempt, loop.now());
         enqueue(
+                WorkerRequests.requestId(attempt),
                 request,
                 attempt.deadline(),
                 true,
@@ -182,8 +184,10 @@
             double timeoutS,
             BooleanSupplier stillWanted,
             Consumer<ShardAnswer> listener) {
+        String requestId = nextRequestId();
         enqueue(
-                requests.nextPage(scrollId, keepAliveS),
+                requestId,
+                requests.nextPage(scrollId, keepAliveS, requestId),
                 loop.now() + timeoutS,
                 true,
                 stillWanted,
@@ -210,8 +214,10 @@
     }
 
     void releaseScroll(String scrollId) {
+        String requestId = nextRequestId();
         enqueue(
-                requests.freeScroll(scrollId),
+                requestId,
+                requests.freeScroll(scrollId, requestId),
                 loop.now() + RELEASE_TIMEOUT_S,
                 false,
                 () -> true,
@@ -233,8 +239,10 @@
     @Override
     public void checkHealth() {
         double sentAt = loop.now();
+        String requestId = nextRequestId();
         enqueue(
-                requests.healthCheck(),
+                requestId,
+                requests.healthCheck(requestId),
                 sentAt + HEALTH_CHECK_TIMEOUT_S,
                 true,
                 () -> true,
@@ -256,14 +264,21 @@
                 });
     }
 
+    /** Returns an id for a request that is not an attempt, so that a response to another request can be told apart. */
+    private String nextRequestId() {
+        return "request-" + ++lastRequestNumber;
+    }
+
     private void enqueue(
+            String requestId,
             byte[] request,
             double deadline,
             boolean onlyWhileAccepting,
             BooleanSupplier stillWanted,
             Attempt attempt,
             HttpClient.ResponseListener listener) {
-        QueuedRequest queued = new QueuedRequest(request, deadline, onlyWhileAccepting, stillWanted, listener);
+        QueuedRequest queued =
+                new QueuedRequest(requestId, request, deadline, onlyWhileAccepting, stillWanted, listener);
         if (onlyWhileAccepting && !acceptingCalls) {
             loop.execute(() -> listener.onFailure(null));
             return;
@@ -272,6 +287,7 @@
         if (slot == null) {
             // Queued here rather than at the worker: a request that is abandoned meanwhile is then never sent.
             queue.addLast(new QueuedRequest(
+                    requestId,
                     request,
                     deadline,
                     onlyWhileAccepting,
@@ -318,7 +334,7 @@
         slot.http.send(queued.request(), timeoutS, queued.stillWanted(), new HttpClient.ResponseListener() {
             @Override
             public void onResponse(HttpMessage message) {
-                if (attempt != null && !WorkerRequests.isResponseTo(attempt, message)) {
+                if (!WorkerRequests.isResponseTo(queued.id(), message)) {
                     // The responses on this connection are out of step with its requests.
                     slot.http.close();
                     onFailure(HttpClient.Failure.CONNECTION_LOST);
--- a/src/main/java/pepperdock/opensearch/WorkerRequests.java
+++ b/src/main/java/pepperdock/opensearch/WorkerRequests.java
@@ -17,25 +17,31 @@
 
     /**
      * Encodes a request for the next page of a scroll, whose context is kept for another {@code keepAliveS} seconds.
+     *
+     * @param requestId differs from that of any other request to the worker
      */
-    byte[] nextPage(String scrollId, double keepAliveS) {
+    byte[] nextPage(String scrollId, double keepAliveS, String requestId) {
         JsonObject body = new JsonObject();
         body.addProperty("scroll", (long) Math.ceil(keepAliveS) + "s");
         body.addProperty("scroll_id", scrollId);
-        return post("/_search/scroll", JSON, body);
+        return post("/_search/scroll", idHeader(requestId) + JSON, body);
     }
 
     /** Encodes a request to free the search context of a scroll. */
-    byte[] freeScroll(String scrollId) {
+    byte[] freeScroll(String scrollId, String requestId) {
         JsonObject body = new JsonObject();
         body.addProperty("scroll_id", scrollId);
         return HttpWriter.request(
-                "DELETE", "/_search/scroll", host, JSON, body.toString().getBytes(StandardCharsets.UTF_8));
+                "DELETE",
+                "/_search/scroll",
+                host,
+                idHeader(requestId) + JSON,
+                body.toString().getBytes(StandardCharsets.UTF_8));
     }
 
     /** Encodes a health check. */
-    byte[] healthCheck() {
-        return HttpWriter.request("GET", "/", host, "", new byte[0]);
+    byte[] healthCheck(String requestId) {
+        return HttpWriter.request("GET", "/", host, idHeader(requestId), new byte[0]);
     }
 
     /**
@@ -46,7 +52,7 @@
         QueryRequest request = attempt.part().query().request();
         int shard = attempt.part().shard();
         long timeoutMs = Math.max(1, (long) ((attempt.deadline() - now) * 1e3));
-        String headers = REQUEST_ID + ": " + requestId(attempt) + "\r\n" + JSON;
+        String headers = idHeader(requestId(attempt)) + JSON;
         if (!(request.frontContext() instanceof SearchRequest search)) {
             JsonObject queryString = new JsonObject();
             queryString.addProperty("query", new String(request.body(), StandardCharsets.UTF_8));
@@ -77,13 +83,18 @@
                 search.body());
     }
 
-    /** Returns whether a response may belong to an attempt: it repeats the id of its request, or no id at all. */
-    static boolean isResponseTo(Attempt attempt, HttpMessage response) {
+    /** Returns whether a response may belong to a request: it repeats the id of that request, or no id at all. */
+    static boolean isResponseTo(String requestId, HttpMessage response) {
         String repeatedId = response.header(REQUEST_ID);
-        return repeatedId == null || repeatedId.equals(requestId(attempt));
+        return repeatedId == null || repeatedId.equals(requestId);
     }
 
-    private static String requestId(Attempt attempt) {
+    private static String idHeader(String requestId) {
+        return REQUEST_ID + ": " + requestId + "\r\n";
+    }
+
+    /** Returns the id of the request for an attempt. */
+    static String requestId(Attempt attempt) {
         return attempt.part().query().request().id() + '.' + attempt.part().shard();
     }
 
