Answer a query as failed if its answer does not fit into the heap

Cause: merging the parts' answers ran out of heap. The query had ended and its deadline guard was cancelled by then, and InternalFailures.run, which replaces an answer that can't be given by a failure, caught RuntimeException only. The error also dropped the rest of the batch.

Change: it catches OutOfMemoryError and StackOverflowError too; what the step held is free by then.

--- a/src/main/java/pepperdock/core/InternalFailures.java
+++ b/src/main/java/pepperdock/core/InternalFailures.java
@@ -2,7 +2,8 @@
 
 /**
  * Records exceptions that show a fault of this program, at the places that keep such a fault from reaching queries
- * other than its own: each is counted in the {@link Metrics} and logged with its stack trace. Owned by the gatherer's
+ * other than its own: each is counted in the {@link Metrics} and logged with its stack trace. A step that needs more
+ * heap or stack than there is counts as such a fault: what it held is free once it has failed. Owned by the gatherer's
  * thread.
  */
 final class InternalFailures {
@@ -18,7 +19,7 @@
     }
 
     /** Records an exception; {@code step} says what went on when it was thrown, as in "the backend sent a call". */
-    void record(String step, RuntimeException cause) {
+    void record(String step, Throwable cause) {
         metrics.recordInternalFailure();
         log.log(System.Logger.Level.ERROR, () -> "internal failure while " + step, cause);
     }
@@ -28,7 +29,7 @@
         try {
             task.run();
             return true;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
             record(step, e);
             return false;
         }
--- a/src/test/java/pepperdock/core/InternalFailureTest.java
+++ b/src/test/java/pepperdock/core/InternalFailureTest.java
@@ -68,6 +68,37 @@
         assertEquals(metrics.submittedTotal(), metrics.endedTotal());
     }
 
+    /** Guards against a query that is never answered because its answer does not fit into the heap ({@code review/7}). */
+    @Test
+    void queryWhoseAnswerExceedsTheHeapIsAnsweredAsFailed() {
+        List<String> answers = new ArrayList<>();
+        QueryListener tooLarge = new QueryListener() {
+            @Override
+            public void onAnswer(Query query, boolean complete) {
+                throw new OutOfMemoryError("injected");
+            }
+
+            @Override
+            public void onRejected(Query query, double retryAfterS) {
+                answers.add("rejected");
+            }
+
+            @Override
+            public void onFailed(Query query, boolean overdue) {
+                answers.add("failed");
+            }
+        };
+        QueryRequest request =
+                new QueryRequest("large", 0, "", 3, List.of(new QueryRequest.RequestedPart(0, 1)), new byte[0], null);
+        fixture.gatherer.submit(request, tooLarge);
+        fixture.submit(0, 3, 1);
+        fixture.clock.advance(0.01);
+        endAllAttempts();
+        fixture.clock.advance(0.1);
+        assertEquals(List.of("failed"), answers);
+        assertEquals(List.of("answered true 1"), fixture.answers, "the other query of the batch");
+    }
+
     /** Guards against a shutdown that leaves queries unanswered behind one whose listener fails. */
     @Test
     void shutdownAnswersTheQueriesBehindOneThatFails() {
