Ask for DNS-SD records where the settings say that lists are pushed

Cause: DnsSdDiscovery waits for watch(), which the scheduler calls only where lists are polled. DNS pushes nothing.

Change: there it begins by itself and asks again after a failure.

--- a/src/main/java/pepperdock/dnssd/DnsSdDiscovery.java
+++ b/src/main/java/pepperdock/dnssd/DnsSdDiscovery.java
@@ -65,7 +65,7 @@
     private boolean running;
     /**
      * Creates a discovery with the given configuration; callbacks run on {@code ioThread}, and nothing is sent before
-     * {@link #watch}.
+     * {@link #start}.
      */
     public DnsSdDiscovery(DnsSdConfig config, DeploymentSettings settings, Clock clock, Executor ioThread) {
         this.config = config;
@@ -81,9 +81,15 @@
             throw new ConfigException("dnssd.service", e.getMessage());
         }
     }
-    /** Sets the gatherer that receives the endpoint lists; called once, before {@link #watch}. */
+    /**
+     * Sets the gatherer that receives the endpoint lists; called once, before {@link #watch}. Begins at once where the
+     * settings say that lists are pushed: the scheduler asks for none then, and records are never pushed.
+     */
     public void start(Gatherer gatherer) {
         this.gatherer = gatherer;
+        if (!settings.scheduler().pollsEndpointList()) {
+            watch();
+        }
     }
 
     @Override
@@ -119,8 +125,11 @@
 
     private void onBrowsed(List<WorkerEndpoint> endpoints, Throwable failure) {
         if (failure != null) {
-            // The last reported list stays in force; the scheduler decides when to ask again.
+            // The last reported list stays in force; the scheduler decides when to ask again, unless lists are pushed.
             running = false;
+            if (!settings.scheduler().pollsEndpointList()) {
+                clock.after(config.leastS(), this::watch);
+            }
             LOG.log(System.Logger.Level.WARNING, "DNS-SD browsing of {0} failed: {1}", service, failure.getMessage());
             gatherer.onEndpointList(EndpointListKind.FAILED, List.of());
             return;
--- a/src/test/java/pepperdock/dnssd/DnsSdTest.java
+++ b/src/test/java/pepperdock/dnssd/DnsSdTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.xbill.DNS.Rcode;
+import pepperdock.config.DeploymentSettings;
 import pepperdock.config.DnsSdConfig;
 import pepperdock.config.TestDeploymentSettings;
 import pepperdock.core.Gatherer;
@@ -36,21 +37,21 @@
 
     @BeforeEach
     void start() throws Exception {
+        dns.instance("one", 8001, 60, "BLOCK=2", "block=3", "class=std");
+        dns.instance("two", 8002, 10, "block=1", "health=terminating", "born_ms=5000");
+        start(TestDeploymentSettings.small()).watch();
+    }
+
+    private DnsSdDiscovery start(DeploymentSettings settings) throws Exception {
         DnsSdDiscovery discovery = new DnsSdDiscovery(
-                new DnsSdConfig(dns.address(), "_ledger._tcp", "room.example", 20, 1),
-                TestDeploymentSettings.small(),
-                clock,
-                callbacks::add);
-        Gatherer gatherer =
-                new Gatherer(TestDeploymentSettings.small().scheduler(), 1, clock, new NoOpBackend(), discovery);
-        discovery.start(gatherer);
+                new DnsSdConfig(dns.address(), "_ledger._tcp", "room.example", 20, 1), settings, clock, callbacks::add);
+        Gatherer gatherer = new Gatherer(settings.scheduler(), 1, clock, new NoOpBackend(), discovery);
         gatherer.addEndpointListListener(reported -> {
             endpoints = reported;
             listCount++;
         });
-        dns.instance("one", 8001, 60, "BLOCK=2", "block=3", "class=std");
-        dns.instance("two", 8002, 10, "block=1", "health=terminating", "born_ms=5000");
-        discovery.watch();
+        discovery.start(gatherer);
+        return discovery;
     }
 
     @AfterEach
@@ -69,6 +70,15 @@
         }
     }
 
+    /** Runs the two steps that follow a failed query: its answer, and the end of the browsing. */
+    private void runCallbacksOfFailedQuery() throws Exception {
+        for (int i = 0; i < 2; i++) {
+            Runnable callback = callbacks.poll(30, TimeUnit.SECONDS);
+            assertTrue(callback != null, "no callback was handed over within 30 s");
+            callback.run();
+        }
+    }
+
     private Map<String, WorkerEndpoint> endpointsById() {
         return endpoints.stream().collect(java.util.stream.Collectors.toMap(WorkerEndpoint::id, h -> h));
     }
@@ -113,11 +123,7 @@
         awaitNextList();
         dns.rcode = Rcode.SERVFAIL;
         clock.advance(11);
-        for (int i = 0; i < 2; i++) {
-            Runnable callback = callbacks.poll(30, TimeUnit.SECONDS);
-            assertTrue(callback != null, "no callback was handed over within 30 s");
-            callback.run();
-        }
+        runCallbacksOfFailedQuery();
         assertEquals(1, listCount);
         assertEquals(2, endpoints.size());
         dns.rcode = Rcode.NOERROR;
@@ -125,4 +131,20 @@
         awaitNextList();
         assertEquals(2, endpoints.size());
     }
+
+    /**
+     * Guards against records that are never asked for where the settings say that lists are pushed: the scheduler does
+     * not ask then ({@code DnsPushed} of the second review).
+     */
+    @Test
+    void recordsAreAskedForWhereListsArePushed() throws Exception {
+        awaitNextList();
+        dns.rcode = Rcode.SERVFAIL;
+        start(TestDeploymentSettings.with(TestDeploymentSettings.SETTINGS.replace("subscribe", "automatic")));
+        runCallbacksOfFailedQuery();
+        dns.rcode = Rcode.NOERROR;
+        clock.advance(1.5);
+        awaitNextList();
+        assertEquals(2, endpoints.size());
+    }
 }
