Share lists from DNS-SD between the processes of an upgrade

Cause: lists from DNS-SD were not passed on, so the second process began by the list of its file alone.

Change: DnsSdDiscovery takes part in the exchange of endpoints.json. Its version is the time at which the content changed. A process adopts a list only until the server has answered it, and only from one that is alive: what it has asked for itself is newer than the other's cache. Failed browsing of a new process is repeated at the minimum interval.

DnsSdTest. listOfAnotherProcessIsUsedUntilTheServerAnswers passes (adopt is new, so it was not run on the old code).

--- a/src/main/java/pepperdock/dnssd/DnsSdDiscovery.java
+++ b/src/main/java/pepperdock/dnssd/DnsSdDiscovery.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -35,6 +36,8 @@
 import pepperdock.config.DnsSdConfig;
 import pepperdock.core.Clock;
 import pepperdock.core.EndpointDiscovery;
+import pepperdock.core.EndpointListSharing;
+import pepperdock.core.EndpointListSnapshot;
 import pepperdock.core.Gatherer;
 import pepperdock.core.WorkerEndpoint;
 import pepperdock.scheduler.EndpointListKind;
@@ -46,10 +49,15 @@
  * sooner than the configured minimum interval. All state is owned by the clock's thread; the library's own threads only
  * carry datagrams.
  */
-public final class DnsSdDiscovery implements EndpointDiscovery {
+public final class DnsSdDiscovery implements EndpointDiscovery, EndpointListSharing {
 
     private static final System.Logger LOG = System.getLogger("pepperdock.dnssd");
 
+    /** Precedes the name of the service in the source of a list. */
+    private static final String SOURCE_PREFIX = "dns-sd:";
+
+    private static final double MS_PER_S = 1e3;
+
     private record RecordKey(Name name, int type) {}
 
     private record CachedRecords(List<Record> records, double expiresAt) {}
@@ -63,6 +71,14 @@
     private final Map<RecordKey, CachedRecords> cache = new HashMap<>();
     private Gatherer gatherer;
     private boolean running;
+    /** Whether the server has answered this process; until then it may use what another process was told. */
+    private boolean answered;
+    /** The last list that was reported or adopted, and when its content changed, in milliseconds since the epoch. */
+    private List<WorkerEndpoint> lastEndpoints = List.of();
+
+    private long lastChangeMs;
+    /** Until when failed browsing is repeated without waiting for the scheduler, by the clock. */
+    private double promptRetriesUntilS;
     /**
      * Creates a discovery with the given configuration; callbacks run on {@code ioThread}, and nothing is sent before
      * {@link #start}.
@@ -100,6 +116,50 @@
         }
     }
 
+    /**
+     * {@inheritDoc}
+     *
+     * <p>The version is the time at which the content last changed, which both processes read from one clock.
+     */
+    @Override
+    public EndpointListSnapshot snapshot(Collection<WorkerEndpoint> endpoints) {
+        return new EndpointListSnapshot(SOURCE_PREFIX + service, lastChangeMs, List.copyOf(endpoints));
+    }
+
+    /**
+     * {@inheritDoc}
+     *
+     * <p>Only a process that the server has not answered yet adopts a list, and only from one that is alive: records
+     * that this process has asked for itself may be newer than those that the other one still has in its cache.
+     */
+    @Override
+    public void adopt(EndpointListSnapshot list, boolean otherProcessAlive) {
+        if (answered || !otherProcessAlive || !list.source().equals(SOURCE_PREFIX + service)) {
+            return;
+        }
+        LOG.log(
+                System.Logger.Level.INFO,
+                "endpoint list of {0}, {1} entries, received by another process",
+                service,
+                list.endpoints().size());
+        lastEndpoints = list.endpoints();
+        lastChangeMs = list.version();
+        gatherer.onEndpointList(EndpointListKind.CACHED, list.endpoints());
+    }
+
+    @Override
+    public void retryPromptly(double seconds) {
+        promptRetriesUntilS = clock.now() + seconds;
+        watch();
+    }
+
+    private void useList(List<WorkerEndpoint> endpoints) {
+        if (!endpoints.equals(lastEndpoints)) {
+            lastEndpoints = endpoints;
+            lastChangeMs = (long) (clock.now() * MS_PER_S);
+        }
+    }
+
     /**
      * Browses and resolves all instances, querying what is no longer cached; reports the list and schedules the next
      * round.
@@ -127,13 +187,15 @@
         if (failure != null) {
             // The last reported list stays in force; the scheduler decides when to ask again, unless lists are pushed.
             running = false;
-            if (!settings.scheduler().pollsEndpointList()) {
+            if (!settings.scheduler().pollsEndpointList() || clock.now() < promptRetriesUntilS) {
                 clock.after(config.leastS(), this::watch);
             }
             LOG.log(System.Logger.Level.WARNING, "DNS-SD browsing of {0} failed: {1}", service, failure.getMessage());
             gatherer.onEndpointList(EndpointListKind.FAILED, List.of());
             return;
         }
+        answered = true;
+        useList(endpoints);
         gatherer.onEndpointList(EndpointListKind.COMPLETE, endpoints);
         double delayS = cache.values().stream()
                         .mapToDouble(CachedRecords::expiresAt)
--- a/src/main/java/pepperdock/service/EndpointSource.java
+++ b/src/main/java/pepperdock/service/EndpointSource.java
@@ -36,7 +36,7 @@
     static EndpointSource open(Config config, EventLoop loop) {
         if (config.dnsSd() != null) {
             DnsSdDiscovery dnsSd = new DnsSdDiscovery(config.dnsSd(), config.site(), loop, loop::execute);
-            return new EndpointSource(dnsSd, false, dnsSd::start, null, null, null);
+            return new EndpointSource(dnsSd, false, dnsSd::start, dnsSd, null, null);
         }
         if (config.discovery() != null) {
             EndpointWatch watch = new EndpointWatch(
--- a/src/test/java/pepperdock/dnssd/DnsSdTest.java
+++ b/src/test/java/pepperdock/dnssd/DnsSdTest.java
@@ -16,6 +16,7 @@
 import pepperdock.config.DeploymentSettings;
 import pepperdock.config.DnsSdConfig;
 import pepperdock.config.TestDeploymentSettings;
+import pepperdock.core.EndpointListSnapshot;
 import pepperdock.core.Gatherer;
 import pepperdock.core.ManualClock;
 import pepperdock.core.NoOpBackend;
@@ -30,6 +31,10 @@
     private final FakeDnsServer dns;
     private Collection<WorkerEndpoint> endpoints;
     private int listCount;
+    /** The discovery that was started last, and its gatherer. */
+    private DnsSdDiscovery discovery;
+
+    private Gatherer gatherer;
 
     DnsSdTest() throws Exception {
         dns = new FakeDnsServer();
@@ -43,9 +48,9 @@
     }
 
     private DnsSdDiscovery start(DeploymentSettings settings) throws Exception {
-        DnsSdDiscovery discovery = new DnsSdDiscovery(
+        discovery = new DnsSdDiscovery(
                 new DnsSdConfig(dns.address(), "_ledger._tcp", "room.example", 20, 1), settings, clock, callbacks::add);
-        Gatherer gatherer = new Gatherer(settings.scheduler(), 1, clock, new NoOpBackend(), discovery);
+        gatherer = new Gatherer(settings.scheduler(), 1, clock, new NoOpBackend(), discovery);
         gatherer.addEndpointListListener(reported -> {
             endpoints = reported;
             listCount++;
@@ -147,4 +152,27 @@
         awaitNextList();
         assertEquals(2, endpoints.size());
     }
+
+    /**
+     * Guards against a new process of an upgrade that sends to a node which withdrew its records, because the DNS server
+     * does not answer it ({@code review/10}). Once the server has answered, the other process's cache counts no more.
+     */
+    @Test
+    void listOfAnotherProcessIsUsedUntilTheServerAnswers() throws Exception {
+        awaitNextList();
+        EndpointListSnapshot both = discovery.snapshot(endpoints);
+        EndpointListSnapshot one = new EndpointListSnapshot(
+                both.source(), both.version() + 1, List.of(endpointsById().get("one")));
+        DnsSdDiscovery replacement = start(TestDeploymentSettings.small());
+        replacement.adopt(one, false);
+        assertEquals(0, gatherer.listedEndpointCount(), "a list that was left behind");
+        replacement.adopt(one, true);
+        assertEquals(1, gatherer.listedEndpointCount());
+        assertEquals(one, replacement.snapshot(one.endpoints()));
+        replacement.watch();
+        awaitNextList();
+        assertEquals(2, gatherer.listedEndpointCount());
+        replacement.adopt(one, true);
+        assertEquals(2, gatherer.listedEndpointCount());
+    }
 }
