Allow at least 0.1 s between two bytes of a frame, whatever the connect timeout

With a connect timeout of 0.05 s a frame would have had to go on within 20 ms, which a busy worker may miss without fault. Batches without new results poll nothing.

--- a/src/main/java/pepperdock/platform/IncompleteFrameTimeout.java
+++ b/src/main/java/pepperdock/platform/IncompleteFrameTimeout.java
@@ -13,11 +13,14 @@
     private static final int TOTAL_MULTIPLE = 4;
     /** Share of the connect timeout that may pass between two bytes: long enough for a lost segment to be sent again. */
     private static final double GAP_SHARE = 0.4;
+    /** The least time allowed between two bytes, in seconds, however short the connect timeout is. */
+    private static final double MIN_GAP_S = 0.1;
     /** Share of the connect timeout without a further byte after which no new call should wait behind the frame. */
     private static final double STALLED_SHARE = 0.1;
 
     private final Clock clock;
     private final double connectTimeoutS;
+    private final double maxGapS;
     private final Runnable onExpired;
     private Clock.Timer timer;
     private double firstByteAt;
@@ -33,6 +36,7 @@
     IncompleteFrameTimeout(Clock clock, double connectTimeoutS, Runnable onExpired) {
         this.clock = clock;
         this.connectTimeoutS = connectTimeoutS;
+        maxGapS = Math.max(MIN_GAP_S, GAP_SHARE * connectTimeoutS);
         this.onExpired = onExpired;
     }
 
@@ -41,7 +45,7 @@
         if (timer == null) {
             firstByteAt = clock.now();
             receivedBytes = 0;
-            timer = clock.after(GAP_SHARE * connectTimeoutS, this::check);
+            timer = clock.after(maxGapS, this::check);
         }
         if (bytes > receivedBytes) {
             receivedBytes = bytes;
@@ -68,7 +72,7 @@
     }
 
     private double expiresAt() {
-        return Math.min(lastByteAt + GAP_SHARE * connectTimeoutS, firstByteAt + TOTAL_MULTIPLE * connectTimeoutS);
+        return Math.min(lastByteAt + maxGapS, firstByteAt + TOTAL_MULTIPLE * connectTimeoutS);
     }
 
     private void check() {
--- a/src/main/java/pepperdock/platform/UnreportedResults.java
+++ b/src/main/java/pepperdock/platform/UnreportedResults.java
@@ -18,6 +18,9 @@
 
     /** Reads what has arrived behind these results by now, and forgets the connections. */
     void poll() {
+        if (connections.isEmpty()) {
+            return;
+        }
         Set<WorkerConnection> polled = connections;
         connections = new LinkedHashSet<>();
         polled.forEach(WorkerConnection::pollBehindResults);
